--- /dev/null
+++ b/cli/main.cpp
@@ -0,0 +1,4 @@
+/// \file
+/// The program lagoonhitch: the operators' command line.
+
+int main() { return 2; }
--- /dev/null
+++ b/core/event_catalog.cpp
@@ -0,0 +1,45 @@
+#include "core/event_catalog.h"
+
+#include <algorithm>
+
+namespace lagoonhitch {
+
+namespace {
+
+constexpr EventInfo Catalog[] = {
+    {EventId::DaemonStarted, EventLevel::Info, "daemon-started"},
+    {EventId::DaemonStopping, EventLevel::Info, "daemon-stopping"},
+    {EventId::DaemonStopped, EventLevel::Info, "daemon-stopped"},
+    {EventId::SettingsRejected, EventLevel::Error, "settings-rejected"},
+    {EventId::Joined, EventLevel::Info, "joined"},
+    {EventId::LeaseAcquired, EventLevel::Info, "lease-acquired"},
+    {EventId::LeaseLapsed, EventLevel::Warn, "lease-lapsed"},
+    {EventId::TakeoverStarted, EventLevel::Warn, "takeover-started"},
+    {EventId::TakeoverServing, EventLevel::Warn, "takeover-serving"},
+    {EventId::TableChanged, EventLevel::Info, "table-changed"},
+    {EventId::ReleaseStarted, EventLevel::Info, "release-started"},
+    {EventId::Removed, EventLevel::Warn, "removed"},
+    {EventId::LogUnavailable, EventLevel::Warn, "log-unavailable"},
+    {EventId::LogRestored, EventLevel::Info, "log-restored"},
+    {EventId::LogGap, EventLevel::Warn, "log-gap"},
+    {EventId::UpstreamAnnounced, EventLevel::Info, "upstream-announced"},
+    {EventId::UpstreamLost, EventLevel::Warn, "upstream-lost"},
+    {EventId::UpstreamRestarted, EventLevel::Warn, "upstream-restarted"},
+    {EventId::UpstreamDraining, EventLevel::Info, "upstream-draining"},
+    {EventId::UpstreamCold, EventLevel::Warn, "upstream-cold"},
+    {EventId::LinkSettled, EventLevel::Warn, "link-settled"},
+    {EventId::RingFull, EventLevel::Error, "ring-full"},
+};
+
+} // namespace
+
+std::span<const EventInfo> eventCatalog() { return Catalog; }
+
+const EventInfo &eventInfo(EventId Id) {
+  const EventInfo *Found =
+      std::find_if(std::begin(Catalog), std::end(Catalog),
+                   [Id](const EventInfo &Row) { return Row.Id_ == Id; });
+  return *Found;
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/core/event_catalog.h
@@ -0,0 +1,56 @@
+#ifndef LAGOONHITCH_CORE_EVENT_CATALOG_H
+#define LAGOONHITCH_CORE_EVENT_CATALOG_H
+
+/// \file
+/// The numbered log events. docs/EVENTS.md explains each to operators.
+
+#include <cstdint>
+#include <span>
+
+namespace lagoonhitch {
+
+/// The severity of a log event.
+enum class EventLevel { Info, Warn, Error };
+
+/// The number of a log event. Numbers are never used again for another event.
+enum class EventId : std::uint32_t {
+  DaemonStarted = 100,
+  DaemonStopping = 101,
+  DaemonStopped = 102,
+  SettingsRejected = 110,
+  Joined = 200,
+  LeaseAcquired = 201,
+  LeaseLapsed = 202,
+  TakeoverStarted = 203,
+  TakeoverServing = 204,
+  TableChanged = 205,
+  ReleaseStarted = 206,
+  Removed = 207,
+  LogUnavailable = 300,
+  LogRestored = 301,
+  LogGap = 302,
+  UpstreamAnnounced = 400,
+  UpstreamLost = 401,
+  UpstreamRestarted = 402,
+  UpstreamDraining = 403,
+  UpstreamCold = 404,
+  LinkSettled = 500,
+  RingFull = 600,
+};
+
+/// One row of the catalogue.
+struct EventInfo {
+  EventId Id_;
+  EventLevel Level_;
+  const char *Name_;
+};
+
+/// Returns all events in the order of their numbers.
+std::span<const EventInfo> eventCatalog();
+
+/// Returns the row of an event.
+const EventInfo &eventInfo(EventId Id);
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_CORE_EVENT_CATALOG_H
--- /dev/null
+++ b/daemon/main.cpp
@@ -0,0 +1,91 @@
+/// \file
+/// The program lagoonhitchd.
+
+#include "core/error.h"
+#include "daemon/daemon.h"
+#include "platform/monotonic_clock.h"
+#include "settings/settings_load.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <string>
+#include <thread>
+
+ABSL_FLAG(std::string, settings, "", "base file of the settings (JSON)");
+ABSL_FLAG(std::string, overlay, "", "overlay of the site (JSON)");
+ABSL_FLAG(std::string, host, "", "file of this host (JSON)");
+
+namespace {
+
+constexpr int ExitFailed = 1;
+constexpr int ExitBadSettings = 2;
+
+std::uint64_t randomProcessNumber() {
+  std::random_device Source;
+  // Kept below 2^63, since it also stands in signed fields.
+  return ((static_cast<std::uint64_t>(Source()) << 32) | Source()) >> 1;
+}
+
+sigset_t stopSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  return Signals;
+}
+
+/// The first signal starts a graceful shutdown, a second one stops at once.
+void waitForSignals(lagoonhitch::Daemon &Server) {
+  const sigset_t Signals = stopSignals();
+  int Number = 0;
+  sigwait(&Signals, &Number);
+  Server.stop();
+  sigwait(&Signals, &Number);
+  Server.stopNow();
+}
+
+void serve(const lagoonhitch::DaemonSettings &Settings) {
+  const lagoonhitch::MonotonicClock Time;
+  lagoonhitch::Daemon Server(Time, Settings, randomProcessNumber());
+  std::thread Signals([&Server] { waitForSignals(Server); });
+  Signals.detach();
+  Server.run();
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  absl::SetProgramUsageMessage(
+      "serves as entry and owner beside one upstream host.\n"
+      "lagoonhitchd --settings=FILE --overlay=FILE --host=FILE");
+  absl::FlagsUsageConfig Usage;
+  Usage.version_string = [] { return "lagoonhitchd 0.1.0\n"; };
+  Usage.contains_help_flags = [](absl::string_view File) {
+    return File.find("main.cpp") != absl::string_view::npos;
+  };
+  absl::SetFlagsUsageConfig(Usage);
+  absl::ParseCommandLine(Argc, Argv);
+  const sigset_t Signals = stopSignals();
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    lagoonhitch::SettingsFiles Files;
+    Files.Base_ = absl::GetFlag(FLAGS_settings);
+    Files.Overlay_ = absl::GetFlag(FLAGS_overlay);
+    Files.Host_ = absl::GetFlag(FLAGS_host);
+    serve(lagoonhitch::parseSettings(lagoonhitch::mergeSettings(Files)));
+    return 0;
+  } catch (const lagoonhitch::Error &Failure) {
+    std::cerr << "lagoonhitchd: " << Failure.what()
+              << "\nremedy: " << Failure.remedy() << "\n";
+    return Failure.kind() == lagoonhitch::ErrorKind::Settings ? ExitBadSettings
+                                                              : ExitFailed;
+  }
+}
--- /dev/null
+++ b/limits/retry_budget.h
@@ -0,0 +1,28 @@
+#ifndef LAGOONHITCH_LIMITS_RETRY_BUDGET_H
+#define LAGOONHITCH_LIMITS_RETRY_BUDGET_H
+
+/// \file
+/// Keeps retries a small part of the traffic.
+
+#include <cstdint>
+
+namespace lagoonhitch {
+
+/// A token bucket that live requests fill and retries empty.
+struct RetryBudget {
+  /// Tokens in hundredths of a retry.
+  std::uint64_t Balance_ = 0;
+};
+
+/// Most retries that can be saved up, in hundredths.
+inline constexpr std::uint64_t RetryBudgetMax = 1000;
+
+/// Counts a first attempt; adds Percent hundredths of a retry.
+void earnRetry(RetryBudget &Budget, std::uint32_t Percent);
+
+/// Takes one retry from the budget; returns whether there was one.
+bool spendRetry(RetryBudget &Budget);
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_LIMITS_RETRY_BUDGET_H
--- /dev/null
+++ b/net/beast_convert.h
@@ -0,0 +1,58 @@
+#ifndef LAGOONHITCH_NET_BEAST_CONVERT_H
+#define LAGOONHITCH_NET_BEAST_CONVERT_H
+
+/// \file
+/// Conversions between plain HTTP messages and the library's; included by the
+/// back ends of net only.
+
+#include "net/http_message.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <utility>
+
+namespace lagoonhitch {
+
+/// Copies the library's header fields.
+template <typename Fields>
+std::vector<HttpHeader> headersFromBeast(const Fields &Source) {
+  std::vector<HttpHeader> Headers;
+  for (const typename Fields::value_type &Field : Source)
+    Headers.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  return Headers;
+}
+
+/// Sets the library's header fields, leaving out hop-by-hop ones.
+template <typename Message>
+void headersToBeast(const std::vector<HttpHeader> &Headers, Message &Target) {
+  for (const HttpHeader &Header : Headers)
+    if (!isHopByHop(Header.Name_))
+      Target.insert(Header.Name_, Header.Value_);
+}
+
+/// Moves a request out of the library's message.
+inline HttpRequest requestFromBeast(
+    boost::beast::http::request<boost::beast::http::string_body> Source) {
+  HttpRequest Request;
+  Request.Method_ = std::string(Source.method_string());
+  Request.Target_ = std::string(Source.target());
+  Request.Headers_ = headersFromBeast(Source.base());
+  Request.Body_ = std::move(Source.body());
+  return Request;
+}
+
+/// Moves a response out of the library's message.
+inline HttpResponse responseFromBeast(
+    boost::beast::http::response<boost::beast::http::string_body> Source) {
+  HttpResponse Response;
+  Response.Status_ = Source.result_int();
+  Response.Headers_ = headersFromBeast(Source.base());
+  Response.Body_ = std::move(Source.body());
+  return Response;
+}
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_NET_BEAST_CONVERT_H
--- /dev/null
+++ b/net/blocking_http.cpp
@@ -0,0 +1,32 @@
+#include "net/blocking_http.h"
+
+#include "net/http_client.h"
+#include "net/io_loop.h"
+
+#include <utility>
+
+namespace lagoonhitch {
+
+namespace {
+
+/// A checkpoint of the ownership table is the largest body.
+constexpr std::size_t BlockingBodyLimit = 16 * 1024 * 1024;
+
+} // namespace
+
+HttpResult callBlocking(const Clock &Time, const std::string &Address,
+                        HttpRequest Request, Duration Timeout) {
+  IoLoop Loop;
+  HttpClientOptions Limits;
+  Limits.BodyLimit_ = BlockingBodyLimit;
+  HttpClient Client(Loop, Time, Limits);
+  HttpResult Result;
+  HttpCallOptions Options;
+  Options.Timeout_ = Timeout;
+  Client.send(Address, std::move(Request), Options,
+              [&Result](HttpResult Ended) { Result = std::move(Ended); });
+  Loop.runUntilIdle();
+  return Result;
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/net/http_client.cpp
@@ -0,0 +1,285 @@
+#include "net/http_client.h"
+
+#include "core/error.h"
+#include "net/address.h"
+#include "net/beast_convert.h"
+#include "net/io_loop_impl.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::beast::error_code;
+
+namespace lagoonhitch {
+
+namespace {
+
+struct Connection {
+  explicit Connection(boost::asio::io_context &Context) : Stream_(Context) {}
+
+  boost::beast::tcp_stream Stream_;
+  boost::beast::flat_buffer Buffer_;
+  Instant OpenedAt_;
+  Instant IdleSince_;
+};
+
+struct Pool {
+  std::vector<std::unique_ptr<Connection>> Idle_;
+  std::size_t Open_ = 0;
+  std::size_t Limit_ = 0;
+};
+
+} // namespace
+
+struct HttpClient::Impl {
+  Impl(IoLoop &Loop, const Clock &Time, HttpClientOptions Options)
+      : Context_(Loop.impl().Context_), Time_(Time), Options_(Options) {}
+
+  Pool &pool(const std::string &Address) {
+    Pool &Found = Pools_[Address];
+    if (Found.Limit_ == 0)
+      Found.Limit_ = Options_.MaxConnections_;
+    return Found;
+  }
+
+  boost::asio::io_context &Context_;
+  const Clock &Time_;
+  HttpClientOptions Options_;
+  std::map<std::string, Pool> Pools_;
+};
+
+namespace {
+
+bool isUsable(Connection &Idle) {
+  char Byte = 0;
+  error_code Failure;
+  Idle.Stream_.socket().non_blocking(true, Failure);
+  Idle.Stream_.socket().receive(boost::asio::buffer(&Byte, 1),
+                                tcp::socket::message_peek, Failure);
+  return Failure == boost::asio::error::would_block;
+}
+
+/// One request on its way; keeps itself alive while an operation runs.
+class Call : public std::enable_shared_from_this<Call> {
+public:
+  Call(std::shared_ptr<HttpClient::Impl> Client, std::string Address,
+       HttpRequest Request, HttpCallOptions Options, HttpClient::Callback Done)
+      : Client_(std::move(Client)), Address_(std::move(Address)),
+        Options_(Options), Done_(std::move(Done)) {
+    Message_.version(11);
+    Message_.method_string(Request.Method_);
+    Message_.target(Request.Target_);
+    Message_.set(http::field::host, Address_);
+    headersToBeast(Request.Headers_, Message_);
+    Message_.body() = std::move(Request.Body_);
+    Message_.keep_alive(true);
+    Message_.prepare_payload();
+  }
+
+  ~Call() { drop(); }
+
+  void start() {
+    if (!Options_.FreshConnection_ && takeIdle()) {
+      write();
+      return;
+    }
+    Pool &Target = Client_->pool(Address_);
+    if (Target.Open_ >= Target.Limit_) {
+      finishLater(HttpStatus::NotSent);
+      return;
+    }
+    connect(Target);
+  }
+
+  void cancel() {
+    Done_ = nullptr;
+    drop();
+  }
+
+private:
+  bool takeIdle() {
+    Pool &Target = Client_->pool(Address_);
+    const Instant Now = Client_->Time_.now();
+    while (!Target.Idle_.empty()) {
+      std::unique_ptr<Connection> Candidate = std::move(Target.Idle_.back());
+      Target.Idle_.pop_back();
+      const bool Young =
+          Now - Candidate->IdleSince_ < Client_->Options_.IdleLimit_ &&
+          Now - Candidate->OpenedAt_ < Client_->Options_.AgeLimit_;
+      if (Young && isUsable(*Candidate)) {
+        Connection_ = std::move(Candidate);
+        return true;
+      }
+      --Target.Open_;
+    }
+    return false;
+  }
+
+  void connect(Pool &Target) {
+    tcp::endpoint Endpoint;
+    try {
+      Endpoint = parseEndpoint(Address_);
+    } catch (const Error &) {
+      finishLater(HttpStatus::NotSent);
+      return;
+    }
+    ++Target.Open_;
+    Connection_ = std::make_unique<Connection>(Client_->Context_);
+    Connection_->OpenedAt_ = Client_->Time_.now();
+    Connection_->Stream_.expires_after(Client_->Options_.ConnectTimeout_);
+    Connection_->Stream_.async_connect(
+        Endpoint, [Self = shared_from_this()](error_code Failure) {
+          if (!Self->Connection_)
+            return;
+          if (Failure) {
+            Self->finish(HttpStatus::NotSent);
+            return;
+          }
+          error_code Ignored;
+          Self->Connection_->Stream_.socket().set_option(tcp::no_delay(true),
+                                                         Ignored);
+          Self->write();
+        });
+  }
+
+  void write() {
+    Connection_->Stream_.expires_after(Options_.Timeout_);
+    http::async_write(
+        Connection_->Stream_, Message_,
+        [Self = shared_from_this()](error_code Failure, std::size_t Size) {
+          if (!Self->Connection_)
+            return;
+          if (Failure) {
+            Self->finishFailed(Failure, Size);
+            return;
+          }
+          Self->read();
+        });
+  }
+
+  void read() {
+    Parser_.emplace();
+    Parser_->body_limit(Client_->Options_.BodyLimit_);
+    http::async_read(
+        Connection_->Stream_, Connection_->Buffer_, *Parser_,
+        [Self = shared_from_this()](error_code Failure, std::size_t) {
+          if (!Self->Connection_)
+            return;
+          if (Failure) {
+            Self->finishFailed(Failure, 1);
+            return;
+          }
+          Self->finishAnswered();
+        });
+  }
+
+  void finishAnswered() {
+    const bool Reusable =
+        Parser_->keep_alive() && Connection_->Buffer_.size() == 0;
+    HttpResult Result;
+    Result.Status_ = HttpStatus::Answered;
+    Result.Response_ = responseFromBeast(Parser_->release());
+    if (Reusable) {
+      Connection_->Stream_.expires_never();
+      Connection_->IdleSince_ = Client_->Time_.now();
+      Client_->pool(Address_).Idle_.push_back(std::move(Connection_));
+    }
+    drop();
+    deliver(std::move(Result));
+  }
+
+  void finishFailed(error_code Failure, std::size_t BytesSent) {
+    const bool TimedOut = Failure == boost::beast::error::timeout;
+    if (BytesSent == 0 && !TimedOut)
+      finish(HttpStatus::NotSent);
+    else
+      finish(TimedOut ? HttpStatus::TimedOut : HttpStatus::Broken);
+  }
+
+  void finish(HttpStatus Status) {
+    drop();
+    HttpResult Result;
+    Result.Status_ = Status;
+    deliver(std::move(Result));
+  }
+
+  void finishLater(HttpStatus Status) {
+    boost::asio::post(Client_->Context_, [Self = shared_from_this(), Status] {
+      Self->finish(Status);
+    });
+  }
+
+  void deliver(HttpResult Result) {
+    HttpClient::Callback Done = std::move(Done_);
+    Done_ = nullptr;
+    if (Done)
+      Done(std::move(Result));
+  }
+
+  void drop() {
+    if (!Connection_)
+      return;
+    Connection_->Stream_.close();
+    Connection_.reset();
+    --Client_->pool(Address_).Open_;
+  }
+
+  std::shared_ptr<HttpClient::Impl> Client_;
+  std::string Address_;
+  HttpCallOptions Options_;
+  HttpClient::Callback Done_;
+  http::request<http::string_body> Message_;
+  std::optional<http::response_parser<http::string_body>> Parser_;
+  std::unique_ptr<Connection> Connection_;
+};
+
+} // namespace
+
+HttpClient::HttpClient(IoLoop &Loop, const Clock &Time,
+                       HttpClientOptions Options)
+    : Impl_(std::make_shared<Impl>(Loop, Time, Options)) {}
+
+HttpClient::~HttpClient() { Impl_->Pools_.clear(); }
+
+std::shared_ptr<void> HttpClient::send(const std::string &Address,
+                                       HttpRequest Request,
+                                       HttpCallOptions Options, Callback Done) {
+  std::shared_ptr<Call> Started = std::make_shared<Call>(
+      Impl_, Address, std::move(Request), Options, std::move(Done));
+  Started->start();
+  return Started;
+}
+
+void HttpClient::cancel(const std::shared_ptr<void> &Handle) {
+  if (Handle)
+    std::static_pointer_cast<Call>(Handle)->cancel();
+}
+
+void HttpClient::limitConnections(const std::string &Address,
+                                  std::size_t Limit) {
+  Impl_->pool(Address).Limit_ = Limit;
+}
+
+void HttpClient::closeIdle(const std::string &Address) {
+  Pool &Target = Impl_->pool(Address);
+  Target.Open_ -= Target.Idle_.size();
+  Target.Idle_.clear();
+}
+
+std::size_t HttpClient::connections(const std::string &Address) const {
+  const std::map<std::string, Pool>::const_iterator Found =
+      Impl_->Pools_.find(Address);
+  return Found == Impl_->Pools_.end() ? 0 : Found->second.Open_;
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/net/http_server.cpp
@@ -0,0 +1,337 @@
+#include "net/http_server.h"
+
+#include "core/error.h"
+#include "net/address.h"
+#include "net/beast_convert.h"
+#include "net/io_loop_impl.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::beast::error_code;
+
+namespace lagoonhitch {
+
+namespace {
+
+class Session;
+
+} // namespace
+
+struct HttpServer::Impl {
+  Impl(IoLoop &Loop, HttpServerOptions Options, Handler Handle)
+      : Options_(std::move(Options)), Handle_(std::move(Handle)),
+        Acceptor_(Loop.impl().Context_) {}
+
+  HttpServerOptions Options_;
+  Handler Handle_;
+  tcp::acceptor Acceptor_;
+  std::set<Session *> Sessions_;
+  std::size_t OpenExchanges_ = 0;
+  bool Draining_ = false;
+};
+
+namespace {
+
+unsigned statusOfParseError(const error_code &Failure) {
+  if (Failure == http::error::header_limit)
+    return 431;
+  if (Failure == http::error::body_limit)
+    return 413;
+  if (Failure == boost::beast::error::timeout)
+    return 408;
+  return 400;
+}
+
+const char *messageOfParseError(unsigned Status) {
+  switch (Status) {
+  case 431:
+    return "the request head is larger than the limit";
+  case 413:
+    return "the request body is larger than the limit";
+  case 408:
+    return "the request was not received whole in time";
+  default:
+    return "the request is malformed";
+  }
+}
+
+/// One accepted connection; keeps itself alive while an operation runs.
+class Session : public std::enable_shared_from_this<Session> {
+public:
+  Session(tcp::socket Socket, std::shared_ptr<HttpServer::Impl> Server)
+      : Stream_(std::move(Socket)), Server_(std::move(Server)) {
+    Server_->Sessions_.insert(this);
+  }
+
+  ~Session() { Server_->Sessions_.erase(this); }
+
+  void readNext() {
+    Parser_.emplace();
+    Parser_->header_limit(
+        static_cast<std::uint32_t>(Server_->Options_.HeaderLimit_));
+    Parser_->body_limit(Server_->Options_.BodyLimit_);
+    if (Buffer_.size() > 0) {
+      readWhole();
+      return;
+    }
+    Idle_ = true;
+    Stream_.expires_after(Server_->Options_.IdleTimeout_);
+    Stream_.async_read_some(
+        Buffer_.prepare(ReadChunkBytes),
+        [Self = shared_from_this()](error_code Failure, std::size_t Size) {
+          Self->Idle_ = false;
+          if (Failure) {
+            Self->close();
+            return;
+          }
+          Self->Buffer_.commit(Size);
+          Self->readWhole();
+        });
+  }
+
+  void respond(std::uint64_t Number, HttpResponse Response) {
+    if (Number != Number_ || !Waiting_)
+      return;
+    finishExchange();
+    error_code Ignored;
+    Stream_.socket().cancel(Ignored);
+    write(std::move(Response), KeepAlive_ && !Server_->Draining_);
+  }
+
+  void setAbandoned(std::uint64_t Number, std::function<void()> Callback) {
+    if (Number == Number_ && Waiting_)
+      Abandoned_ = std::move(Callback);
+  }
+
+  void closeIfIdle() {
+    if (Idle_)
+      close();
+  }
+
+private:
+  static constexpr std::size_t ReadChunkBytes = 8192;
+
+  void readWhole() {
+    Stream_.expires_after(Server_->Options_.RequestTimeout_);
+    http::async_read(
+        Stream_, Buffer_, *Parser_,
+        [Self = shared_from_this()](error_code Failure, std::size_t) {
+          Self->onRead(Failure);
+        });
+  }
+
+  void onRead(error_code Failure) {
+    if (Failure == http::error::end_of_stream ||
+        Failure == boost::asio::error::operation_aborted) {
+      close();
+      return;
+    }
+    if (Failure) {
+      rejectMalformed(statusOfParseError(Failure));
+      return;
+    }
+    if (isAmbiguous()) {
+      rejectMalformed(400);
+      return;
+    }
+    KeepAlive_ = Parser_->keep_alive();
+    startExchange(requestFromBeast(Parser_->release()));
+  }
+
+  /// Two lengths, or a length together with chunks, is how one request is
+  /// smuggled inside another.
+  bool isAmbiguous() const {
+    const http::fields &Fields = Parser_->get().base();
+    const bool HasLength = Fields.count(http::field::content_length) > 0;
+    const bool HasChunks = Fields.count(http::field::transfer_encoding) > 0;
+    if (HasLength && HasChunks)
+      return true;
+    return Fields.count(http::field::content_length) > 1 ||
+           Fields.count(http::field::transfer_encoding) > 1;
+  }
+
+  void rejectMalformed(unsigned Status) {
+    HttpResponse Response;
+    Response.Status_ = Status;
+    Response.Headers_.push_back({"Content-Type", "application/json"});
+    Response.Headers_.push_back({"Lagoonhitch-Outcome", "not-run"});
+    Response.Body_ = std::string("{\"kind\":\"protocol\",\"message\":\"") +
+                     messageOfParseError(Status) +
+                     "\",\"remedy\":\"send one well-formed request within "
+                     "the limits of docs/SETTINGS.md\"}";
+    Stream_.expires_after(Server_->Options_.RequestTimeout_);
+    write(std::move(Response), false);
+  }
+
+  void startExchange(HttpRequest Request);
+
+  void watchForClose() {
+    Stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [Self = shared_from_this(), Number = Number_](error_code Failure) {
+          Self->onReadable(Number, Failure);
+        });
+  }
+
+  void onReadable(std::uint64_t Number, error_code Failure) {
+    if (Failure || Number != Number_ || !Waiting_)
+      return;
+    char Byte = 0;
+    error_code PeekFailure;
+    Stream_.socket().non_blocking(true, PeekFailure);
+    Stream_.socket().receive(boost::asio::buffer(&Byte, 1),
+                             tcp::socket::message_peek, PeekFailure);
+    if (!PeekFailure)
+      return;
+    if (PeekFailure == boost::asio::error::would_block) {
+      watchForClose();
+      return;
+    }
+    std::function<void()> Callback = std::move(Abandoned_);
+    finishExchange();
+    close();
+    if (Callback)
+      Callback();
+  }
+
+  void finishExchange() {
+    Waiting_ = false;
+    Abandoned_ = nullptr;
+    --Server_->OpenExchanges_;
+  }
+
+  void write(HttpResponse Source, bool KeepAlive) {
+    Response_.emplace();
+    Response_->version(11);
+    Response_->result(Source.Status_);
+    headersToBeast(Source.Headers_, *Response_);
+    Response_->body() = std::move(Source.Body_);
+    Response_->keep_alive(KeepAlive);
+    Response_->prepare_payload();
+    http::async_write(Stream_, *Response_,
+                      [Self = shared_from_this(), KeepAlive](error_code Failure,
+                                                             std::size_t) {
+                        Self->Response_.reset();
+                        if (Failure || !KeepAlive) {
+                          Self->close();
+                          return;
+                        }
+                        Self->readNext();
+                      });
+  }
+
+  void close() {
+    error_code Ignored;
+    Stream_.socket().shutdown(tcp::socket::shutdown_both, Ignored);
+    Stream_.socket().close(Ignored);
+  }
+
+  boost::beast::tcp_stream Stream_;
+  std::shared_ptr<HttpServer::Impl> Server_;
+  boost::beast::flat_buffer Buffer_;
+  std::optional<http::request_parser<http::string_body>> Parser_;
+  std::optional<http::response<http::string_body>> Response_;
+  std::function<void()> Abandoned_;
+  std::uint64_t Number_ = 0;
+  bool Waiting_ = false;
+  bool Idle_ = false;
+  bool KeepAlive_ = true;
+};
+
+/// Ties a handler's answer to one request of a session.
+class SessionExchange : public HttpExchange {
+public:
+  SessionExchange(std::shared_ptr<Session> Owner, std::uint64_t Number)
+      : Owner_(std::move(Owner)), Number_(Number) {}
+
+  void respond(HttpResponse Response) override {
+    Owner_->respond(Number_, std::move(Response));
+  }
+
+  void onAbandoned(std::function<void()> Callback) override {
+    Owner_->setAbandoned(Number_, std::move(Callback));
+  }
+
+private:
+  std::shared_ptr<Session> Owner_;
+  std::uint64_t Number_;
+};
+
+void Session::startExchange(HttpRequest Request) {
+  ++Number_;
+  Waiting_ = true;
+  ++Server_->OpenExchanges_;
+  Stream_.expires_never();
+  watchForClose();
+  Server_->Handle_(std::move(Request), std::make_shared<SessionExchange>(
+                                           shared_from_this(), Number_));
+}
+
+void acceptNext(const std::shared_ptr<HttpServer::Impl> &Server) {
+  Server->Acceptor_.async_accept(
+      [Server](error_code Failure, tcp::socket Socket) {
+        if (!Server->Acceptor_.is_open())
+          return;
+        if (!Failure) {
+          error_code Ignored;
+          Socket.set_option(tcp::no_delay(true), Ignored);
+          std::make_shared<Session>(std::move(Socket), Server)->readNext();
+        }
+        acceptNext(Server);
+      });
+}
+
+} // namespace
+
+HttpServer::HttpServer(IoLoop &Loop, HttpServerOptions Options, Handler Handle)
+    : Impl_(
+          std::make_shared<Impl>(Loop, std::move(Options), std::move(Handle))) {
+  const tcp::endpoint Endpoint = parseEndpoint(Impl_->Options_.Address_);
+  error_code Failure;
+  Impl_->Acceptor_.open(Endpoint.protocol(), Failure);
+  if (!Failure)
+    Impl_->Acceptor_.set_option(tcp::acceptor::reuse_address(true), Failure);
+  if (!Failure)
+    Impl_->Acceptor_.bind(Endpoint, Failure);
+  if (!Failure)
+    Impl_->Acceptor_.listen(ListenBacklog, Failure);
+  if (Failure)
+    throw Error(ErrorKind::Unavailable,
+                "cannot listen on " + Impl_->Options_.Address_ + ": " +
+                    Failure.message(),
+                "choose an address of this host and a free port");
+  acceptNext(Impl_);
+}
+
+HttpServer::~HttpServer() {
+  error_code Ignored;
+  Impl_->Acceptor_.close(Ignored);
+}
+
+std::string HttpServer::address() const {
+  return formatEndpoint(Impl_->Acceptor_.local_endpoint());
+}
+
+void HttpServer::drain() {
+  Impl_->Draining_ = true;
+  error_code Ignored;
+  Impl_->Acceptor_.close(Ignored);
+  const std::set<Session *> Sessions = Impl_->Sessions_;
+  for (Session *Open : Sessions)
+    Open->closeIfIdle();
+}
+
+std::size_t HttpServer::openExchanges() const { return Impl_->OpenExchanges_; }
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/observe/metrics.cpp
@@ -0,0 +1,82 @@
+#include "observe/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace lagoonhitch {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries LatencySeconds = {
+    0.0005, 0.001, 0.002, 0.004, 0.009, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5};
+
+} // namespace
+
+struct Metrics::Impl {
+  prometheus::Registry Registry_;
+  prometheus::Family<prometheus::Counter> &Answers_ =
+      prometheus::BuildCounter()
+          .Name("lagoonhitch_answers_total")
+          .Help("Answers to callers by service and outcome")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Histogram> &Latency_ =
+      prometheus::BuildHistogram()
+          .Name("lagoonhitch_answer_seconds")
+          .Help("Time from a request to its answer")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Counter> &Events_ =
+      prometheus::BuildCounter()
+          .Name("lagoonhitch_events_total")
+          .Help("Log events by name")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Gauge> &UpstreamLimit_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_upstream_limit")
+          .Help("Requests that the upstream gets at a time")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Gauge> &UpstreamInFlight_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_upstream_in_flight")
+          .Help("Requests that the upstream has now")
+          .Register(Registry_);
+  prometheus::Gauge &OwnedShards_ = prometheus::BuildGauge()
+                                        .Name("lagoonhitch_owned_shards")
+                                        .Help("Shards that this daemon owns")
+                                        .Register(Registry_)
+                                        .Add({});
+};
+
+Metrics::Metrics() : Impl_(std::make_unique<Impl>()) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::countAnswer(const std::string &Service, Outcome Known,
+                          Duration Latency) {
+  Impl_->Answers_.Add({{"service", Service}, {"outcome", outcomeName(Known)}})
+      .Increment();
+  Impl_->Latency_.Add({{"service", Service}}, LatencySeconds)
+      .Observe(std::chrono::duration<double>(Latency).count());
+}
+
+void Metrics::countEvent(const char *Name) {
+  Impl_->Events_.Add({{"name", Name}}).Increment();
+}
+
+void Metrics::setUpstream(const std::string &Service, double Limit,
+                          double InFlight) {
+  Impl_->UpstreamLimit_.Add({{"service", Service}}).Set(Limit);
+  Impl_->UpstreamInFlight_.Add({{"service", Service}}).Set(InFlight);
+}
+
+void Metrics::setOwnedShards(std::size_t Count) {
+  Impl_->OwnedShards_.Set(static_cast<double>(Count));
+}
+
+std::string Metrics::text() const {
+  return prometheus::TextSerializer().Serialize(Impl_->Registry_.Collect());
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/recovery/fate_table.h
@@ -0,0 +1,84 @@
+#ifndef LAGOONHITCH_RECOVERY_FATE_TABLE_H
+#define LAGOONHITCH_RECOVERY_FATE_TABLE_H
+
+/// \file
+/// What became of the requests that an owner was given.
+
+#include "core/clock.h"
+#include "core/request_id.h"
+#include "recovery/answer.h"
+
+#include <cstddef>
+#include <deque>
+#include <unordered_map>
+
+namespace lagoonhitch {
+
+/// Bounds of a FateTable.
+struct FateOptions {
+  /// How long an answer is kept at least, unless room runs out.
+  std::chrono::milliseconds KeepFor_{5000};
+  /// Most bytes of kept answers.
+  std::size_t MaxBytes_ = 16 * 1024 * 1024;
+  /// Most kept entries.
+  std::size_t MaxEntries_ = 65536;
+};
+
+/// What an owner knows of an attempt.
+enum class Fate {
+  /// It was admitted and has not ended.
+  Running,
+  /// It has ended; the answer is kept.
+  Finished,
+  /// It was never admitted and never will be.
+  Refused,
+  /// Its entry may have been dropped; nothing can be said.
+  Forgotten,
+};
+
+/// Remembers the attempts of the last seconds. An attempt carries the latest
+/// time at which it may be admitted, so an attempt that is not known and can
+/// no longer be admitted has provably not run.
+struct FateTable {
+  struct Entry {
+    Fate Fate_ = Fate::Running;
+    AnswerPtr Answer_;
+  };
+  struct Expiry {
+    Instant DropAt_;
+    Instant StartBy_;
+    RequestId Id_;
+    std::size_t Bytes_ = 0;
+  };
+  std::unordered_map<RequestId, Entry, RequestIdHash> Entries_;
+  /// Ended entries, oldest first.
+  std::deque<Expiry> Expiries_;
+  std::size_t Bytes_ = 0;
+  /// Attempts with a StartBy_ up to this may have been dropped.
+  Instant ForgottenUntil_ = Instant::min();
+};
+
+/// Admits an attempt unless it was refused before, is known already, or
+/// StartBy has passed.
+/// \returns whether it may run.
+bool beginAttempt(FateTable &Table, const RequestId &Id, Instant StartBy,
+                  Instant Now);
+
+/// Ends an attempt and keeps its answer.
+void finishAttempt(FateTable &Table, const RequestId &Id, Instant StartBy,
+                   AnswerPtr Result, const FateOptions &Options, Instant Now);
+
+/// What a lookup has found.
+struct FateReport {
+  Fate Fate_ = Fate::Forgotten;
+  AnswerPtr Answer_;
+};
+
+/// Tells what became of an attempt. One that was never seen is refused from
+/// now on.
+FateReport lookUpFate(FateTable &Table, const RequestId &Id, Instant StartBy,
+                      const FateOptions &Options, Instant Now);
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_RECOVERY_FATE_TABLE_H
--- /dev/null
+++ b/recovery/witness.cpp
@@ -0,0 +1,175 @@
+#include "recovery/witness.h"
+
+#include <algorithm>
+
+namespace lagoonhitch {
+
+namespace {
+
+constexpr std::chrono::milliseconds SuspectEvery{100};
+
+Witness::Seat &seatFor(Witness &State, MemberId Holder, Instant Now) {
+  const auto [Found, IsNew] = State.Seats_.try_emplace(Holder);
+  if (IsNew)
+    Found->second.HeardAt_ = Now;
+  return Found->second;
+}
+
+bool isSeated(const SeatSet &Seats, MemberId Self) {
+  return std::find(Seats.Witnesses_.begin(), Seats.Witnesses_.end(), Self) !=
+         Seats.Witnesses_.end();
+}
+
+bool isSeatedFor(const Member &Holder, MemberId Self) {
+  if (isSeated(Holder.Seats_, Self))
+    return true;
+  return Holder.OldSeats_ && isSeated(*Holder.OldSeats_, Self);
+}
+
+/// A retired witness no longer hears the holder and must not report it.
+bool expectsRenewals(const Member &Holder, MemberId Self,
+                     const Witness::Seat &Seat) {
+  return isSeatedFor(Holder, Self) &&
+         Seat.RetiredEpoch_ < Holder.Seats_.Epoch_ &&
+         (isSeated(Holder.Seats_, Self) || Seat.RetiredEpoch_ == 0 ||
+          Seat.RetiredEpoch_ < Holder.OldSeats_->Epoch_);
+}
+
+bool maySupersede(const Witness::Seat &Seat, const Table &Members,
+                  MemberId Successor) {
+  if (Seat.PromisedTo_ == NoMember || Seat.PromisedTo_ == Successor)
+    return true;
+  return isRemoved(Members, Seat.PromisedTo_);
+}
+
+/// After the heir's turn, one other member after the other gets a turn, in an
+/// order that all witnesses agree on.
+MemberId successorInTurn(const Member &Victim, const Table &Members,
+                         const LeaseOptions &Options, Duration Silence) {
+  const std::uint64_t Turn = static_cast<std::uint64_t>(
+      (Silence - Options.SuspectAfter_) / (Options.AskFor_ * 2));
+  if (Turn % 2 == 0 && findMember(Members, Victim.Seats_.Heir_) != nullptr)
+    return Victim.Seats_.Heir_;
+  std::vector<MemberId> Others;
+  for (const auto &[Id, Other] : Members.Members_)
+    if (Id != Victim.Id_ && !Other.Draining_)
+      Others.push_back(Id);
+  if (Others.empty())
+    return NoMember;
+  return Others[(Turn / 2 + Victim.Id_) % Others.size()];
+}
+
+} // namespace
+
+void syncSeats(Witness &State, const Table &Members, MemberId Self,
+               Instant Now) {
+  std::erase_if(State.Seats_, [&Members](const auto &Entry) {
+    return isRemoved(Members, Entry.first);
+  });
+  for (const auto &[Id, Holder] : Members.Members_)
+    if (isSeatedFor(Holder, Self))
+      seatFor(State, Id, Now);
+}
+
+LeaseMessage::RenewAck onRenew(Witness &State, const Table &Members,
+                               MemberId Holder,
+                               const LeaseMessage::Renew &Message,
+                               Instant Now) {
+  LeaseMessage::RenewAck Reply;
+  Reply.Sequence_ = Message.Sequence_;
+  if (isRemoved(Members, Holder))
+    return Reply;
+  Witness::Seat &Seat = seatFor(State, Holder, Now);
+  if (Seat.PromisedTo_ != NoMember || Seat.Final_)
+    return Reply;
+  Reply.Accepted_ = true;
+  Seat.HeardAt_ = Now;
+  if (Message.Sequence_ <= Seat.Sequence_)
+    return Reply;
+  Seat.Sequence_ = Message.Sequence_;
+  Seat.Floor_ = Message.Floor_;
+  Seat.Withheld_ = Message.Withheld_;
+  return Reply;
+}
+
+LeaseMessage::PromiseReply onPromiseAsk(Witness &State, const Table &Members,
+                                        MemberId Successor,
+                                        const LeaseMessage::PromiseAsk &Message,
+                                        const LeaseOptions &Options,
+                                        Instant Now) {
+  LeaseMessage::PromiseReply Reply;
+  Reply.Victim_ = Message.Victim_;
+  Reply.Epoch_ = Message.Epoch_;
+  Reply.Attempt_ = Message.Attempt_;
+  if (isRemoved(Members, Message.Victim_))
+    return Reply;
+  Witness::Seat &Seat = seatFor(State, Message.Victim_, Now);
+  Reply.Floor_ = Seat.Floor_;
+  Reply.Withheld_ = Seat.Withheld_;
+  if (Message.Epoch_ <= Seat.RetiredEpoch_) {
+    Reply.Result_ = LeaseMessage::PromiseResult::Retired;
+    return Reply;
+  }
+  if (!maySupersede(Seat, Members, Successor))
+    return Reply;
+  const Duration Silence = Now - Seat.HeardAt_;
+  if (Silence < Options.SuspectAfter_)
+    return Reply;
+  if (Seat.PromisedTo_ != Successor) {
+    Seat.Final_ |= Seat.PromisedTo_ != NoMember;
+    ++Seat.Generation_;
+  }
+  Seat.PromisedTo_ = Successor;
+  Seat.PromiseAttempt_ = std::max(Seat.PromiseAttempt_, Message.Attempt_);
+  Reply.Result_ = LeaseMessage::PromiseResult::Granted;
+  Reply.Generation_ = Seat.Generation_;
+  Reply.Silence_ = toMillis(Silence);
+  return Reply;
+}
+
+void onPromiseWithdraw(Witness &State, MemberId Successor,
+                       const LeaseMessage::PromiseWithdraw &Message) {
+  const auto Found = State.Seats_.find(Message.Victim_);
+  if (Found == State.Seats_.end())
+    return;
+  Witness::Seat &Seat = Found->second;
+  if (Seat.PromisedTo_ != Successor || Seat.PromiseAttempt_ > Message.Attempt_)
+    return;
+  Seat.PromisedTo_ = NoMember;
+}
+
+bool onRetire(Witness &State, MemberId Holder,
+              const LeaseMessage::Retire &Message, Instant Now) {
+  Witness::Seat &Seat = seatFor(State, Holder, Now);
+  if (Seat.PromisedTo_ != NoMember || Seat.Final_)
+    return false;
+  Seat.RetiredEpoch_ = std::max(Seat.RetiredEpoch_, Message.Epoch_);
+  return true;
+}
+
+void shiftTimers(Witness &State, Duration Pause) {
+  for (auto &[Id, Seat] : State.Seats_)
+    Seat.HeardAt_ += Pause;
+}
+
+std::vector<Suspicion> dueSuspicions(Witness &State, const Table &Members,
+                                     MemberId Self, const LeaseOptions &Options,
+                                     Instant Now) {
+  std::vector<Suspicion> Due;
+  for (auto &[Id, Seat] : State.Seats_) {
+    const Member *Victim = findMember(Members, Id);
+    const Duration Silence = Now - Seat.HeardAt_;
+    if (Victim == nullptr || !expectsRenewals(*Victim, Self, Seat))
+      continue;
+    if (Silence < Options.SuspectAfter_ || Now < Seat.NextSuspect_)
+      continue;
+    Seat.NextSuspect_ = Now + SuspectEvery;
+    const MemberId Successor =
+        successorInTurn(*Victim, Members, Options, Silence);
+    if (Successor != NoMember)
+      Due.push_back({Id, Successor});
+  }
+  return Due;
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/routing/upstream_choice.cpp
@@ -0,0 +1,106 @@
+#include "routing/upstream_choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonhitch {
+
+namespace {
+
+constexpr std::chrono::microseconds UnknownLatency{1000};
+
+/// SplitMix64.
+std::uint64_t nextRandom(std::uint64_t &Seed) {
+  Seed += 0x9E3779B97F4A7C15ULL;
+  std::uint64_t Mixed = Seed;
+  Mixed = (Mixed ^ (Mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  Mixed = (Mixed ^ (Mixed >> 27)) * 0x94D049BB133111EBULL;
+  return Mixed ^ (Mixed >> 31);
+}
+
+Duration decayedPeak(const UpstreamLoad &Load, const ChoiceOptions &Options,
+                     Instant Now) {
+  const double HalfLives = std::chrono::duration<double>(Now - Load.PeakAt_) /
+                           std::chrono::duration<double>(Options.PeakHalfLife_);
+  return std::chrono::duration_cast<Duration>(Load.PeakLatency_ *
+                                              std::exp2(-HalfLives));
+}
+
+double costOf(const UpstreamLoads &Loads, MemberId Id, bool SameZone,
+              const ChoiceOptions &Options, Instant Now) {
+  Duration Latency = UnknownLatency;
+  double InFlight = 0;
+  double Penalty = 1;
+  const auto Found = Loads.find(Id);
+  if (Found != Loads.end()) {
+    Latency =
+        std::max<Duration>(Latency, decayedPeak(Found->second, Options, Now));
+    InFlight = Found->second.InFlight_;
+    if (Found->second.AvoidUntil_ > Now)
+      Penalty = 1000;
+  }
+  if (!SameZone)
+    Latency += Options.ZoneCost_;
+  return Penalty * (InFlight + 1) * static_cast<double>(Latency.count());
+}
+
+} // namespace
+
+UpstreamCandidates listCandidates(const Table &State,
+                                  const std::string &Service,
+                                  const std::string &OwnZone) {
+  UpstreamCandidates Candidates;
+  for (const auto &[Id, One] : State.Members_) {
+    const auto Slots = One.Slots_.find(Service);
+    if (One.Draining_ || Slots == One.Slots_.end() || Slots->second == 0)
+      continue;
+    Candidates.Members_.push_back(Id);
+    Candidates.SameZone_.push_back(One.Zone_ == OwnZone);
+  }
+  return Candidates;
+}
+
+std::optional<MemberId> chooseUpstream(const UpstreamCandidates &Candidates,
+                                       const UpstreamLoads &Loads,
+                                       MemberId Except, std::uint64_t &Seed,
+                                       const ChoiceOptions &Options,
+                                       Instant Now) {
+  std::optional<MemberId> Best;
+  double BestCost = 0;
+  const std::size_t Count = Candidates.Members_.size();
+  const std::size_t Samples = std::min<std::size_t>(Options.Samples_, Count);
+  const std::size_t Start = Count == 0 ? 0 : nextRandom(Seed) % Count;
+  const std::size_t Stride = Count < 2 ? 1 : 1 + nextRandom(Seed) % (Count - 1);
+  // One more than the samples, since one of them may be the excepted one.
+  for (std::size_t Step = 0; Step <= Samples && Step < Count; ++Step) {
+    const std::size_t Index = (Start + Step * Stride) % Count;
+    const MemberId Id = Candidates.Members_[Index];
+    if (Id == Except)
+      continue;
+    const double Cost =
+        costOf(Loads, Id, Candidates.SameZone_[Index], Options, Now);
+    if (!Best || Cost < BestCost) {
+      Best = Id;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+void noteSent(UpstreamLoads &Loads, MemberId Id) { ++Loads[Id].InFlight_; }
+
+void noteAnswered(UpstreamLoads &Loads, MemberId Id, Duration Latency,
+                  bool Reached, const ChoiceOptions &Options, Instant Now) {
+  UpstreamLoad &Load = Loads[Id];
+  if (Load.InFlight_ > 0)
+    --Load.InFlight_;
+  if (!Reached) {
+    Load.AvoidUntil_ = Now + Options.AvoidFor_;
+    return;
+  }
+  const Duration Decayed = decayedPeak(Load, Options, Now);
+  Load.PeakAt_ = Now;
+  Load.PeakLatency_ = std::max(Decayed, Latency);
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/settings/settings_load.cpp
@@ -0,0 +1,138 @@
+#include "settings/settings_load.h"
+
+#include "settings/settings_check.h"
+#include "settings/settings_error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <utility>
+
+namespace lagoonhitch {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json readFile(const std::string &Name) {
+  std::ifstream Source(Name);
+  if (!Source)
+    throw SettingsError({{"/", "no readable file " + Name, "a JSON file",
+                          "check the name and its permissions"}});
+  try {
+    return Json::parse(Source);
+  } catch (const Json::exception &Failure) {
+    throw SettingsError({{"/", Name + " is no JSON: " + Failure.what(),
+                          "one JSON object", "mend the syntax"}});
+  }
+}
+
+Priority parsePriority(const std::string &Name) {
+  if (Name == "high")
+    return Priority::High;
+  return Name == "low" ? Priority::Low : Priority::Normal;
+}
+
+KeySource parseKeySource(const std::string &Name) {
+  if (Name == "header")
+    return KeySource::Header;
+  return Name == "query" ? KeySource::Query : KeySource::Path;
+}
+
+RequestRule parseRule(const Json &Source) {
+  RequestRule Rule;
+  Rule.Method_ = Source.at("method").get<std::string>();
+  Rule.Path_ = Source.at("path").get<std::string>();
+  Rule.Repeatable_ = Source.at("execution") == "repeatable";
+  Rule.Priority_ = parsePriority(Source.value("priority", "normal"));
+  Rule.Deadline_ = std::chrono::milliseconds(
+      Source.value("deadline_ms", Rule.Deadline_.count()));
+  return Rule;
+}
+
+ServiceSettings parseService(const std::string &Name, const Json &Source) {
+  ServiceSettings Service;
+  Service.Name_ = Name;
+  Service.Prefix_ = Source.at("prefix").get<std::string>();
+  Service.Divided_ = Source.at("placement") == "divided";
+  Service.Shards_ = Source.value("shards", 0U);
+  Service.Internal_ = Source.value("internal", false);
+  const Json Key = Source.value("key", Json::object());
+  Service.KeySource_ = parseKeySource(Key.value("from", "path"));
+  Service.KeyName_ = Key.value("name", "");
+  Service.KeySegment_ = Key.value("segment", 0U);
+  for (const Json &Rule : Source.value("rules", Json::array()))
+    Service.Rules_.push_back(parseRule(Rule));
+  return Service;
+}
+
+void setMillis(const Json &Limits, const char *Name,
+               std::chrono::milliseconds &Target) {
+  Target = std::chrono::milliseconds(Limits.value(Name, Target.count()));
+}
+
+void parseLimits(const Json &Limits, DaemonSettings &Settings) {
+  setMillis(Limits, "lease_ms", Settings.Lease_);
+  setMillis(Limits, "renew_ms", Settings.RenewEvery_);
+  setMillis(Limits, "suspect_ms", Settings.SuspectAfter_);
+  setMillis(Limits, "takeover_margin_ms", Settings.TakeoverMargin_);
+  setMillis(Limits, "announce_expiry_ms", Settings.AnnounceExpiry_);
+  setMillis(Limits, "settle_ms", Settings.SettleAfter_);
+  setMillis(Limits, "stop_timeout_ms", Settings.StopTimeout_);
+  setMillis(Limits, "dedup_window_ms", Settings.DedupWindow_);
+  Settings.MaxMovesInFlight_ =
+      Limits.value("moves_in_flight", Settings.MaxMovesInFlight_);
+  Settings.BodyLimitBytes_ =
+      Limits.value("body_bytes", Settings.BodyLimitBytes_);
+  Settings.RetryPercent_ =
+      Limits.value("retry_percent", Settings.RetryPercent_);
+}
+
+void parseHost(const Json &Host, DaemonSettings &Settings) {
+  Host.at("name").get_to(Settings.Host_);
+  Host.at("zone").get_to(Settings.Zone_);
+  Host.at("callers").get_to(Settings.CallersAddress_);
+  Host.at("peers").get_to(Settings.PeersAddress_);
+  Host.at("control").get_to(Settings.ControlAddress_);
+  Host.at("admin").get_to(Settings.AdminAddress_);
+}
+
+std::string describe(const std::vector<SettingsFault> &Faults) {
+  std::string Text =
+      "the settings have " + std::to_string(Faults.size()) + " fault(s)";
+  for (const SettingsFault &Fault : Faults)
+    Text += "\n  " + toString(Fault);
+  return Text;
+}
+
+} // namespace
+
+SettingsError::SettingsError(std::vector<SettingsFault> Faults)
+    : Error(ErrorKind::Settings, describe(Faults),
+            "mend the fields named above; docs/SETTINGS.md lists all"),
+      Faults_(std::move(Faults)) {}
+
+Json mergeSettings(const SettingsFiles &Files) {
+  Json Merged = readFile(Files.Base_);
+  for (const std::string *Name : {&Files.Overlay_, &Files.Host_})
+    if (!Name->empty())
+      Merged.merge_patch(readFile(*Name));
+  return Merged;
+}
+
+DaemonSettings parseSettings(const Json &Merged) {
+  std::vector<SettingsFault> Faults = checkSettings(Merged);
+  if (!Faults.empty())
+    throw SettingsError(std::move(Faults));
+  DaemonSettings Settings;
+  Merged.at("site").get_to(Settings.Site_);
+  Merged.at("zones").get_to(Settings.Zones_);
+  Merged.at("log").get_to(Settings.LogAddress_);
+  for (const auto &[Name, Service] : Merged.at("services").items())
+    Settings.Services_.push_back(parseService(Name, Service));
+  parseLimits(Merged.value("limits", Json::object()), Settings);
+  parseHost(Merged.at("host"), Settings);
+  return Settings;
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/tests/standin/main.cpp
@@ -0,0 +1,104 @@
+/// \file
+/// The program `standin`: stand-ins for the platform's log and for upstreams.
+
+#include "core/error.h"
+#include "net/http_server.h"
+#include "platform/monotonic_clock.h"
+#include "tests/standin/log_standin.h"
+#include "tests/standin/upstream_standin.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <vector>
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "listening address");
+ABSL_FLAG(std::string, service, "", "name of the service");
+ABSL_FLAG(std::string, instance, "", "name of the process");
+ABSL_FLAG(std::string, admin, "", "admin address of the daemon beside it");
+ABSL_FLAG(std::uint32_t, slots, 18, "requests that it bears at a time");
+ABSL_FLAG(std::uint32_t, connections, 130, "connections that it accepts");
+ABSL_FLAG(std::uint32_t, service_us, 1000, "time that a request takes");
+ABSL_FLAG(bool, checks_tokens, false, "whether it refuses stale tokens");
+ABSL_FLAG(std::string, runs, "", "file for one JSON line per run");
+
+namespace {
+
+using lagoonhitch::HttpExchange;
+using lagoonhitch::HttpRequest;
+
+lagoonhitch::HttpServerOptions serverOptions() {
+  constexpr std::size_t BodyLimit = 16 * 1024 * 1024;
+  lagoonhitch::HttpServerOptions Options;
+  Options.Address_ = absl::GetFlag(FLAGS_listen);
+  Options.BodyLimit_ = BodyLimit;
+  return Options;
+}
+
+void runLog() {
+  lagoonhitch::IoLoop Loop;
+  lagoonhitch::LogStandin Log(Loop);
+  lagoonhitch::HttpServer Server(
+      Loop, serverOptions(),
+      [&Log](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
+        Log.handle(Request, std::move(Exchange));
+      });
+  std::cout << Server.address() << std::endl;
+  Loop.run();
+}
+
+lagoonhitch::UpstreamStandinOptions upstreamOptions() {
+  lagoonhitch::UpstreamStandinOptions Options;
+  Options.Service_ = absl::GetFlag(FLAGS_service);
+  Options.Instance_ = absl::GetFlag(FLAGS_instance);
+  Options.Admin_ = absl::GetFlag(FLAGS_admin);
+  Options.Slots_ = absl::GetFlag(FLAGS_slots);
+  Options.Connections_ = absl::GetFlag(FLAGS_connections);
+  Options.ServiceTime_ =
+      std::chrono::microseconds(absl::GetFlag(FLAGS_service_us));
+  Options.ChecksTokens_ = absl::GetFlag(FLAGS_checks_tokens);
+  Options.Runs_ = absl::GetFlag(FLAGS_runs);
+  return Options;
+}
+
+void runUpstream() {
+  lagoonhitch::IoLoop Loop;
+  const lagoonhitch::MonotonicClock Time;
+  lagoonhitch::HttpClient Client(Loop, Time, lagoonhitch::HttpClientOptions());
+  lagoonhitch::UpstreamStandin Upstream(Loop, Time, Client, upstreamOptions());
+  lagoonhitch::HttpServer Server(
+      Loop, serverOptions(),
+      [&Upstream](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
+        Upstream.handle(std::move(Request), std::move(Exchange));
+      });
+  std::cout << Server.address() << std::endl;
+  if (!absl::GetFlag(FLAGS_admin).empty())
+    Upstream.announceForever(Server.address());
+  Loop.run();
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  constexpr int ExitUsage = 2;
+  absl::SetProgramUsageMessage("standin log|upstream [flags]");
+  const std::vector<char *> Rest = absl::ParseCommandLine(Argc, Argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string Kind = Rest.size() == 2 ? Rest[1] : "";
+  try {
+    if (Kind == "log")
+      runLog();
+    else if (Kind == "upstream")
+      runUpstream();
+    else
+      return ExitUsage;
+  } catch (const lagoonhitch::Error &Failure) {
+    std::cerr << Failure.what() << "\n";
+    return 1;
+  }
+  return 0;
+}
