--- a/control/control.cpp
+++ b/control/control.cpp
@@ -21,9 +21,35 @@
   State.LastTick_ = Now;
 }
 
+bool isForWitness(const LeaseMessage &Message) {
+  return std::holds_alternative<LeaseMessage::Renew>(Message.Body_) ||
+         std::holds_alternative<LeaseMessage::PromiseAsk>(Message.Body_) ||
+         std::holds_alternative<LeaseMessage::PromiseWithdraw>(Message.Body_) ||
+         std::holds_alternative<LeaseMessage::Retire>(Message.Body_);
+}
+
+/// Keeps the addresses of members, and of removed ones while they hold seats.
+void updateAddresses(ControlState &State) {
+  std::set<MemberId> Needed;
+  for (const auto &[Id, One] : tableOf(State).Members_) {
+    State.Addresses_[Id] = One.ControlAddress_;
+    Needed.insert(Id);
+    Needed.insert(One.Seats_.Witnesses_.begin(), One.Seats_.Witnesses_.end());
+    if (One.OldSeats_)
+      Needed.insert(One.OldSeats_->Witnesses_.begin(),
+                    One.OldSeats_->Witnesses_.end());
+  }
+  std::erase_if(State.Addresses_, [&Needed](const auto &Entry) {
+    return Needed.count(Entry.first) == 0;
+  });
+  std::erase_if(State.Former_,
+                [&Needed](MemberId Id) { return Needed.count(Id) == 0; });
+}
+
 void onTableChanged(ControlState &State, Instant Now, ControlActions &Actions) {
   updateMembership(State, Now, Actions);
-  syncSeats(State.Witness_, tableOf(State), State.Self_, Now);
+  updateAddresses(State);
+  syncSeats(State.Witness_, tableOf(State), seatIds(State), Now);
   updateReleases(State, Actions);
   updateTakeovers(State, Actions);
   updateLease(State, Now, Actions);
@@ -36,7 +62,7 @@
   std::vector<LeaseMessage> Sent = std::move(Actions.Messages_);
   Actions.Messages_.clear();
   for (LeaseMessage &Message : Sent) {
-    if (Message.To_ == State.Self_)
+    if (seatIds(State).count(Message.To_) > 0)
       onMessage(State, Message, Now, Actions);
     else
       Actions.Messages_.push_back(std::move(Message));
@@ -60,7 +86,11 @@
 
 void onMessage(ControlState &State, const LeaseMessage &Message, Instant Now,
                ControlActions &Actions) {
-  if (State.Self_ == NoMember || Message.To_ != State.Self_)
+  if (Message.To_ == NoMember)
+    return;
+  const bool ToFormerSeat =
+      State.Former_.count(Message.To_) > 0 && isForWitness(Message);
+  if (Message.To_ != State.Self_ && !ToFormerSeat)
     return;
   if (!handleLeaseMessage(State, Message, Now, Actions))
     handleTakeoverMessage(State, Message, Now, Actions);
--- a/control/control_state.h
+++ b/control/control_state.h
@@ -57,6 +57,12 @@
   Member Identity_;
   /// The current incarnation, or NoMember.
   MemberId Self_ = NoMember;
+  /// Earlier incarnations of this process. Its memory as a witness is whole,
+  /// so it keeps the seats that it held under these ids.
+  std::set<MemberId> Former_;
+  /// `ip:port` for control messages, also of removed members that still hold
+  /// seats.
+  std::map<MemberId, std::string> Addresses_;
   Instant JoinedAt_;
 
   StreamReader Reader_;
@@ -105,6 +111,14 @@
   return State.Reader_.Table_;
 }
 
+/// Returns the ids under which this process may hold seats.
+inline std::set<MemberId> seatIds(const ControlState &State) {
+  std::set<MemberId> Ids = State.Former_;
+  if (State.Self_ != NoMember)
+    Ids.insert(State.Self_);
+  return Ids;
+}
+
 /// Returns this daemon's member entry, or nullptr.
 inline const Member *selfOf(const ControlState &State) {
   return State.Self_ == NoMember ? nullptr
--- a/control/lease_duty.cpp
+++ b/control/lease_duty.cpp
@@ -43,11 +43,37 @@
                 Actions);
 }
 
+/// A holder that renews in spite of a promise may have been suspected for a
+/// lost message only, so the successor is asked whether it still goes on.
+void answerRenewal(ControlState &State, const LeaseMessage &Message,
+                   const LeaseMessage::Renew &Renewal, Instant Now,
+                   ControlActions &Actions) {
+  const MemberId Holder = Message.From_;
+  const LeaseMessage::RenewAck Reply =
+      onRenew(State.Witness_, tableOf(State), Holder, Renewal, Now);
+  sendMessageAs(Message.To_, Holder, Reply, Actions);
+  if (Reply.Accepted_)
+    return;
+  const auto Seat = State.Witness_.Seats_.find(Holder);
+  if (Seat == State.Witness_.Seats_.end() ||
+      Seat->second.PromisedTo_ == NoMember)
+    return;
+  sendMessageAs(
+      Message.To_, Seat->second.PromisedTo_,
+      LeaseMessage::PromiseQuery{Holder, Seat->second.PromiseAttempt_},
+      Actions);
+}
+
 } // namespace
 
+void sendMessageAs(MemberId From, MemberId To, LeaseMessage::Body Body,
+                   ControlActions &Actions) {
+  Actions.Messages_.push_back({From, To, std::move(Body)});
+}
+
 void sendMessage(const ControlState &State, MemberId To,
                  LeaseMessage::Body Body, ControlActions &Actions) {
-  Actions.Messages_.push_back({State.Self_, To, std::move(Body)});
+  sendMessageAs(State.Self_, To, std::move(Body), Actions);
 }
 
 void renewLease(ControlState &State, Instant Now, ControlActions &Actions) {
@@ -82,10 +108,8 @@
 
 void reportSilentHolders(ControlState &State, Instant Now,
                          ControlActions &Actions) {
-  if (State.Self_ == NoMember)
-    return;
   for (const Suspicion &Due :
-       dueSuspicions(State.Witness_, tableOf(State), State.Self_,
+       dueSuspicions(State.Witness_, tableOf(State), seatIds(State),
                      State.Options_.Lease_, Now))
     sendMessage(State, Due.Successor_, LeaseMessage::Suspect{Due.Victim_},
                 Actions);
@@ -94,10 +118,7 @@
 bool handleLeaseMessage(ControlState &State, const LeaseMessage &Message,
                         Instant Now, ControlActions &Actions) {
   if (const auto *Renewal = std::get_if<LeaseMessage::Renew>(&Message.Body_)) {
-    sendMessage(
-        State, Message.From_,
-        onRenew(State.Witness_, tableOf(State), Message.From_, *Renewal, Now),
-        Actions);
+    answerRenewal(State, Message, *Renewal, Now, Actions);
     return true;
   }
   if (const auto *Ack = std::get_if<LeaseMessage::RenewAck>(&Message.Body_)) {
@@ -108,8 +129,8 @@
   }
   if (const auto *Order = std::get_if<LeaseMessage::Retire>(&Message.Body_)) {
     if (onRetire(State.Witness_, Message.From_, *Order, Now))
-      sendMessage(State, Message.From_, LeaseMessage::RetireAck{Order->Epoch_},
-                  Actions);
+      sendMessageAs(Message.To_, Message.From_,
+                    LeaseMessage::RetireAck{Order->Epoch_}, Actions);
     return true;
   }
   if (const auto *Ack = std::get_if<LeaseMessage::RetireAck>(&Message.Body_)) {
--- a/control/lease_duty.h
+++ b/control/lease_duty.h
@@ -11,6 +11,10 @@
 
 namespace lagoonhitch {
 
+/// Queues a message from the seat of that id.
+void sendMessageAs(MemberId From, MemberId To, LeaseMessage::Body Body,
+                   ControlActions &Actions);
+
 /// Queues a message from this member.
 void sendMessage(const ControlState &State, MemberId To,
                  LeaseMessage::Body Body, ControlActions &Actions);
--- a/control/member_duty.cpp
+++ b/control/member_duty.cpp
@@ -16,10 +16,11 @@
 }
 
 void forgetIncarnation(ControlState &State) {
+  State.Former_.insert(State.Self_);
   State.Self_ = NoMember;
   State.Identity_.Nonce_ = nextNonce(State.Identity_.Nonce_);
   State.Holder_ = LeaseHolder();
-  State.Witness_ = Witness();
+
   State.Takeovers_.clear();
   State.WaivedFor_.clear();
   State.WaivedBy_.clear();
--- a/control/takeover_duty.cpp
+++ b/control/takeover_duty.cpp
@@ -52,7 +52,8 @@
     Attempt.Phase_ = TakeoverPhase::Waiting;
     return true;
   }
-  if (Now - Attempt.StartedAt_ > State.Options_.Lease_.AskFor_) {
+  if (Now - Attempt.StartedAt_ > State.Options_.Lease_.AskFor_ ||
+      isRefused(Attempt, Victim)) {
     withdrawFrom(State, Attempt, Victim.Seats_, Actions);
     if (Victim.OldSeats_)
       withdrawFrom(State, Attempt, *Victim.OldSeats_, Actions);
@@ -131,10 +132,10 @@
     return;
   }
   if (const auto *Ask = std::get_if<LeaseMessage::PromiseAsk>(&Message.Body_)) {
-    sendMessage(State, Message.From_,
-                onPromiseAsk(State.Witness_, tableOf(State), Message.From_,
-                             *Ask, State.Options_.Lease_, Now),
-                Actions);
+    sendMessageAs(Message.To_, Message.From_,
+                  onPromiseAsk(State.Witness_, tableOf(State), Message.From_,
+                               *Ask, State.Options_.Lease_, Now),
+                  Actions);
     return;
   }
   if (const auto *Reply =
@@ -148,6 +149,17 @@
     driveTakeovers(State, Now, Actions);
     return;
   }
+  if (const auto *Query =
+          std::get_if<LeaseMessage::PromiseQuery>(&Message.Body_)) {
+    // Without an attempt in memory the promise was never used.
+    if (State.Takeovers_.count(Query->Victim_) == 0 &&
+        Query->Attempt_ <= State.NextAttempt_)
+      sendMessage(
+          State, Message.From_,
+          LeaseMessage::PromiseWithdraw{Query->Victim_, Query->Attempt_},
+          Actions);
+    return;
+  }
   if (const auto *Taken =
           std::get_if<LeaseMessage::PromiseWithdraw>(&Message.Body_)) {
     onPromiseWithdraw(State.Witness_, Message.From_, *Taken);
--- a/daemon/control_thread.cpp
+++ b/daemon/control_thread.cpp
@@ -85,7 +85,7 @@
 void ControlThread::carryOut(const ControlActions &Actions) {
   if (Actions.ViewChanged_) {
     std::erase_if(PeerLinks_, [this](const auto &Entry) {
-      return isRemoved(tableOf(State_), Entry.first);
+      return State_.Addresses_.count(Entry.first) == 0;
     });
     Outputs_.View_(std::make_shared<const RoutingView>(makeView(State_)));
   }
@@ -106,8 +106,9 @@
 }
 
 void ControlThread::send(const LeaseMessage &Message) {
-  const Member *To = findMember(tableOf(State_), Message.To_);
-  if (To == nullptr)
+  const std::map<MemberId, std::string>::const_iterator To =
+      State_.Addresses_.find(Message.To_);
+  if (To == State_.Addresses_.end())
     return;
   const Instant Now = Time_.now();
   PeerLink &Peer = PeerLinks_[Message.To_];
@@ -116,9 +117,9 @@
     Peer.SentSince_ = Now;
   } else if (Now - Peer.SentSince_ > SilentLinkLimit) {
     Peer.SentSince_ = Now;
-    Link_.reset(To->ControlAddress_);
+    Link_.reset(To->second);
   }
-  Link_.send(To->ControlAddress_, encodeLeaseMessage(Message));
+  Link_.send(To->second, encodeLeaseMessage(Message));
 }
 
 } // namespace lagoonhitch
--- a/net/control_codec.cpp
+++ b/net/control_codec.cpp
@@ -25,7 +25,8 @@
     return std::tie(Body.Victim_, Body.Epoch_, Body.Attempt_, Body.Result_,
                     Body.Silence_, Body.Generation_, Body.Floor_,
                     Body.Withheld_);
-  else if constexpr (std::is_same_v<Plain, LeaseMessage::PromiseWithdraw>)
+  else if constexpr (std::is_same_v<Plain, LeaseMessage::PromiseQuery> ||
+                     std::is_same_v<Plain, LeaseMessage::PromiseWithdraw>)
     return std::tie(Body.Victim_, Body.Attempt_);
   else if constexpr (std::is_same_v<Plain, LeaseMessage::Retire> ||
                      std::is_same_v<Plain, LeaseMessage::RetireAck>)
--- a/recovery/lease_message.h
+++ b/recovery/lease_message.h
@@ -63,6 +63,12 @@
     std::vector<ShardRef> Withheld_;
   };
 
+  /// Witness to successor: the victim still renews; does the attempt go on?
+  struct PromiseQuery {
+    MemberId Victim_ = NoMember;
+    std::uint64_t Attempt_ = 0;
+  };
+
   /// Successor to witness: it has not served and gives the promise back.
   struct PromiseWithdraw {
     MemberId Victim_ = NoMember;
@@ -95,15 +101,16 @@
   using PromiseAsk = LeaseMessageBodies::PromiseAsk;
   using PromiseResult = LeaseMessageBodies::PromiseResult;
   using PromiseReply = LeaseMessageBodies::PromiseReply;
+  using PromiseQuery = LeaseMessageBodies::PromiseQuery;
   using PromiseWithdraw = LeaseMessageBodies::PromiseWithdraw;
   using Retire = LeaseMessageBodies::Retire;
   using RetireAck = LeaseMessageBodies::RetireAck;
   using WaiveAsk = LeaseMessageBodies::WaiveAsk;
   using WaiveAck = LeaseMessageBodies::WaiveAck;
 
-  using Body =
-      std::variant<Renew, RenewAck, Suspect, PromiseAsk, PromiseReply,
-                   PromiseWithdraw, Retire, RetireAck, WaiveAsk, WaiveAck>;
+  using Body = std::variant<Renew, RenewAck, Suspect, PromiseAsk, PromiseReply,
+                            PromiseQuery, PromiseWithdraw, Retire, RetireAck,
+                            WaiveAsk, WaiveAck>;
 
   MemberId From_ = NoMember;
   MemberId To_ = NoMember;
--- a/recovery/takeover.cpp
+++ b/recovery/takeover.cpp
@@ -25,6 +25,13 @@
       }));
 }
 
+bool refusesMajority(const Takeover &Attempt, const SeatSet &Seats) {
+  const std::size_t Refusals = static_cast<std::size_t>(std::count_if(
+      Seats.Witnesses_.begin(), Seats.Witnesses_.end(),
+      [&Attempt](MemberId Id) { return Attempt.Refused_.count(Id) > 0; }));
+  return Refusals + majorityOf(Seats) > Seats.Witnesses_.size() && Refusals > 0;
+}
+
 } // namespace
 
 void onPromiseReply(Takeover &Attempt, MemberId Witness,
@@ -32,8 +39,11 @@
                     const LeaseOptions &Options, Instant Now) {
   if (Reply.Attempt_ != Attempt.Attempt_)
     return;
-  if (Reply.Result_ == LeaseMessage::PromiseResult::Refused)
+  if (Reply.Result_ == LeaseMessage::PromiseResult::Refused) {
+    Attempt.Refused_.insert(Witness);
     return;
+  }
+  Attempt.Refused_.erase(Witness);
   Attempt.Floor_ = std::max(Attempt.Floor_, Reply.Floor_);
   Attempt.Withheld_.insert(Reply.Withheld_.begin(), Reply.Withheld_.end());
   if (Reply.Result_ == LeaseMessage::PromiseResult::Retired) {
@@ -63,6 +73,12 @@
          majorityOf(*Victim.OldSeats_);
 }
 
+bool isRefused(const Takeover &Attempt, const Member &Victim) {
+  if (refusesMajority(Attempt, Victim.Seats_))
+    return true;
+  return Victim.OldSeats_ && refusesMajority(Attempt, *Victim.OldSeats_);
+}
+
 Instant victimStoppedAt(const Takeover &Attempt, const LeaseOptions &Options) {
   Instant Latest = Instant::min();
   for (const auto &[Witness, Promise] : Attempt.Promises_)
--- a/recovery/takeover.h
+++ b/recovery/takeover.h
@@ -38,6 +38,8 @@
   Instant StartedAt_;
   Instant NextAsk_;
   std::map<MemberId, Promise> Promises_;
+  /// Witnesses that still hear the victim or have promised another.
+  std::set<MemberId> Refused_;
   /// Old witnesses that promise nobody any more.
   std::set<MemberId> Retired_;
   Offset Floor_ = 0;
@@ -52,6 +54,9 @@
 /// Returns whether the promises suffice against the victim's seats.
 bool hasMajority(const Takeover &Attempt, const Member &Victim);
 
+/// Returns whether so many witnesses refuse that there is no majority.
+bool isRefused(const Takeover &Attempt, const Member &Victim);
+
 /// Returns when the victim has stopped for certain, given a majority.
 Instant victimStoppedAt(const Takeover &Attempt, const LeaseOptions &Options);
 
--- a/recovery/witness.cpp
+++ b/recovery/witness.cpp
@@ -10,31 +10,47 @@
 
 Witness::Seat &seatFor(Witness &State, MemberId Holder, Instant Now) {
   const auto [Found, IsNew] = State.Seats_.try_emplace(Holder);
-  if (IsNew)
+  if (IsNew) {
     Found->second.HeardAt_ = Now;
+    Found->second.ReceivedAt_ = Now;
+  }
   return Found->second;
 }
 
-bool isSeated(const SeatSet &Seats, MemberId Self) {
-  return std::find(Seats.Witnesses_.begin(), Seats.Witnesses_.end(), Self) !=
-         Seats.Witnesses_.end();
+bool isSeated(const SeatSet &Seats, const std::set<MemberId> &Selves) {
+  return std::any_of(Seats.Witnesses_.begin(), Seats.Witnesses_.end(),
+                     [&Selves](MemberId Id) { return Selves.count(Id) > 0; });
 }
 
-bool isSeatedFor(const Member &Holder, MemberId Self) {
-  if (isSeated(Holder.Seats_, Self))
+bool isSeatedFor(const Member &Holder, const std::set<MemberId> &Selves) {
+  if (isSeated(Holder.Seats_, Selves))
     return true;
-  return Holder.OldSeats_ && isSeated(*Holder.OldSeats_, Self);
+  return Holder.OldSeats_ && isSeated(*Holder.OldSeats_, Selves);
 }
 
 /// A retired witness no longer hears the holder and must not report it.
-bool expectsRenewals(const Member &Holder, MemberId Self,
+bool expectsRenewals(const Member &Holder, const std::set<MemberId> &Selves,
                      const Witness::Seat &Seat) {
-  return isSeatedFor(Holder, Self) &&
+  return isSeatedFor(Holder, Selves) &&
          Seat.RetiredEpoch_ < Holder.Seats_.Epoch_ &&
-         (isSeated(Holder.Seats_, Self) || Seat.RetiredEpoch_ == 0 ||
+         (isSeated(Holder.Seats_, Selves) || Seat.RetiredEpoch_ == 0 ||
           Seat.RetiredEpoch_ < Holder.OldSeats_->Epoch_);
 }
 
+/// A seat that is taken again counts the silence from then on.
+void takeSeat(Witness::Seat &Seat, const Member &Holder,
+              const std::set<MemberId> &Selves, Instant Now) {
+  const bool WasSeated =
+      Holder.OldSeats_ && isSeated(*Holder.OldSeats_, Selves);
+  const bool IsNewSeat = isSeated(Holder.Seats_, Selves) && !WasSeated &&
+                         Seat.SeatedEpoch_ + 1 < Holder.Seats_.Epoch_;
+  if (IsNewSeat && Seat.PromisedTo_ == NoMember) {
+    Seat.HeardAt_ = Now;
+    Seat.ReceivedAt_ = Now;
+  }
+  Seat.SeatedEpoch_ = Holder.Seats_.Epoch_;
+}
+
 bool maySupersede(const Witness::Seat &Seat, const Table &Members,
                   MemberId Successor) {
   if (Seat.PromisedTo_ == NoMember || Seat.PromisedTo_ == Successor)
@@ -42,6 +58,14 @@
   return isRemoved(Members, Seat.PromisedTo_);
 }
 
+/// A holder whose renewals are refused while a successor asks around is
+/// alive; one that has been superseded for good has to be succeeded.
+Instant lastSignOfLife(const Witness::Seat &Seat, const Table &Members) {
+  const bool Superseded = Seat.Final_ || (Seat.PromisedTo_ != NoMember &&
+                                          isRemoved(Members, Seat.PromisedTo_));
+  return Superseded ? Seat.HeardAt_ : Seat.ReceivedAt_;
+}
+
 /// After the heir's turn, one other member after the other gets a turn, in an
 /// order that all witnesses agree on.
 MemberId successorInTurn(const Member &Victim, const Table &Members,
@@ -61,14 +85,14 @@
 
 } // namespace
 
-void syncSeats(Witness &State, const Table &Members, MemberId Self,
-               Instant Now) {
+void syncSeats(Witness &State, const Table &Members,
+               const std::set<MemberId> &Selves, Instant Now) {
   std::erase_if(State.Seats_, [&Members](const auto &Entry) {
     return isRemoved(Members, Entry.first);
   });
   for (const auto &[Id, Holder] : Members.Members_)
-    if (isSeatedFor(Holder, Self))
-      seatFor(State, Id, Now);
+    if (isSeatedFor(Holder, Selves))
+      takeSeat(seatFor(State, Id, Now), Holder, Selves, Now);
 }
 
 LeaseMessage::RenewAck onRenew(Witness &State, const Table &Members,
@@ -80,6 +104,7 @@
   if (isRemoved(Members, Holder))
     return Reply;
   Witness::Seat &Seat = seatFor(State, Holder, Now);
+  Seat.ReceivedAt_ = Now;
   if (Seat.PromisedTo_ != NoMember || Seat.Final_)
     return Reply;
   Reply.Accepted_ = true;
@@ -148,18 +173,20 @@
 }
 
 void shiftTimers(Witness &State, Duration Pause) {
-  for (auto &[Id, Seat] : State.Seats_)
+  for (auto &[Id, Seat] : State.Seats_) {
     Seat.HeardAt_ += Pause;
+    Seat.ReceivedAt_ += Pause;
+  }
 }
 
 std::vector<Suspicion> dueSuspicions(Witness &State, const Table &Members,
-                                     MemberId Self, const LeaseOptions &Options,
-                                     Instant Now) {
+                                     const std::set<MemberId> &Selves,
+                                     const LeaseOptions &Options, Instant Now) {
   std::vector<Suspicion> Due;
   for (auto &[Id, Seat] : State.Seats_) {
     const Member *Victim = findMember(Members, Id);
-    const Duration Silence = Now - Seat.HeardAt_;
-    if (Victim == nullptr || !expectsRenewals(*Victim, Self, Seat))
+    const Duration Silence = Now - lastSignOfLife(Seat, Members);
+    if (Victim == nullptr || !expectsRenewals(*Victim, Selves, Seat))
       continue;
     if (Silence < Options.SuspectAfter_ || Now < Seat.NextSuspect_)
       continue;
--- a/recovery/witness.h
+++ b/recovery/witness.h
@@ -10,6 +10,7 @@
 #include "recovery/lease_options.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace lagoonhitch {
@@ -17,8 +18,12 @@
 /// The volatile timers that a member holds for others.
 struct Witness {
   struct Seat {
-    /// When a renewal was last received, or the seat was taken.
+    /// When a renewal was last accepted, or the seat was taken.
     Instant HeardAt_;
+    /// When a renewal was last received, accepted or not.
+    Instant ReceivedAt_;
+    /// The newest epoch under which this process knew itself seated.
+    std::uint64_t SeatedEpoch_ = 0;
     std::uint64_t Sequence_ = 0;
     Offset Floor_ = 0;
     std::vector<ShardRef> Withheld_;
@@ -39,8 +44,8 @@
 
 /// Takes a seat for a holder if there is none yet, and drops the seats of
 /// members that the table shows as removed.
-void syncSeats(Witness &State, const Table &Members, MemberId Self,
-               Instant Now);
+void syncSeats(Witness &State, const Table &Members,
+               const std::set<MemberId> &Selves, Instant Now);
 
 /// Answers a renewal.
 LeaseMessage::RenewAck onRenew(Witness &State, const Table &Members,
@@ -75,8 +80,8 @@
 /// Returns the silent holders that are to be reported now: first to the heir,
 /// then to one other member after the other.
 std::vector<Suspicion> dueSuspicions(Witness &State, const Table &Members,
-                                     MemberId Self, const LeaseOptions &Options,
-                                     Instant Now);
+                                     const std::set<MemberId> &Selves,
+                                     const LeaseOptions &Options, Instant Now);
 
 } // namespace lagoonhitch
 
--- a/settings/daemon_settings.h
+++ b/settings/daemon_settings.h
@@ -20,9 +20,9 @@
   std::string LogAddress_;
   std::vector<ServiceSettings> Services_;
 
-  std::chrono::milliseconds Lease_{900};
+  std::chrono::milliseconds Lease_{1200};
   std::chrono::milliseconds RenewEvery_{300};
-  std::chrono::milliseconds SuspectAfter_{650};
+  std::chrono::milliseconds SuspectAfter_{750};
   std::chrono::milliseconds TakeoverMargin_{150};
   std::uint32_t MaxMovesInFlight_ = 64;
   std::chrono::milliseconds AnnounceExpiry_{2000};
--- a/settings/settings_check.cpp
+++ b/settings/settings_check.cpp
@@ -144,9 +144,9 @@
 
 void checkLease(const Json &Merged, std::vector<SettingsFault> &Faults) {
   const Json Limits = Merged.value("limits", Json::object());
-  const int Lease = Limits.value("lease_ms", 900);
+  const int Lease = Limits.value("lease_ms", 1200);
   const int Renew = Limits.value("renew_ms", 300);
-  const int Suspect = Limits.value("suspect_ms", 650);
+  const int Suspect = Limits.value("suspect_ms", 750);
   if (Renew * 2 > Lease)
     Faults.push_back(
         {"/limits/renew_ms", std::to_string(Renew),
--- /dev/null
+++ b/tests/history/history.h
@@ -0,0 +1,59 @@
+#ifndef LAGOONHITCH_TESTS_HISTORY_HISTORY_H
+#define LAGOONHITCH_TESTS_HISTORY_HISTORY_H
+
+/// \file
+/// What happened in a concurrent run, as its observers recorded it.
+
+#include "control/control_state.h"
+#include "core/clock.h"
+#include "core/outcome.h"
+
+#include <string>
+#include <vector>
+
+namespace lagoonhitch {
+
+/// What happened in a concurrent run. All times are on one clock that only
+/// the observer sees.
+struct History {
+  /// A daemon could have served a shard from Begin_ to End_.
+  struct Serving {
+    std::string Daemon_;
+    ShardKey Shard_;
+    Token Token_ = 0;
+    Instant Begin_;
+    Instant End_;
+  };
+
+  /// An upstream has begun to run a call.
+  struct Run {
+    std::string Call_;
+    bool Once_ = false;
+  };
+
+  /// A caller got an answer.
+  struct Answered {
+    std::string Call_;
+    Outcome Outcome_ = Outcome::Unknown;
+    /// What the caller got and what it should have got if the call ran.
+    std::string Body_;
+    std::string Expected_;
+  };
+
+  /// A daemon has read an assignment back from the log.
+  struct Assignment {
+    ShardKey Shard_;
+    MemberId Owner_ = NoMember;
+    Token Token_ = 0;
+  };
+
+  std::vector<Serving> Servings_;
+  std::vector<Run> Runs_;
+  std::vector<Answered> Answers_;
+  /// In the order in which they were read.
+  std::vector<Assignment> Assignments_;
+};
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_TESTS_HISTORY_HISTORY_H
