--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -1,4 +1,78 @@
 /// \file
 /// The program lagoonhitch: the operators' command line.
 
-int main() { return 2; }
+#include "cli/commands.h"
+#include "core/error.h"
+#include "platform/monotonic_clock.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <string>
+
+ABSL_FLAG(std::string, admin, "127.0.0.1:7500", "a daemon's admin address");
+ABSL_FLAG(std::string, settings, "", "base file of the settings (JSON)");
+ABSL_FLAG(std::string, overlay, "", "overlay of the site (JSON)");
+ABSL_FLAG(std::string, host, "", "file of a host (JSON)");
+ABSL_FLAG(std::uint64_t, since, 0, "first number of the audit trail to show");
+ABSL_FLAG(bool, json, false, "print JSON");
+
+namespace {
+
+constexpr const char *Usage =
+    "asks daemons and checks settings.\n\n"
+    "  lagoonhitch status\n"
+    "  lagoonhitch explain SERVICE KEY\n"
+    "  lagoonhitch audit [--since=NUMBER]\n"
+    "  lagoonhitch settings check --settings=FILE [--overlay=FILE] "
+    "[--host=FILE]\n\n"
+    "Exit codes: 0 done, 1 refused or failed, 2 wrong usage.";
+
+lagoonhitch::CommandLine readCommandLine(int Argc, char **Argv) {
+  const std::vector<char *> Words = absl::ParseCommandLine(Argc, Argv);
+  lagoonhitch::CommandLine Line;
+  Line.Words_.assign(Words.begin() + 1, Words.end());
+  Line.Admin_ = absl::GetFlag(FLAGS_admin);
+  Line.Settings_ = absl::GetFlag(FLAGS_settings);
+  Line.Overlay_ = absl::GetFlag(FLAGS_overlay);
+  Line.Host_ = absl::GetFlag(FLAGS_host);
+  Line.Since_ = absl::GetFlag(FLAGS_since);
+  Line.Json_ = absl::GetFlag(FLAGS_json);
+  return Line;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  absl::SetProgramUsageMessage(Usage);
+  absl::FlagsUsageConfig Config;
+  Config.version_string = [] { return "lagoonhitch 0.1.0\n"; };
+  Config.contains_help_flags = [](absl::string_view File) {
+    return File.find("main.cpp") != absl::string_view::npos;
+  };
+  absl::SetFlagsUsageConfig(Config);
+  const lagoonhitch::CommandLine Line = readCommandLine(Argc, Argv);
+  const lagoonhitch::MonotonicClock Time;
+  try {
+    const int Code = lagoonhitch::runCommand(Time, Line, std::cout);
+    if (Code == lagoonhitch::ExitUsage)
+      std::cerr << "lagoonhitch " << Usage << "\n";
+    return Code;
+  } catch (const lagoonhitch::Error &Failure) {
+    if (Line.Json_)
+      std::cout << nlohmann::json(
+                       {{"kind", lagoonhitch::errorKindName(Failure.kind())},
+                        {"message", Failure.what()},
+                        {"remedy", Failure.remedy()}})
+                       .dump()
+                << "\n";
+    else
+      std::cerr << "lagoonhitch: " << Failure.what()
+                << "\nremedy: " << Failure.remedy() << "\n";
+    return lagoonhitch::ExitFailed;
+  }
+}
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -166,18 +166,17 @@
       Admin_(Time, Serving_, Settings_, Owner_, Trail_, Numbers_),
       CallerServer_(
           Loop_, serverOptions(Settings_, Settings_.CallersAddress_),
-          [this](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
-            Entry_.handle(std::move(Request), std::move(Exchange), false);
+          [this](HttpRequest Request, const std::shared_ptr<HttpExchange> &Exchange) {
+            Entry_.handle(std::move(Request), Exchange, false);
           }),
       PeerServer_(
           Loop_, serverOptions(Settings_, Settings_.PeersAddress_),
-          [this](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
-            Peer_.handle(std::move(Request), std::move(Exchange));
+          [this](HttpRequest Request, const std::shared_ptr<HttpExchange> &Exchange) {
+            Peer_.handle(std::move(Request), Exchange);
           }),
       AdminServer_(
           Loop_, serverOptions(Settings_, Settings_.AdminAddress_),
-          [this](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
-            Admin_.handle(Request, *Exchange);
+          [this](const HttpRequest &Request, const std::shared_ptr<HttpExchange> &Exchange) { Admin_.handle(Request, *Exchange);
           }),
       AppendLog_(Time, Settings_.LogAddress_, OwnershipStream),
       ReadLog_(Time, Settings_.LogAddress_, OwnershipStream),
--- a/daemon/entry_service.cpp
+++ b/daemon/entry_service.cpp
@@ -127,11 +127,11 @@
 }
 
 void EntryService::handle(HttpRequest Source,
-                          std::shared_ptr<HttpExchange> Exchange,
+                          const std::shared_ptr<HttpExchange> &Exchange,
                           bool Internal) {
   const std::shared_ptr<Open> Request = std::make_shared<Open>();
   Request->ReceivedAt_ = Time_.now();
-  Request->Exchange_ = std::move(Exchange);
+  Request->Exchange_ = Exchange;
   std::erase_if(Source.Headers_, [](const HttpHeader &Header) {
     return isHopByHop(Header.Name_);
   });
@@ -201,7 +201,7 @@
 }
 
 void EntryService::perform(const std::shared_ptr<Open> &Request,
-                           EntryAction Action) {
+                           const EntryAction &Action) {
   switch (Action.Kind_) {
   case EntryAction::Kind::None:
     return;
--- a/daemon/entry_service.h
+++ b/daemon/entry_service.h
@@ -46,8 +46,8 @@
 
   /// Handles a request from a caller.
   /// \param Internal whether it came in on the internal address.
-  void handle(HttpRequest Request, std::shared_ptr<HttpExchange> Exchange,
-              bool Internal);
+  void handle(HttpRequest Request,
+              const std::shared_ptr<HttpExchange> &Exchange, bool Internal);
 
   /// Notices a new view.
   void onViewChanged();
@@ -59,7 +59,7 @@
   AnswerPtr route(Open &Request, bool Internal) const;
   Targets targetsFor(const Open &Request);
   Targets ownersOf(const Open &Request) const;
-  void perform(const std::shared_ptr<Open> &Request, EntryAction Action);
+  void perform(const std::shared_ptr<Open> &Request, const EntryAction &Action);
   void forward(const std::shared_ptr<Open> &Request);
   void forwardToPeer(const std::shared_ptr<Open> &Request,
                      const std::string &Peer);
--- a/daemon/owner_service.cpp
+++ b/daemon/owner_service.cpp
@@ -348,8 +348,6 @@
   case UpstreamChange::None:
     return;
   case UpstreamChange::Appeared:
-    Reports_.Event_(EventId::UpstreamAnnounced, Info.Service_);
-    break;
   case UpstreamChange::Resumed:
     Reports_.Event_(EventId::UpstreamAnnounced, Info.Service_);
     break;
--- a/daemon/peer_service.cpp
+++ b/daemon/peer_service.cpp
@@ -22,7 +22,7 @@
 PeerStamp PeerService::stamp() const { return {Process_, Time_.now()}; }
 
 void PeerService::handle(HttpRequest Request,
-                         std::shared_ptr<HttpExchange> Exchange) {
+                         const std::shared_ptr<HttpExchange> &Exchange) {
   if (findHeader(Request.Headers_, "Lagoonhitch-Service") != nullptr) {
     handleForward(std::move(Request), Exchange);
     return;
@@ -57,7 +57,7 @@
     Exchange->respond(std::move(Response));
     return;
   }
-  Owner_.serve(std::move(*Forward), [this, Exchange](AnswerPtr Result) {
+  Owner_.serve(std::move(*Forward), [this, Exchange](const AnswerPtr &Result) {
     Exchange->respond(encodeAnswer(*Result, stamp()));
   });
 }
--- a/daemon/peer_service.h
+++ b/daemon/peer_service.h
@@ -20,7 +20,8 @@
   PeerService(const Clock &Time, OwnerService &Owner, std::uint64_t Process);
 
   /// Handles a request from another daemon.
-  void handle(HttpRequest Request, std::shared_ptr<HttpExchange> Exchange);
+  void handle(HttpRequest Request,
+              const std::shared_ptr<HttpExchange> &Exchange);
 
   /// Returns the stamp that peers estimate this process's clock from.
   PeerStamp stamp() const;
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -21,7 +21,7 @@
 class HttpServer {
 public:
   using Handler =
-      std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
+      std::function<void(HttpRequest, const std::shared_ptr<HttpExchange> &)>;
 
   /// Opens the listening socket; throws Error if the address is not usable.
   HttpServer(IoLoop &Loop, HttpServerOptions Options, Handler Handle);
--- a/recovery/fate_table.cpp
+++ b/recovery/fate_table.cpp
@@ -47,7 +47,8 @@
 }
 
 void finishAttempt(FateTable &Table, const RequestId &Id, Instant StartBy,
-                   AnswerPtr Result, const FateOptions &Options, Instant Now) {
+                   const AnswerPtr &Result, const FateOptions &Options,
+                   Instant Now) {
   const auto Found = Table.Entries_.find(Id);
   if (Found == Table.Entries_.end() || Found->second.Fate_ != Fate::Running)
     return;
--- a/recovery/fate_table.h
+++ b/recovery/fate_table.h
@@ -66,7 +66,8 @@
 
 /// Ends an attempt and keeps its answer.
 void finishAttempt(FateTable &Table, const RequestId &Id, Instant StartBy,
-                   AnswerPtr Result, const FateOptions &Options, Instant Now);
+                   const AnswerPtr &Result, const FateOptions &Options,
+                   Instant Now);
 
 /// What a lookup has found.
 struct FateReport {
--- a/tests/history/checker.cpp
+++ b/tests/history/checker.cpp
@@ -29,8 +29,8 @@
 std::string describe(const History::Serving &One) {
   return One.Daemon_ + " with token " + std::to_string(One.Token_) + " [" +
          std::to_string(toMillis(One.Begin_.time_since_epoch()).count()) +
-         ".." +
-         std::to_string(toMillis(One.End_.time_since_epoch()).count()) + " ms]";
+         ".." + std::to_string(toMillis(One.End_.time_since_epoch()).count()) +
+         " ms]";
 }
 
 std::map<std::string, std::size_t> countRuns(const History &Events) {
--- a/tests/history/checker_test.cpp
+++ b/tests/history/checker_test.cpp
@@ -22,7 +22,8 @@
   Events.Answers_ = {{"order", Outcome::Ran, "o", "o"},
                      {"late", Outcome::NotRun, "", "l"},
                      {"lost", Outcome::Unknown, "", "x"}};
-  Events.Assignments_ = {{TestedShard, 1, 1}, {TestedShard, 1, 1}, {TestedShard, 2, 2}};
+  Events.Assignments_ = {
+      {TestedShard, 1, 1}, {TestedShard, 1, 1}, {TestedShard, 2, 2}};
   return Events;
 }
 
--- a/tests/schedule/control_schedule_test.cpp
+++ b/tests/schedule/control_schedule_test.cpp
@@ -34,17 +34,18 @@
                                 [](int Number) {
                                   return static_cast<FaultKind>(Number);
                                 })),
-      rc::gen::set(&Fault::At_,
-                   rc::gen::map(rc::gen::inRange(0, LatestMillis),
-                                [](int Millis) {
-                                  return std::chrono::milliseconds(Millis);
-                                })),
+      rc::gen::set(&Fault::At_, rc::gen::map(rc::gen::inRange(0, LatestMillis),
+                                             [](int Millis) {
+                                               return std::chrono::milliseconds(
+                                                   Millis);
+                                             })),
       rc::gen::set(&Fault::Length_,
                    rc::gen::map(rc::gen::inRange(10, 4000),
                                 [](int Millis) {
                                   return std::chrono::milliseconds(Millis);
                                 })),
-      rc::gen::set(&Fault::Node_, rc::gen::inRange<std::uint32_t>(0, NodeCount)));
+      rc::gen::set(&Fault::Node_,
+                   rc::gen::inRange<std::uint32_t>(0, NodeCount)));
 }
 
 /// A fault near a moment, on one daemon or those that its lease depends on.
@@ -61,11 +62,11 @@
                                   return static_cast<FaultRole>(Number);
                                 })),
       rc::gen::set(&Fault::Choice_, rc::gen::inRange<std::uint32_t>(0, 6)),
-      rc::gen::set(&Fault::At_,
-                   rc::gen::map(rc::gen::inRange(0, 1500),
-                                [](int Millis) {
-                                  return std::chrono::milliseconds(Millis);
-                                })),
+      rc::gen::set(&Fault::At_, rc::gen::map(rc::gen::inRange(0, 1500),
+                                             [](int Millis) {
+                                               return std::chrono::milliseconds(
+                                                   Millis);
+                                             })),
       rc::gen::set(&Fault::Length_,
                    rc::gen::map(rc::gen::inRange(100, 6000),
                                 [](int Millis) {
@@ -93,9 +94,8 @@
 RC_BOOST_PROP(SafetyHolds, ()) {
   ControlWorld World = startedWorld();
   const std::uint64_t Seed = *rc::gen::arbitrary<std::uint32_t>();
-  const std::vector<Fault> Faults =
-      *rc::gen::resize(8, rc::gen::container<std::vector<Fault>>(
-                              anyFault(6000)));
+  const std::vector<Fault> Faults = *rc::gen::resize(
+      8, rc::gen::container<std::vector<Fault>>(anyFault(6000)));
   World.seed(Seed);
   for (const Fault &One : Faults)
     World.schedule(One);
@@ -103,7 +103,6 @@
   requireSound(World);
 }
 
-
 RC_BOOST_PROP(SafetyHoldsAroundOneLease, ()) {
   ControlWorld World = startedWorld();
   const std::uint64_t Seed = *rc::gen::arbitrary<std::uint32_t>();
@@ -138,8 +137,8 @@
   Loss.Kind_ = FaultKind::Restart;
   Loss.Length_ = std::chrono::seconds(60);
   Fault LogFault;
-  LogFault.Kind_ = *rc::gen::arbitrary<bool>() ? FaultKind::LogDown
-                                               : FaultKind::LogSlow;
+  LogFault.Kind_ =
+      *rc::gen::arbitrary<bool>() ? FaultKind::LogDown : FaultKind::LogSlow;
   LogFault.At_ = std::chrono::milliseconds(1);
   LogFault.Length_ = *rc::gen::element(std::chrono::milliseconds(0),
                                        std::chrono::milliseconds(8000));
--- a/tests/schedule/control_world.cpp
+++ b/tests/schedule/control_world.cpp
@@ -53,6 +53,53 @@
     step();
 }
 
+void ControlWorld::append(Record::Body Body) {
+  Record Entry;
+  Entry.Id_ = "test-" + std::to_string(Log_.size());
+  Entry.Body_ = std::move(Body);
+  Log_.emplace_back(Log_.size(), std::move(Entry));
+}
+
+void ControlWorld::inject(const LeaseMessage &Message) {
+  const std::size_t Index = nodeOf(Message.To_);
+  ControlActions Actions;
+  onMessage(Nodes_[Index].State_, Message, localTime(Nodes_[Index]), Actions);
+  carryOut(Index, Actions);
+}
+
+void ControlWorld::cutFromLog(std::size_t Node,
+                              std::chrono::milliseconds Span) {
+  Nodes_[Node].CutUntil_ = Now_ + Span;
+}
+
+void ControlWorld::cutLink(std::size_t One, std::size_t Other,
+                           std::chrono::milliseconds Span) {
+  CutLinks_.push_back({One, Other, Now_ + Span});
+  CutLinks_.push_back({Other, One, Now_ + Span});
+}
+
+void ControlWorld::pause(std::size_t Node, std::chrono::milliseconds Span) {
+  Nodes_[Node].PausedUntil_ = Now_ + Span;
+}
+
+void ControlWorld::lose(std::size_t Node) {
+  Ghosts_.push_back(Nodes_[Node]);
+  resetNode(Nodes_[Node]);
+  Nodes_[Node].PausedUntil_ = Instant::max();
+}
+
+bool ControlWorld::runUntil(const std::function<bool()> &Condition,
+                            std::chrono::milliseconds Limit) {
+  const Instant End = Now_ + Limit;
+  while (!Condition() && Now_ < End)
+    step();
+  return Condition();
+}
+
+std::size_t ControlWorld::nodeOf(MemberId Id) {
+  return static_cast<std::size_t>(findNode(Id) - Nodes_.data());
+}
+
 Instant ControlWorld::localTime(const Node &One) const {
   return Instant(std::chrono::duration_cast<Duration>(Now_.time_since_epoch() *
                                                       One.Rate_)) +
@@ -268,7 +315,9 @@
       std::to_string(toMillis(Now_.time_since_epoch()).count()) + " " +
       One.Name_ + " ";
   for (const auto &[Id, Details] : Actions.Events_)
-    Trace_ += Prefix + eventInfo(Id).Name_ + " " + Details + "\n";
+    Trace_.append(Prefix)
+        .append(eventInfo(Id).Name_)
+        .append(" " + Details + "\n");
   for (const Record &Entry : Actions.Appends_)
     Trace_ += Prefix + "appends " + recordKind(Entry) + "\n";
   for (const LeaseMessage &Message : Actions.Messages_)
--- a/tests/schedule/control_world.h
+++ b/tests/schedule/control_world.h
@@ -10,6 +10,7 @@
 #include "tests/schedule/fault.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -31,6 +32,44 @@
   /// Adds a fault; its time counts from now.
   void schedule(const Fault &One);
 
+  /// Appends a record to the log at once.
+  void append(Record::Body Body);
+
+  /// Delivers a message at once, whatever the network does.
+  void inject(const LeaseMessage &Message);
+
+  /// Keeps a daemon from the log for a while.
+  void cutFromLog(std::size_t Node, std::chrono::milliseconds Span);
+
+  /// Loses all messages between two daemons for a while.
+  void cutLink(std::size_t One, std::size_t Other,
+               std::chrono::milliseconds Span);
+
+  /// Stops a daemon from running for a while.
+  void pause(std::size_t Node, std::chrono::milliseconds Span);
+
+  /// Ends a daemon for good.
+  void lose(std::size_t Node);
+
+  /// Lets true time pass until a condition holds.
+  /// \returns whether it did within the limit.
+  bool runUntil(const std::function<bool()> &Condition,
+                std::chrono::milliseconds Limit);
+
+  /// Returns a daemon's state.
+  const ControlState &state(std::size_t Node) const {
+    return Nodes_[Node].State_;
+  }
+
+  /// Returns the number of the daemon with that member id.
+  std::size_t nodeOf(MemberId Id);
+
+  /// Returns the table that the most advanced daemon has read.
+  const Table &freshestTable() const;
+
+  /// Returns the log.
+  const std::vector<std::pair<Offset, Record>> &log() const { return Log_; }
+
   /// Lets true time pass.
   void run(std::chrono::milliseconds Span);
 
@@ -88,7 +127,6 @@
 
   std::size_t resolveRole(const Fault &One);
   bool isCut(const Node &From, const Node &To) const;
-  const Table &freshestTable() const;
   Instant localTime(const Node &One) const;
   std::chrono::milliseconds randomMillis(int Low, int High);
   bool chance(int Percent);
--- a/tests/standin/log_standin.cpp
+++ b/tests/standin/log_standin.cpp
@@ -35,7 +35,7 @@
 LogStandin::LogStandin(IoLoop &Loop) : Loop_(Loop) {}
 
 void LogStandin::handle(const HttpRequest &Request,
-                        std::shared_ptr<HttpExchange> Exchange) {
+                        const std::shared_ptr<HttpExchange> &Exchange) {
   if (Request.Target_ == "/mode") {
     setMode(Request, *Exchange);
     return;
--- a/tests/standin/log_standin.h
+++ b/tests/standin/log_standin.h
@@ -26,7 +26,7 @@
 
   /// Handles one request.
   void handle(const HttpRequest &Request,
-              std::shared_ptr<HttpExchange> Exchange);
+              const std::shared_ptr<HttpExchange> &Exchange);
 
 private:
   struct Waiter {
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -44,8 +44,9 @@
   lagoonhitch::LogStandin Log(Loop);
   lagoonhitch::HttpServer Server(
       Loop, serverOptions(),
-      [&Log](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
-        Log.handle(Request, std::move(Exchange));
+      [&Log](const HttpRequest &Request,
+ const std::shared_ptr<HttpExchange> &Exchange) {
+        Log.handle(Request, Exchange);
       });
   std::cout << Server.address() << std::endl;
   Loop.run();
@@ -72,8 +73,9 @@
   lagoonhitch::UpstreamStandin Upstream(Loop, Time, Client, upstreamOptions());
   lagoonhitch::HttpServer Server(
       Loop, serverOptions(),
-      [&Upstream](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
-        Upstream.handle(std::move(Request), std::move(Exchange));
+      [&Upstream](const HttpRequest &Request,
+ const std::shared_ptr<HttpExchange> &Exchange) {
+        Upstream.handle(Request, Exchange);
       });
   std::cout << Server.address() << std::endl;
   if (!absl::GetFlag(FLAGS_admin).empty())
--- a/tests/standin/upstream_standin.cpp
+++ b/tests/standin/upstream_standin.cpp
@@ -67,8 +67,8 @@
       Loop_.after(AnnounceEvery, [this, Address] { announceForever(Address); });
 }
 
-void UpstreamStandin::handle(HttpRequest Request,
-                             std::shared_ptr<HttpExchange> Exchange) {
+void UpstreamStandin::handle(const HttpRequest &Request,
+                             const std::shared_ptr<HttpExchange> &Exchange) {
   if (Request.Target_ == "/_mode") {
     setMode(Request, *Exchange);
     return;
--- a/tests/standin/upstream_standin.h
+++ b/tests/standin/upstream_standin.h
@@ -42,7 +42,8 @@
   void announceForever(const std::string &Address);
 
   /// Handles one request; `POST /_mode` changes its behaviour.
-  void handle(HttpRequest Request, std::shared_ptr<HttpExchange> Exchange);
+  void handle(const HttpRequest &Request,
+              const std::shared_ptr<HttpExchange> &Exchange);
 
 private:
   bool isStale(const HttpRequest &Request);
--- /dev/null
+++ b/tests/unit/limits_test.cpp
@@ -0,0 +1,120 @@
+/// \file
+/// Admission and the retry budget.
+
+#define BOOST_TEST_MODULE limits
+#include "limits/admission.h"
+#include "limits/retry_budget.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <set>
+
+namespace lagoonhitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+Instant at(int Millis) { return Instant(milliseconds(100000 + Millis)); }
+
+Admission warmUpstream() {
+  Admission State;
+  resetAdmission(State, 18, 130, {});
+  State.Limit_ = 18;
+  State.UsualLatency_ = milliseconds(5);
+  return State;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ColdUpstreamEarnsItsLoad) {
+  Admission State;
+  resetAdmission(State, 18, 130, {});
+  BOOST_TEST((admit(State, 1, Priority::Normal, at(1000), {}, at(0)) ==
+              AdmitResult::Admitted));
+  BOOST_TEST((admit(State, 2, Priority::Normal, at(1000), {}, at(0)) ==
+              AdmitResult::Admitted));
+  BOOST_TEST((admit(State, 3, Priority::Normal, at(1000), {}, at(0)) ==
+              AdmitResult::Queued));
+  complete(State, UpstreamAnswer::Good, milliseconds(5), {}, at(5));
+  BOOST_TEST(advanceQueue(State, at(5)).Started_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TurningColdIsSeenWithinFiveAnswers) {
+  Admission State = warmUpstream();
+  const AdmissionOptions Options;
+  for (Ticket Id = 1; Id <= 18; ++Id)
+    admit(State, Id, Priority::Normal, at(9000), Options, at(0));
+  int Answers = 0;
+  while (!complete(State, UpstreamAnswer::Shed, milliseconds(5), Options,
+                   at(++Answers)))
+    BOOST_REQUIRE(Answers < 5);
+  BOOST_TEST(State.Limit_ <= Options.ColdLimit_);
+}
+
+BOOST_AUTO_TEST_CASE(HopelessRequestIsShed) {
+  Admission State = warmUpstream();
+  BOOST_TEST((admit(State, 1, Priority::High, at(3), {}, at(0)) ==
+              AdmitResult::Shed));
+}
+
+BOOST_AUTO_TEST_CASE(HigherPriorityStartsFirst) {
+  Admission State = warmUpstream();
+  State.Limit_ = 1;
+  const AdmissionOptions Options;
+  admit(State, 1, Priority::Low, at(9000), Options, at(0));
+  admit(State, 2, Priority::Low, at(9000), Options, at(0));
+  admit(State, 3, Priority::High, at(9000), Options, at(0));
+  complete(State, UpstreamAnswer::Failed, milliseconds(5), Options, at(5));
+  const QueueChange Change = advanceQueue(State, at(5));
+  BOOST_REQUIRE(Change.Started_.size() == 1U);
+  BOOST_TEST(Change.Started_[0] == 3U);
+}
+
+/// Whatever happens, no more than the limit is admitted, and the limit never
+/// exceeds the upstream's slots and connections.
+RC_BOOST_PROP(NeverAboveTheLimit, ()) {
+  const std::uint32_t Slots = *rc::gen::inRange<std::uint32_t>(1, 20);
+  const std::uint32_t Connections = *rc::gen::inRange<std::uint32_t>(1, 20);
+  const AdmissionOptions Options;
+  Admission State;
+  resetAdmission(State, Slots, Connections, Options);
+  Ticket Next = 0;
+  int Now = 0;
+  for (int Step = 0; Step < 80; ++Step) {
+    Now += *rc::gen::inRange(0, 5);
+    const std::uint32_t Before = State.InFlight_;
+    if (*rc::gen::arbitrary<bool>() || Before == 0) {
+      admit(State, ++Next, static_cast<Priority>(*rc::gen::inRange(0, 3)),
+            at(Now + *rc::gen::inRange(1, 100)), Options, at(Now));
+    } else {
+      complete(State,
+               *rc::gen::element(UpstreamAnswer::Good, UpstreamAnswer::Shed,
+                                 UpstreamAnswer::Failed),
+               milliseconds(*rc::gen::inRange(1, 100)), Options, at(Now));
+      advanceQueue(State, at(Now));
+    }
+    RC_ASSERT(State.Limit_ <= std::min(Slots, Connections));
+    RC_ASSERT(State.InFlight_ <= Before ||
+              State.InFlight_ <= static_cast<std::uint32_t>(State.Limit_));
+  }
+}
+
+/// Retries never exceed the earned part of the traffic and what was saved.
+RC_BOOST_PROP(BudgetIsNeverOverdrawn, ()) {
+  RetryBudget Budget;
+  std::uint64_t Earned = 0;
+  std::uint64_t Spent = 0;
+  for (int Step = 0; Step < 500; ++Step) {
+    if (*rc::gen::arbitrary<bool>()) {
+      earnRetry(Budget, 10);
+      ++Earned;
+    } else if (spendRetry(Budget)) {
+      ++Spent;
+    }
+    RC_ASSERT(Spent * 100 <= Earned * 10);
+  }
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/tests/unit/settings_test.cpp
@@ -0,0 +1,181 @@
+/// \file
+/// Settings: sound ones load, bad ones name the field.
+
+#define BOOST_TEST_MODULE settings
+#include "settings/rule_match.h"
+#include "settings/settings_check.h"
+#include "settings/settings_error.h"
+#include "settings/settings_load.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <ostream>
+
+namespace lagoonhitch {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const char *Sound = R"json({
+  "site": "my-central",
+  "zones": ["kv-a", "kv-b"],
+  "log": "127.0.0.1:7100",
+  "services": {
+    "katalog": {
+      "prefix": "/katalog", "placement": "divided", "shards": 240,
+      "key": {"from": "path", "segment": 1},
+      "rules": [
+        {"method": "GET", "path": "/katalog/*", "execution": "repeatable"},
+        {"method": "POST", "path": "/katalog/*/orders", "execution": "once"}
+      ]
+    },
+    "pruf": {"prefix": "/pruf", "placement": "shared"}
+  },
+  "host": {
+    "name": "h1", "zone": "kv-a", "callers": "127.0.0.1:1",
+    "peers": "127.0.0.1:2", "control": "127.0.0.1:3", "admin": "127.0.0.1:4"
+  }
+})json";
+
+/// A merge patch that spoils the sound settings, and the field to be named.
+struct BadCase {
+  const char *Patch_;
+  const char *Path_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const BadCase &One) {
+  return Out << One.Patch_;
+}
+
+const BadCase BadCases[] = {
+    {R"({"site": null})", "/"},
+    {R"({"site": "My Site"})", "/site"},
+    {R"({"site": 7})", "/site"},
+    {R"({"zones": null})", "/"},
+    {R"({"zones": []})", "/zones"},
+    {R"({"zones": "kv-a"})", "/zones"},
+    {R"({"zones": ["KV A"]})", "/zones/0"},
+    {R"({"zones": ["kv-b"]})", "/host/zone"},
+    {R"({"log": null})", "/"},
+    {R"({"log": "log.example:7100"})", "/log"},
+    {R"({"log": "127.0.0.1"})", "/log"},
+    {R"({"services": null})", "/"},
+    {R"({"services": {"katalog": null, "pruf": null}})", "/services"},
+    {R"({"services": {"pruf": 1}})", "/services/pruf"},
+    {R"({"services": {"pruf": {"prefix": null}}})", "/services/pruf"},
+    {R"({"services": {"pruf": {"prefix": "pruf"}}})", "/services/pruf/prefix"},
+    {R"({"services": {"pruf": {"prefix": "/katalog"}}})", "/prefix"},
+    {R"({"services": {"pruf": {"placement": "both"}}})",
+     "/services/pruf/placement"},
+    {R"({"services": {"pruf": {"placement": null}}})", "/services/pruf"},
+    {R"({"services": {"pruf": {"shards": 8}}})", "/services/pruf/shards"},
+    {R"({"services": {"pruf": {"retries": 3}}})", "/services/pruf"},
+    {R"({"services": {"pruf": {"internal": "yes"}}})",
+     "/services/pruf/internal"},
+    {R"({"services": {"katalog": {"shards": null}}})",
+     "/services/katalog/shards"},
+    {R"({"services": {"katalog": {"shards": 0}}})", "/services/katalog/shards"},
+    {R"({"services": {"katalog": {"shards": 2.5}}})",
+     "/services/katalog/shards"},
+    {R"({"services": {"katalog": {"shards": 70000}}})",
+     "/services/katalog/shards"},
+    {R"({"services": {"katalog": {"key": null}}})", "/services/katalog/key"},
+    {R"({"services": {"katalog": {"key": {"from": "cookie"}}}})",
+     "/services/katalog/key/from"},
+    {R"({"services": {"katalog": {"key": {"segment": null}}}})",
+     "/services/katalog/key/segment"},
+    {R"({"services": {"katalog": {"key": {"segment": 16}}}})",
+     "/services/katalog/key/segment"},
+    {R"({"services": {"katalog": {"key": {"from": "header"}}}})",
+     "/services/katalog/key/name"},
+    {R"({"services": {"katalog": {"rules": [{"method": "FETCH",
+      "path": "/katalog/*", "execution": "once"}]}}})",
+     "/services/katalog/rules/0/method"},
+    {R"({"services": {"katalog": {"rules": [{"method": "GET",
+      "path": "/katalog/*", "execution": "twice"}]}}})",
+     "/services/katalog/rules/0/execution"},
+    {R"({"services": {"katalog": {"rules": [{"method": "GET",
+      "path": "/other/*", "execution": "once"}]}}})",
+     "/services/katalog/rules/0/path"},
+    {R"({"services": {"katalog": {"rules": [{"method": "GET",
+      "path": "/katalog/*", "execution": "once", "deadline_ms": 0}]}}})",
+     "/services/katalog/rules/0/deadline_ms"},
+    {R"({"services": {"katalog": {"rules": [{"method": "GET",
+      "path": "/katalog/*", "execution": "once", "deadline_s": 1}]}}})",
+     "/services/katalog/rules/0"},
+    {R"({"services": {"katalog": {"rules": [
+      {"method": "GET", "path": "/katalog/*", "execution": "once"},
+      {"method": "GET", "path": "/katalog/**", "execution": "once"}]}}})",
+     "/services/katalog/rules/1"},
+    {R"({"limits": {"lease_ms": 100}})", "/limits/lease_ms"},
+    {R"({"limits": {"lease_ms": "1s"}})", "/limits/lease_ms"},
+    {R"({"limits": {"lease_ms": 400}})", "/limits/renew_ms"},
+    {R"({"limits": {"suspect_ms": 200}})", "/limits/suspect_ms"},
+    {R"({"limits": {"moves": 4}})", "/limits"},
+    {R"({"limits": {"body_bytes": 1}})", "/limits/body_bytes"},
+    {R"({"host": null})", "/"},
+    {R"({"host": {"name": null}})", "/host"},
+    {R"({"host": {"zone": "kv-z"}})", "/host/zone"},
+    {R"({"host": {"callers": "127.0.0.1:70000"}})", "/host/callers"},
+    {R"({"host": {"admin": "localhost:1"}})", "/host/admin"},
+    {R"({"host": {"rack": "r1"}})", "/host"},
+    {R"({"overlay": true})", "/"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(SoundSettingsLoad) {
+  const DaemonSettings Settings = parseSettings(Json::parse(Sound));
+  BOOST_REQUIRE(Settings.Services_.size() == 2U);
+  BOOST_TEST(Settings.Services_[0].Shards_ == 240U);
+  BOOST_TEST(Settings.Services_[0].Rules_[0].Repeatable_);
+}
+
+BOOST_DATA_TEST_CASE(BadSettingsNameTheField,
+                     boost::unit_test::data::make(BadCases), Bad) {
+  Json Spoiled = Json::parse(Sound);
+  Spoiled.merge_patch(Json::parse(Bad.Patch_));
+  const std::vector<SettingsFault> Faults = checkSettings(Spoiled);
+  const bool Named = std::any_of(
+      Faults.begin(), Faults.end(), [&Bad](const SettingsFault &Fault) {
+        return std::string(Bad.Path_) == "/prefix"
+                   ? Fault.Path_.ends_with("/prefix")
+                   : Fault.Path_ == Bad.Path_;
+      });
+  for (const SettingsFault &Fault : Faults) {
+    BOOST_TEST_MESSAGE(toString(Fault));
+    BOOST_TEST(!Fault.Found_.empty());
+    BOOST_TEST(!Fault.Allowed_.empty());
+    BOOST_TEST(!Fault.Remedy_.empty());
+  }
+  BOOST_TEST(Named);
+}
+
+BOOST_AUTO_TEST_CASE(AllFaultsInOnePass) {
+  Json Spoiled = Json::parse(Sound);
+  Spoiled.merge_patch(Json::parse(
+      R"({"host": {"zone": "kv-z"}, "services": {"katalog": {"key": null}}})"));
+  BOOST_TEST(checkSettings(Spoiled).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(MissingFileIsASettingsError) {
+  BOOST_CHECK_THROW(mergeSettings({"no-such-file.json", "", ""}),
+                    SettingsError);
+}
+
+BOOST_AUTO_TEST_CASE(UnmatchedRequestRunsOnce) {
+  const DaemonSettings Settings = parseSettings(Json::parse(Sound));
+  const ServiceSettings *Service =
+      findService(Settings.Services_, "/katalog/k1?x=1");
+  BOOST_REQUIRE(Service != nullptr);
+  BOOST_TEST(findRule(*Service, "GET", "/katalog/k1?x=1").Repeatable_);
+  BOOST_TEST(!findRule(*Service, "PUT", "/katalog/k1").Repeatable_);
+  BOOST_TEST(findService(Settings.Services_, "/katalogue") == nullptr);
+  BOOST_TEST(*keyFromTarget(*Service, "/katalog/k1/orders?x") == "k1");
+}
+
+} // namespace lagoonhitch
