--- /dev/null
+++ b/tests/process/call_load.cpp
@@ -0,0 +1,114 @@
+#include "tests/process/call_load.h"
+
+#include "net/http_client.h"
+#include "net/io_loop.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace lagoonhitch {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::seconds CallTimeout{10};
+
+struct Kind {
+  const char *Method_;
+  const char *Prefix_;
+  const char *Suffix_;
+};
+
+constexpr Kind Kinds[] = {{"POST", "/katalog/k", "/orders"},
+                          {"GET", "/katalog/k", ""},
+                          {"POST", "/pruf/k", "/approvals"},
+                          {"GET", "/pruf/k", ""}};
+
+Outcome parseOutcome(const HttpResult &Result) {
+  if (Result.Status_ == HttpStatus::NotSent)
+    return Outcome::NotRun;
+  const std::string *Name =
+      findHeader(Result.Response_.Headers_, "Lagoonhitch-Outcome");
+  for (const Outcome Known : {Outcome::Ran, Outcome::NotRun})
+    if (Name != nullptr && *Name == outcomeName(Known))
+      return Known;
+  return Outcome::Unknown;
+}
+
+} // namespace
+
+CallLoad::CallLoad(const Clock &Time, CallLoadOptions Options)
+    : Time_(Time), Options_(std::move(Options)),
+      Loop_(std::make_unique<IoLoop>()),
+      Client_(std::make_unique<HttpClient>(*Loop_, Time, HttpClientOptions())),
+      Timers_(Options_.Workers_) {
+  Loop_->post([this] {
+    for (std::uint32_t Worker = 0; Worker < Options_.Workers_; ++Worker)
+      send(Worker);
+  });
+  Thread_ = std::thread([this] { Loop_->run(); });
+}
+
+CallLoad::~CallLoad() {
+  if (Thread_.joinable())
+    finish();
+}
+
+void CallLoad::finish() {
+  Stopping_ = true;
+  Thread_.join();
+}
+
+void CallLoad::next(std::uint32_t Worker) {
+  if (Stopping_) {
+    if (Busy_ == 0)
+      Loop_->stop();
+    return;
+  }
+  Timers_[Worker] =
+      Loop_->after(Options_.Pause_, [this, Worker] { send(Worker); });
+}
+
+void CallLoad::send(std::uint32_t Worker) {
+  const std::uint64_t Number = ++NextCall_;
+  const Kind &Chosen = Kinds[Number % std::size(Kinds)];
+  const std::string Key = std::to_string((Number * 7919) % Options_.Keys_);
+  HttpRequest Request;
+  Request.Method_ = Chosen.Method_;
+  Request.Target_ = Chosen.Prefix_ + Key + Chosen.Suffix_;
+  const std::string CallName = Request.Method_ + " " + std::to_string(Number);
+  Request.Headers_.push_back({"X-Call", CallName});
+  Request.Body_ = Request.Method_ == "POST" ? "body " + CallName : "";
+  Call Entry;
+  Entry.SentAt_ = Time_.now();
+  Entry.Target_ = Request.Target_;
+  History::Answered Answered;
+  Answered.Call_ = CallName;
+  Answered.Expected_ = Request.Target_ + Request.Body_;
+  HttpCallOptions Options;
+  Options.Timeout_ = CallTimeout;
+  ++Busy_;
+  const std::string &Address =
+      Options_.Addresses_[Number % Options_.Addresses_.size()];
+  Client_->send(
+      Address, std::move(Request), Options,
+      [this, Worker, Entry, Answered](const HttpResult &Result) mutable {
+        --Busy_;
+        Entry.AnsweredAt_ = Time_.now();
+        Entry.Status_ = Result.Response_.Status_;
+        Entry.Outcome_ = parseOutcome(Result);
+        Answered.Outcome_ = Entry.Outcome_;
+        const Json Body = Json::parse(Result.Response_.Body_, nullptr, false);
+        if (Body.is_object() && Body.contains("echo")) {
+          Answered.Body_ = Body.value("target", "") + Body.value("echo", "");
+          Entry.Instance_ = Body.value("instance", "");
+        }
+        Calls_.push_back(std::move(Entry));
+        Answers_.push_back(std::move(Answered));
+        next(Worker);
+      });
+}
+
+} // namespace lagoonhitch
--- a/tests/schedule/lease_scenario_test.cpp
+++ b/tests/schedule/lease_scenario_test.cpp
@@ -79,12 +79,11 @@
   }
 
   bool logHasRelease() const {
-    return std::any_of(World_.log().begin(), World_.log().end(),
-                       [this](const auto &Entry) {
-                         const auto *Body = std::get_if<Record::Release>(
-                             &Entry.second.Body_);
-                         return Body != nullptr && Body->Owner_ == Owner_;
-                       });
+    return std::any_of(
+        World_.log().begin(), World_.log().end(), [this](const auto &Entry) {
+          const auto *Body = std::get_if<Record::Release>(&Entry.second.Body_);
+          return Body != nullptr && Body->Owner_ == Owner_;
+        });
   }
 
   void suspectRepeatedly(seconds Span) {
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -45,7 +45,7 @@
   lagoonhitch::HttpServer Server(
       Loop, serverOptions(),
       [&Log](const HttpRequest &Request,
- const std::shared_ptr<HttpExchange> &Exchange) {
+             const std::shared_ptr<HttpExchange> &Exchange) {
         Log.handle(Request, Exchange);
       });
   std::cout << Server.address() << std::endl;
@@ -74,7 +74,7 @@
   lagoonhitch::HttpServer Server(
       Loop, serverOptions(),
       [&Upstream](const HttpRequest &Request,
- const std::shared_ptr<HttpExchange> &Exchange) {
+                  const std::shared_ptr<HttpExchange> &Exchange) {
         Upstream.handle(Request, Exchange);
       });
   std::cout << Server.address() << std::endl;
--- a/tests/unit/events_test.cpp
+++ b/tests/unit/events_test.cpp
@@ -20,9 +20,9 @@
   const std::string Page = Text.str();
   std::size_t Rows = 0;
   for (const EventInfo &Info : eventCatalog()) {
-    const std::string Row =
-        "| " + std::to_string(static_cast<unsigned>(Info.Id_)) + " | " +
-        Info.Name_ + " |";
+    const std::string Row = "| " +
+                            std::to_string(static_cast<unsigned>(Info.Id_)) +
+                            " | " + Info.Name_ + " |";
     BOOST_TEST(Page.find(Row) != std::string::npos, "missing row: " << Row);
     ++Rows;
   }
--- a/tests/unit/fate_test.cpp
+++ b/tests/unit/fate_test.cpp
@@ -33,17 +33,17 @@
 BOOST_AUTO_TEST_CASE(TellsRunningAndFinished) {
   FateTable Fates;
   BOOST_TEST(beginAttempt(Fates, First, at(2000), at(0)));
-  BOOST_TEST((lookUpFate(Fates, First, at(2000), {}, at(1)).Fate_ ==
-              Fate::Running));
+  BOOST_TEST(
+      (lookUpFate(Fates, First, at(2000), {}, at(1)).Fate_ == Fate::Running));
   finishAttempt(Fates, First, at(2000), answer(Outcome::Ran), {}, at(2));
-  BOOST_TEST((lookUpFate(Fates, First, at(2000), {}, at(3)).Fate_ ==
-              Fate::Finished));
+  BOOST_TEST(
+      (lookUpFate(Fates, First, at(2000), {}, at(3)).Fate_ == Fate::Finished));
 }
 
 BOOST_AUTO_TEST_CASE(RefusesWhatWasLookedUpBefore) {
   FateTable Fates;
-  BOOST_TEST((lookUpFate(Fates, First, at(2000), {}, at(0)).Fate_ ==
-              Fate::Refused));
+  BOOST_TEST(
+      (lookUpFate(Fates, First, at(2000), {}, at(0)).Fate_ == Fate::Refused));
   BOOST_TEST(!beginAttempt(Fates, First, at(2000), at(1)));
 }
 
@@ -82,8 +82,7 @@
     const RequestId Id{1, Number, 1};
     const Instant StartBy = at(static_cast<int>(Number) * 100);
     if (*rc::gen::arbitrary<bool>()) {
-      const Fate Known =
-          lookUpFate(Fates, Id, StartBy, Options, at(Now)).Fate_;
+      const Fate Known = lookUpFate(Fates, Id, StartBy, Options, at(Now)).Fate_;
       if (Known == Fate::Refused) {
         RC_ASSERT(Begun.count(Number) == 0U);
         Refused.insert(Number);
@@ -101,8 +100,8 @@
 BOOST_AUTO_TEST_CASE(KeyRunsOnceAndIsReplayed) {
   DedupWindow Window;
   const DedupClaim Claim{"pruf\nk", {}, {}};
-  BOOST_TEST((beginKeyed(Window, Claim, {}, First, {}, at(0)) ==
-              DedupDecision::Run));
+  BOOST_TEST(
+      (beginKeyed(Window, Claim, {}, First, {}, at(0)) == DedupDecision::Run));
   BOOST_TEST((beginKeyed(Window, Claim, {}, Second, {}, at(1)) ==
               DedupDecision::Wait));
   finishKeyed(Window, Claim.Key_, First, answer(Outcome::Ran), {}, at(2));
@@ -124,8 +123,8 @@
   const DedupClaim Claim{"pruf\nk", {}, {}};
   beginKeyed(Window, Claim, {}, First, {}, at(0));
   finishKeyed(Window, Claim.Key_, First, answer(Outcome::NotRun), {}, at(2));
-  BOOST_TEST((beginKeyed(Window, Claim, {}, Second, {}, at(3)) ==
-              DedupDecision::Run));
+  BOOST_TEST(
+      (beginKeyed(Window, Claim, {}, Second, {}, at(3)) == DedupDecision::Run));
 }
 
 BOOST_AUTO_TEST_CASE(KeyAfterTakeoverNeedsProofThatItIsNew) {
@@ -135,24 +134,23 @@
   Taken.OwnedSinceWall_ = std::chrono::system_clock::time_point(seconds(1000));
   Taken.HadOwner_ = true;
   const DedupOptions Options;
-  BOOST_TEST((beginKeyed(Window, {"a", {}, {}}, Taken, First, Options,
-                         at(1)) == DedupDecision::Uncertain));
+  BOOST_TEST((beginKeyed(Window, {"a", {}, {}}, Taken, First, Options, at(1)) ==
+              DedupDecision::Uncertain));
   BOOST_TEST((beginKeyed(Window, {"b", 2, {}}, Taken, First, Options, at(1)) ==
               DedupDecision::Uncertain));
   BOOST_TEST((beginKeyed(Window, {"c", 1, {}}, Taken, First, Options, at(1)) ==
               DedupDecision::Run));
-  BOOST_TEST((beginKeyed(Window,
-                         {"d", {}, Taken.OwnedSinceWall_ + seconds(10)}, Taken,
-                         First, Options, at(1)) == DedupDecision::Run));
-  BOOST_TEST((beginKeyed(Window,
-                         {"e", {}, Taken.OwnedSinceWall_ - seconds(10)}, Taken,
-                         First, Options, at(1)) == DedupDecision::Uncertain));
+  BOOST_TEST((beginKeyed(Window, {"d", {}, Taken.OwnedSinceWall_ + seconds(10)},
+                         Taken, First, Options, at(1)) == DedupDecision::Run));
+  BOOST_TEST(
+      (beginKeyed(Window, {"e", {}, Taken.OwnedSinceWall_ - seconds(10)}, Taken,
+                  First, Options, at(1)) == DedupDecision::Uncertain));
 }
 
 BOOST_AUTO_TEST_CASE(ReadsTimeOfUuid7) {
-  BOOST_TEST((timeOfUuid7("017f22e2-79b0-7cc3-98c4-dc0c0c07398f") ==
-              std::chrono::system_clock::time_point(
-                  milliseconds(1645557742000))));
+  BOOST_TEST(
+      (timeOfUuid7("017f22e2-79b0-7cc3-98c4-dc0c0c07398f") ==
+       std::chrono::system_clock::time_point(milliseconds(1645557742000))));
   BOOST_TEST(!timeOfUuid7("017f22e2-79b0-4cc3-98c4-dc0c0c07398f"));
   BOOST_TEST(!timeOfUuid7("order-17"));
 }
--- a/tests/unit/limits_test.cpp
+++ b/tests/unit/limits_test.cpp
@@ -55,8 +55,8 @@
 
 BOOST_AUTO_TEST_CASE(HopelessRequestIsShed) {
   Admission State = warmUpstream();
-  BOOST_TEST((admit(State, 1, Priority::High, at(3), {}, at(0)) ==
-              AdmitResult::Shed));
+  BOOST_TEST(
+      (admit(State, 1, Priority::High, at(3), {}, at(0)) == AdmitResult::Shed));
 }
 
 BOOST_AUTO_TEST_CASE(HigherPriorityStartsFirst) {
--- a/tests/unit/ownership_test.cpp
+++ b/tests/unit/ownership_test.cpp
@@ -134,8 +134,7 @@
     Total += One;
   for (std::size_t Index = 0; Index < Slots.size(); ++Index) {
     const double Quota = ShardCount * Slots[Index] / Total;
-    const double Owned =
-        static_cast<double>(ownedShards(State, Index + 1));
+    const double Owned = static_cast<double>(ownedShards(State, Index + 1));
     RC_ASSERT(Owned <= std::ceil(Quota) + std::max(1.0, Quota * 0.05));
   }
 }
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -140,12 +140,12 @@
   Json Spoiled = Json::parse(Sound);
   Spoiled.merge_patch(Json::parse(Bad.Patch_));
   const std::vector<SettingsFault> Faults = checkSettings(Spoiled);
-  const bool Named = std::any_of(
-      Faults.begin(), Faults.end(), [&Bad](const SettingsFault &Fault) {
-        return std::string(Bad.Path_) == "/prefix"
-                   ? Fault.Path_.ends_with("/prefix")
-                   : Fault.Path_ == Bad.Path_;
-      });
+  const bool Named = std::any_of(Faults.begin(), Faults.end(),
+                                 [&Bad](const SettingsFault &Fault) {
+                                   return std::string(Bad.Path_) == "/prefix"
+                                              ? Fault.Path_.ends_with("/prefix")
+                                              : Fault.Path_ == Bad.Path_;
+                                 });
   for (const SettingsFault &Fault : Faults) {
     BOOST_TEST_MESSAGE(toString(Fault));
     BOOST_TEST(!Fault.Found_.empty());
