--- /dev/null
+++ b/bench/bench_capacity.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/bench/bench_path.cpp
@@ -0,0 +1,119 @@
+/// \file
+/// What the path through one or two daemons adds to a request.
+
+#include "bench/open_load.h"
+#include "platform/monotonic_clock.h"
+#include "tests/process/site.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+
+ABSL_FLAG(bool, json, false, "print JSON");
+ABSL_FLAG(std::uint32_t, seconds, 4, "time of each load");
+
+namespace {
+
+using namespace lagoonhitch;
+using Json = nlohmann::json;
+
+/// One way to an upstream.
+struct Way {
+  const char *Name_;
+  std::string Address_;
+};
+
+/// Processor time that a process has used, in seconds.
+double processorSeconds(pid_t Id) {
+  std::ifstream Source("/proc/" + std::to_string(Id) + "/stat");
+  std::string Field;
+  double Ticks = 0;
+  constexpr int UserField = 14;
+  constexpr int SystemField = 15;
+  for (int Number = 1; Number <= SystemField && Source >> Field; ++Number)
+    if (Number >= UserField)
+      Ticks += std::stod(Field);
+  return Ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+std::vector<std::string> targetsOwnedBy(const Site &Bench, std::uint32_t Host) {
+  std::vector<std::string> Targets;
+  for (int Number = 0; Targets.size() < 50; ++Number) {
+    const std::string Key = "k" + std::to_string(Number);
+    if (Bench.ownerOf(0, Key) == Host)
+      Targets.push_back("/katalog/" + Key);
+  }
+  return Targets;
+}
+
+Json measure(const Clock &Time, Site &Bench, const Way &Chosen,
+             const std::vector<std::string> &Targets, std::uint32_t Rate) {
+  OpenLoadOptions Options;
+  Options.Address_ = Chosen.Address_;
+  Options.Targets_ = Targets;
+  Options.RatePerSecond_ = Rate;
+  Options.Span_ = std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
+  const double Before = processorSeconds(Bench.daemon(0).id()) +
+                        processorSeconds(Bench.daemon(1).id());
+  const OpenLoadResult Result = runOpenLoad(Time, Options);
+  const double Used = processorSeconds(Bench.daemon(0).id()) +
+                      processorSeconds(Bench.daemon(1).id()) - Before;
+  const double Requests =
+      static_cast<double>(Result.Latency_.count() + Result.Failed_);
+  return {{"way", Chosen.Name_},
+          {"rate", Rate},
+          {"answered", Result.Latency_.count()},
+          {"failed", Result.Failed_},
+          {"p50_us", Result.Latency_.percentile(50).count()},
+          {"p99_us", Result.Latency_.percentile(99).count()},
+          {"p999_us", Result.Latency_.percentile(99.9).count()},
+          {"cpu_us", Used * 1e6 / Requests}};
+}
+
+void printRow(const Json &Row) {
+  std::cout << std::left << std::setw(10) << Row.value("way", "") << std::right
+            << std::setw(7) << Row.value("rate", 0) << std::setw(9)
+            << Row.value("answered", 0) << std::setw(8)
+            << Row.value("failed", 0) << std::setw(9) << Row.value("p50_us", 0)
+            << std::setw(9) << Row.value("p99_us", 0) << std::setw(9)
+            << Row.value("p999_us", 0) << std::setw(10) << std::fixed
+            << std::setprecision(1) << Row.value("cpu_us", 0.0) << "\n";
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  absl::ParseCommandLine(Argc, Argv);
+  const MonotonicClock Time;
+  SiteOptions Options;
+  Options.RecordRuns_ = false;
+  Options.ChecksTokens_ = false;
+  Site Bench(Time, Options);
+  if (!Bench.waitUntilServing(std::chrono::seconds(20)))
+    return 1;
+  const std::vector<std::string> Targets = targetsOwnedBy(Bench, 0);
+  const Way Ways[] = {{"direct", Bench.upstreamAddress(0, 0)},
+                      {"one hop", Bench.callers(0)},
+                      {"two hops", Bench.callers(1)}};
+  // The upstream earns its load before it is measured.
+  for (const Way &Chosen : Ways)
+    measure(Time, Bench, Chosen, Targets, 500);
+  Json Rows = Json::array();
+  if (!absl::GetFlag(FLAGS_json))
+    std::cout << "way          rate answered  failed   p50 us   p99 us p99.9 us"
+                 "    cpu us\n";
+  for (const std::uint32_t Rate : {500U, 1000U, 2000U, 5000U}) {
+    for (const Way &Chosen : Ways) {
+      Rows.push_back(measure(Time, Bench, Chosen, Targets, Rate));
+      if (!absl::GetFlag(FLAGS_json))
+        printRow(Rows.back());
+    }
+  }
+  if (absl::GetFlag(FLAGS_json))
+    std::cout << Rows.dump() << "\n";
+  return 0;
+}
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -21,6 +21,9 @@
   ChildProcess(const ChildProcess &) = delete;
   ChildProcess &operator=(const ChildProcess &) = delete;
 
+  /// Returns the process id.
+  pid_t id() const { return Id_; }
+
   /// Sends a signal.
   void signal(int Number) const;
 
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -146,6 +146,12 @@
   }
 }
 
+std::string Site::upstreamAddress(std::uint32_t Index,
+                                  std::uint32_t Service) const {
+  return waitForLine(std::string(ServiceNames[Service]) + "-" +
+                     Hosts_[Index].Name_ + ".out");
+}
+
 void Site::restartDaemon(std::uint32_t Index) { startDaemon(Index); }
 
 Json Site::ask(const std::string &Address, const std::string &Target) const {
--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -61,6 +61,9 @@
     return *Hosts_[Host].Upstreams_[Service];
   }
 
+  /// Returns `ip:port` of an upstream, as it announces it.
+  std::string upstreamAddress(std::uint32_t Host, std::uint32_t Service) const;
+
   /// Starts a host's daemon again after its end.
   void restartDaemon(std::uint32_t Host);
 
