--- /dev/null
+++ b/bench/decisions/bench_decisions.cpp
@@ -0,0 +1,78 @@
+/// \file
+/// Our policies beside baselines, under a virtual clock.
+
+#include "bench/decisions/scenarios.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+
+ABSL_FLAG(std::string, scenario, "all", "name of a scenario, or all");
+ABSL_FLAG(std::string, policy, "", "show this policy only");
+ABSL_FLAG(std::uint64_t, seed, 1, "first seed");
+ABSL_FLAG(std::uint32_t, seeds, 5, "number of seeds");
+ABSL_FLAG(std::string, seed_set, "work",
+          "work, or held for seeds that no work was done on");
+ABSL_FLAG(bool, json, false, "print JSON");
+
+namespace {
+
+using namespace lagoonhitch;
+
+constexpr std::uint64_t FirstHeldSeed = 1000;
+
+void printRow(const ScenarioRow &Row) {
+  std::cout << std::left << std::setw(13) << Row.Scenario_ << std::setw(27)
+            << Row.Policy_ << std::setw(28) << Row.Figure_ << std::right
+            << std::fixed << std::setprecision(2) << std::setw(10)
+            << Row.Median_ << std::setw(10) << Row.Worst_;
+  if (Row.Bound_ > 0)
+    std::cout << std::setw(10) << Row.Bound_
+              << (meetsBound(Row) ? "  met" : "  MISSED, seed ")
+              << (meetsBound(Row) ? "" : std::to_string(Row.WorstSeed_));
+  std::cout << std::endl;
+}
+
+nlohmann::json toJson(const ScenarioRow &Row) {
+  return {{"scenario", Row.Scenario_}, {"policy", Row.Policy_},
+          {"figure", Row.Figure_},     {"median", Row.Median_},
+          {"worst", Row.Worst_},       {"bound", Row.Bound_},
+          {"met", meetsBound(Row)},    {"worst_seed", Row.WorstSeed_}};
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  absl::ParseCommandLine(Argc, Argv);
+  const std::string Wanted = absl::GetFlag(FLAGS_scenario);
+  const std::string Policy = absl::GetFlag(FLAGS_policy);
+  const std::uint64_t First = absl::GetFlag(FLAGS_seed_set) == "held"
+                                  ? FirstHeldSeed
+                                  : absl::GetFlag(FLAGS_seed);
+  const bool Json = absl::GetFlag(FLAGS_json);
+  nlohmann::json All = nlohmann::json::array();
+  if (!Json)
+    std::cout << "scenario     policy                     figure"
+                 "                          median     worst     bound\n";
+  bool Met = true;
+  for (const std::string &Name : scenarioNames()) {
+    if (Wanted != "all" && Wanted != Name)
+      continue;
+    for (const ScenarioRow &Row :
+         runScenario(Name, First, absl::GetFlag(FLAGS_seeds))) {
+      if (!Policy.empty() && Row.Policy_ != Policy)
+        continue;
+      Met &= meetsBound(Row);
+      All.push_back(toJson(Row));
+      if (!Json)
+        printRow(Row);
+    }
+  }
+  if (Json)
+    std::cout << All.dump() << "\n";
+  return Met ? 0 : 1;
+}
--- /dev/null
+++ b/bench/decisions/shared_run.h
@@ -0,0 +1,84 @@
+#ifndef LAGOONHITCH_BENCH_DECISIONS_SHARED_RUN_H
+#define LAGOONHITCH_BENCH_DECISIONS_SHARED_RUN_H
+
+/// \file
+/// One run of a shared service under a policy.
+
+#include "bench/decisions/agenda.h"
+#include "bench/decisions/fake_upstream.h"
+#include "bench/latency_table.h"
+#include "limits/admission.h"
+#include "limits/retry_budget.h"
+#include "routing/upstream_choice.h"
+
+#include <array>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lagoonhitch {
+
+/// How an upstream is chosen.
+enum class ChoicePolicy { Ours, Random, RoundRobin, LeastInFlight, TwoChoices };
+
+/// Returns a policy's name.
+const char *policyName(ChoicePolicy Policy);
+
+/// What a run consists of.
+struct SharedRunOptions {
+  std::vector<FakeUpstreamOptions> Upstreams_;
+  std::uint32_t Zones_ = 3;
+  std::chrono::microseconds ZoneDelay_{500};
+  /// Requests a second, before RainFrom_ and from then on.
+  double Rate_ = 1000;
+  double RainRate_ = 0;
+  std::chrono::milliseconds RainFrom_{0};
+  std::chrono::milliseconds Span_{10000};
+  /// Deadlines by priority, low to high.
+  std::array<std::chrono::milliseconds, PriorityCount> Deadlines_ = {
+      std::chrono::milliseconds(2000), std::chrono::milliseconds(2000),
+      std::chrono::milliseconds(2000)};
+  /// Whether moments of slowness happen: one upstream 20 times slower for 300
+  /// ms, once a second.
+  bool Stragglers_ = false;
+  /// When upstream 0 turns cold; zero for never.
+  std::chrono::milliseconds ColdAt_{0};
+  /// When errors begin and end, and how many in a hundred.
+  std::chrono::milliseconds ErrorsFrom_{0};
+  std::chrono::milliseconds ErrorsUntil_{0};
+  std::uint32_t ErrorPercent_ = 0;
+  /// Whether the owner side limits what it admits, or passes all on.
+  bool Admission_ = true;
+  /// Whether retries are bounded by a budget, or three for each request.
+  bool Budget_ = true;
+  ChoicePolicy Policy_ = ChoicePolicy::Ours;
+  std::uint64_t Seed_ = 1;
+};
+
+/// What a run has shown.
+struct SharedRunResult {
+  std::array<LatencyTable, PriorityCount> Latency_;
+  std::array<std::uint64_t, PriorityCount> Sent_{};
+  std::array<std::uint64_t, PriorityCount> Answered_{};
+  std::uint64_t Refused_ = 0;
+  std::uint64_t Attempts_ = 0;
+  std::uint64_t ErrorsAfterFault_ = 0;
+  /// Highest utilisation over the mean by capacity.
+  double Imbalance_ = 0;
+  /// Answered in time a second, from RainFrom_ on.
+  double Goodput_ = 0;
+  /// What all upstreams can do a second.
+  double Capacity_ = 0;
+  /// Requests that the cold upstream had to shed.
+  std::uint64_t ShedByCold_ = 0;
+  /// Part of the fair share that upstream 0 has in the last second.
+  double ShareAtEnd_ = 0;
+};
+
+/// Runs a service under a virtual clock.
+SharedRunResult runShared(const SharedRunOptions &Options);
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_BENCH_DECISIONS_SHARED_RUN_H
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -112,6 +112,8 @@
 struct Daemon::Parts {
   Parts(const Clock &Time, DaemonSettings Settings, std::uint64_t Process);
 
+  std::unique_ptr<HttpServer> makeInternalServer();
+  bool hasOpenExchanges() const;
   OwnerReports ownerReports();
   ControlOutputs controlOutputs();
   ControlState initialState(std::uint64_t Process) const;
@@ -134,18 +136,21 @@
   PeerService Peer_;
   AdminService Admin_;
   HttpServer CallerServer_;
+  std::unique_ptr<HttpServer> InternalServer_;
   HttpServer PeerServer_;
   HttpServer AdminServer_;
   HttpLog AppendLog_;
   HttpLog ReadLog_;
   std::shared_ptr<void> TickTimer_;
   std::shared_ptr<void> StopTimer_;
+  std::shared_ptr<void> StopLimit_;
+
   bool Stopping_ = false;
   bool Left_ = false;
-  // The threads start last and end first.
-  std::unique_ptr<ControlThread> Control_;
+  // The threads start last; ~Daemon() ends them in the order of their calls.
   ControlLink Link_;
   LogAppender Appender_;
+  std::unique_ptr<ControlThread> Control_;
   std::unique_ptr<LogReader> Reader_;
 };
 
@@ -164,32 +169,32 @@
              }),
       Peer_(Time, Owner_, Process),
       Admin_(Time, Serving_, Settings_, Owner_, Trail_, Numbers_),
-      CallerServer_(
-          Loop_, serverOptions(Settings_, Settings_.CallersAddress_),
-          [this](HttpRequest Request, const std::shared_ptr<HttpExchange> &Exchange) {
-            Entry_.handle(std::move(Request), Exchange, false);
-          }),
-      PeerServer_(
-          Loop_, serverOptions(Settings_, Settings_.PeersAddress_),
-          [this](HttpRequest Request, const std::shared_ptr<HttpExchange> &Exchange) {
-            Peer_.handle(std::move(Request), Exchange);
-          }),
-      AdminServer_(
-          Loop_, serverOptions(Settings_, Settings_.AdminAddress_),
-          [this](const HttpRequest &Request, const std::shared_ptr<HttpExchange> &Exchange) { Admin_.handle(Request, *Exchange);
-          }),
+      CallerServer_(Loop_, serverOptions(Settings_, Settings_.CallersAddress_),
+                    [this](HttpRequest Request,
+                           const std::shared_ptr<HttpExchange> &Exchange) {
+                      Entry_.handle(std::move(Request), Exchange, false);
+                    }),
+      InternalServer_(makeInternalServer()),
+      PeerServer_(Loop_, serverOptions(Settings_, Settings_.PeersAddress_),
+                  [this](HttpRequest Request,
+                         const std::shared_ptr<HttpExchange> &Exchange) {
+                    Peer_.handle(std::move(Request), Exchange);
+                  }),
+      AdminServer_(Loop_, serverOptions(Settings_, Settings_.AdminAddress_),
+                   [this](const HttpRequest &Request,
+                          const std::shared_ptr<HttpExchange> &Exchange) {
+                     Admin_.handle(Request, *Exchange);
+                   }),
       AppendLog_(Time, Settings_.LogAddress_, OwnershipStream),
       ReadLog_(Time, Settings_.LogAddress_, OwnershipStream),
-      Link_(Settings_.ControlAddress_,
-            [this](const char *Data, std::size_t Size) {
-              std::optional<LeaseMessage> Message =
-                  decodeLeaseMessage(Data, Size);
-              if (Message && Control_)
-                Control_->message(std::move(*Message));
-            }),
-      Appender_(AppendLog_) {
+      Link_(Settings_.ControlAddress_), Appender_(AppendLog_) {
   Control_ = std::make_unique<ControlThread>(
       Time_, initialState(Process), Link_, Appender_, controlOutputs());
+  Link_.startReceiving([this](const char *Data, std::size_t Size) {
+    std::optional<LeaseMessage> Message = decodeLeaseMessage(Data, Size);
+    if (Message)
+      Control_->message(std::move(*Message));
+  });
   Reader_ = std::make_unique<LogReader>(
       ReadLog_,
       [this](LogBatch Batch) { Control_->logBatch(std::move(Batch)); },
@@ -200,6 +205,22 @@
   tick();
 }
 
+std::unique_ptr<HttpServer> Daemon::Parts::makeInternalServer() {
+  if (Settings_.InternalAddress_.empty())
+    return nullptr;
+  return std::make_unique<HttpServer>(
+      Loop_, serverOptions(Settings_, Settings_.InternalAddress_),
+      [this](HttpRequest Request,
+             const std::shared_ptr<HttpExchange> &Exchange) {
+        Entry_.handle(std::move(Request), Exchange, true);
+      });
+}
+
+bool Daemon::Parts::hasOpenExchanges() const {
+  return CallerServer_.openExchanges() > 0 || PeerServer_.openExchanges() > 0 ||
+         (InternalServer_ && InternalServer_->openExchanges() > 0);
+}
+
 OwnerReports Daemon::Parts::ownerReports() {
   OwnerReports Reports;
   Reports.Drained_ = [this](const ShardRef &Ref) { Control_->drained(Ref); };
@@ -259,6 +280,8 @@
   if (Left_ && !StopTimer_)
     StopTimer_ = Loop_.after(DrainGrace, [this] {
       CallerServer_.drain();
+      if (InternalServer_)
+        InternalServer_->drain();
       PeerServer_.drain();
       Stopping_ = true;
     });
@@ -267,10 +290,7 @@
 }
 
 void Daemon::Parts::finishStop() {
-  const bool Busy = CallerServer_.openExchanges() > 0 ||
-                    PeerServer_.openExchanges() > 0 ||
-                    Owner_.openRequests() > 0;
-  if (!Busy)
+  if (!hasOpenExchanges() && Owner_.openRequests() == 0)
     Loop_.stop();
 }
 
@@ -279,9 +299,10 @@
     : Parts_(std::make_unique<Parts>(Time, std::move(Settings), Process)) {}
 
 Daemon::~Daemon() {
+  // Who calls the control thread ends before it, whom it calls after it.
   Parts_->Reader_.reset();
-  // The link's thread calls the control thread, so messages end first.
-  Parts_->Control_->leave();
+  Parts_->Link_.stopReceiving();
+  Parts_->Control_.reset();
 }
 
 void Daemon::run() {
@@ -298,10 +319,8 @@
   Parts_->Loop_.post([this] {
     Parts_->report(EventId::DaemonStopping, Json::object());
     Parts_->Control_->leave();
-    // The loop owns the timer: run() returns before it is destroyed.
-    static std::shared_ptr<void> Limit;
-    Limit = Parts_->Loop_.after(Parts_->Settings_.StopTimeout_,
-                                [this] { Parts_->Loop_.stop(); });
+    Parts_->StopLimit_ = Parts_->Loop_.after(Parts_->Settings_.StopTimeout_,
+                                             [this] { Parts_->Loop_.stop(); });
   });
 }
 
--- a/daemon/entry_service.cpp
+++ b/daemon/entry_service.cpp
@@ -50,6 +50,11 @@
   return *Value;
 }
 
+AnswerKind answerKind(const Answer &Result) {
+  return refusalOf(Result) == RefusalReason::None ? AnswerKind::Answered
+                                                  : AnswerKind::Refused;
+}
+
 HttpResponse callerResponse(const Answer &Result) {
   HttpResponse Response;
   Response.Status_ = Result.Status_;
@@ -240,7 +245,7 @@
   Owner_.serve(std::move(Forward), [this, Request, Attempt](AnswerPtr Result) {
     if (Attempt != Request->State_.Id_.Attempt_)
       return;
-    noteAttemptEnd(*Request, true);
+    noteAttemptEnd(*Request, answerKind(*Result));
     ForwardEnd End;
     End.Kind_ = ForwardEnd::Kind::Answered;
     End.Reason_ = refusalOf(*Result);
@@ -310,12 +315,14 @@
   Request->SilenceTimer_.reset();
   notePeer(Peer, Result);
   const bool Answered = Result.Status_ == HttpStatus::Answered;
-  noteAttemptEnd(*Request, Answered);
   ForwardEnd End;
+  if (!Answered)
+    noteAttemptEnd(*Request, AnswerKind::Unreached);
   if (Answered) {
     End.Kind_ = ForwardEnd::Kind::Answered;
     End.Answer_ = decodeAnswer(std::move(Result.Response_));
     End.Reason_ = refusalOf(*End.Answer_);
+    noteAttemptEnd(*Request, answerKind(*End.Answer_));
   } else if (Result.Status_ != HttpStatus::NotSent) {
     End.Kind_ = ForwardEnd::Kind::Lost;
   }
@@ -357,7 +364,7 @@
       // The settled attempt's own connection is given up for good.
       Peers_.cancel(Request->Call_);
       Request->SilenceTimer_.reset();
-      noteAttemptEnd(*Request, false);
+      noteAttemptEnd(*Request, AnswerKind::Unreached);
     }
     perform(Request,
             onFate(Request->State_, *Report, Budget_, Options_.Entry_, Now));
@@ -371,7 +378,7 @@
                                   Budget_, Options_.Entry_, Now));
 }
 
-void EntryService::noteAttemptEnd(Open &Request, bool Reached) {
+void EntryService::noteAttemptEnd(Open &Request, AnswerKind Kind) {
   if (!Request.InAttempt_)
     return;
   Request.InAttempt_ = false;
@@ -379,12 +386,12 @@
     return;
   const Instant Now = Time_.now();
   noteAnswered(Loads_[Request.Service_->Name_], Request.State_.Target_,
-               Now - Request.SentAt_, Reached, Options_.Choice_, Now);
+               Now - Request.SentAt_, Kind, Options_.Choice_, Now);
 }
 
 void EntryService::reply(const std::shared_ptr<Open> &Request,
                          const AnswerPtr &Result) {
-  noteAttemptEnd(*Request, false);
+  noteAttemptEnd(*Request, AnswerKind::Unreached);
   Peers_.cancel(Request->Call_);
   Peers_.cancel(Request->LookUp_);
   Request->Call_.reset();
--- a/daemon/entry_service.h
+++ b/daemon/entry_service.h
@@ -71,7 +71,7 @@
   void lookUp(const std::shared_ptr<Open> &Request);
   void onLookUpResult(const std::shared_ptr<Open> &Request,
                       std::uint32_t Attempt, HttpResult Result);
-  void noteAttemptEnd(Open &Request, bool Reached);
+  void noteAttemptEnd(Open &Request, AnswerKind Kind);
   void reply(const std::shared_ptr<Open> &Request, const AnswerPtr &Result);
   void abandon(const std::shared_ptr<Open> &Request);
   void notePeer(const std::string &Peer, const HttpResult &Result);
--- a/membership/seat_planner.cpp
+++ b/membership/seat_planner.cpp
@@ -100,6 +100,17 @@
   return canServeFor(Holder, *Heir);
 }
 
+/// Spares the ranking of all others for the many members that need no change.
+bool isWellSeated(const Table &State, const Member &Holder) {
+  const std::vector<MemberId> &Witnesses = Holder.Seats_.Witnesses_;
+  if (Witnesses.size() != MaxWitnesses || !isUsableHeir(State, Holder))
+    return false;
+  return std::all_of(Witnesses.begin(), Witnesses.end(), [&State](MemberId Id) {
+    const Member *Found = findMember(State, Id);
+    return Found != nullptr && !Found->Draining_;
+  });
+}
+
 } // namespace
 
 std::vector<Record::Plan::Seat> planSeats(const Table &State) {
@@ -108,7 +119,7 @@
     ++HeirLoad[Holder.Seats_.Heir_];
   std::vector<Record::Plan::Seat> Planned;
   for (const auto &[Id, Holder] : State.Members_) {
-    if (Holder.OldSeats_)
+    if (Holder.OldSeats_ || isWellSeated(State, Holder))
       continue;
     const std::vector<const Member *> Others = rankedOthers(State, Holder);
     SeatSet Wanted;
--- a/net/control_link.cpp
+++ b/net/control_link.cpp
@@ -69,7 +69,6 @@
 } // namespace
 
 struct ControlLink::Impl {
-  explicit Impl(Receiver Receive) : Receive_(std::move(Receive)) {}
 
   void run() {
     while (!Stopping_) {
@@ -90,23 +89,32 @@
   std::thread Thread_;
 };
 
-ControlLink::ControlLink(const std::string &Address, Receiver Receive)
-    : Impl_(std::make_unique<Impl>(std::move(Receive))) {
+ControlLink::ControlLink(const std::string &Address)
+    : Impl_(std::make_unique<Impl>()) {
   check(nng_pull0_open(&Impl_->Listen_), "cannot open a control socket");
   nng_socket_set_ms(Impl_->Listen_, NNG_OPT_RECVTIMEO, ReceiveTimeoutMs);
   nng_socket_set_size(Impl_->Listen_, NNG_OPT_RECVMAXSZ, MaxMessageBytes);
   check(nng_listen(Impl_->Listen_, ("tcp://" + Address).c_str(),
                    &Impl_->Listener_, 0),
         "cannot listen on " + Address);
-  Impl_->Thread_ = std::thread([this] { Impl_->run(); });
 }
 
 ControlLink::~ControlLink() {
-  Impl_->Stopping_ = true;
-  Impl_->Thread_.join();
+  stopReceiving();
   nng_close(Impl_->Listen_);
 }
 
+void ControlLink::startReceiving(Receiver Receive) {
+  Impl_->Receive_ = std::move(Receive);
+  Impl_->Thread_ = std::thread([this] { Impl_->run(); });
+}
+
+void ControlLink::stopReceiving() {
+  Impl_->Stopping_ = true;
+  if (Impl_->Thread_.joinable())
+    Impl_->Thread_.join();
+}
+
 std::string ControlLink::address() const {
   nng_sockaddr Address{};
   nng_listener_get_addr(Impl_->Listener_, NNG_OPT_LOCADDR, &Address);
--- a/net/control_link.h
+++ b/net/control_link.h
@@ -18,12 +18,17 @@
   using Receiver = std::function<void(const char *Data, std::size_t Size)>;
 
   /// Opens the listening socket; throws Error if the address is not usable.
-  /// The receiver is called on the link's own thread.
-  ControlLink(const std::string &Address, Receiver Receive);
+  explicit ControlLink(const std::string &Address);
   ~ControlLink();
   ControlLink(const ControlLink &) = delete;
   ControlLink &operator=(const ControlLink &) = delete;
 
+  /// Starts the link's own thread, which calls the receiver.
+  void startReceiving(Receiver Receive);
+
+  /// Ends the link's thread; messages can still be sent.
+  void stopReceiving();
+
   /// Returns the listening address with the port that is in use.
   std::string address() const;
 
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -90,11 +90,11 @@
 void noteSent(UpstreamLoads &Loads, MemberId Id) { ++Loads[Id].InFlight_; }
 
 void noteAnswered(UpstreamLoads &Loads, MemberId Id, Duration Latency,
-                  bool Reached, const ChoiceOptions &Options, Instant Now) {
+                  AnswerKind Kind, const ChoiceOptions &Options, Instant Now) {
   UpstreamLoad &Load = Loads[Id];
   if (Load.InFlight_ > 0)
     --Load.InFlight_;
-  if (!Reached) {
+  if (Kind == AnswerKind::Unreached) {
     Load.AvoidUntil_ = Now + Options.AvoidFor_;
     return;
   }
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -62,9 +62,12 @@
 /// Counts a request that is sent.
 void noteSent(UpstreamLoads &Loads, MemberId Id);
 
+/// How an attempt has ended at an upstream.
+enum class AnswerKind { Answered, Refused, Unreached };
+
 /// Counts an answer, or the lack of one.
 void noteAnswered(UpstreamLoads &Loads, MemberId Id, Duration Latency,
-                  bool Reached, const ChoiceOptions &Options, Instant Now);
+                  AnswerKind Kind, const ChoiceOptions &Options, Instant Now);
 
 } // namespace lagoonhitch
 
--- a/settings/daemon_settings.h
+++ b/settings/daemon_settings.h
@@ -36,6 +36,8 @@
   std::string Zone_;
   /// `ip:port` for callers.
   std::string CallersAddress_;
+  /// `ip:port` for callers that may use internal services; empty for none.
+  std::string InternalAddress_;
   /// `ip:port` for requests from other daemons.
   std::string PeersAddress_;
   /// `ip:port` for control messages from other daemons.
--- a/settings/schema.cpp
+++ b/settings/schema.cpp
@@ -54,7 +54,8 @@
       "properties": {
         "name": {"$ref": "#/definitions/name"},
         "zone": {"$ref": "#/definitions/name"},
-        "callers": {"$ref": "#/definitions/address"},
+                "callers": {"$ref": "#/definitions/address"},
+        "internal": {"$ref": "#/definitions/address"},
         "peers": {"$ref": "#/definitions/address"},
         "control": {"$ref": "#/definitions/address"},
         "admin": {"$ref": "#/definitions/address"}
--- a/settings/settings_check.cpp
+++ b/settings/settings_check.cpp
@@ -73,7 +73,10 @@
     Faults.push_back({"/host/zone", Json(Zone).dump(),
                       "one of " + Merged.at("zones").dump(),
                       "name a zone of the site or add it to /zones"});
-  for (const char *Field : {"callers", "peers", "control", "admin"}) {
+  for (const char *Field :
+       {"callers", "internal", "peers", "control", "admin"}) {
+    if (!Merged["host"].contains(Field))
+      continue;
     const std::string Address = Merged["host"][Field].get<std::string>();
     const std::string Port = Address.substr(Address.rfind(':') + 1);
     if (std::stoul(Port) > 65535)
--- a/tests/unit/ownership_test.cpp
+++ b/tests/unit/ownership_test.cpp
@@ -106,6 +106,16 @@
   BOOST_TEST(applyBody(State, Record::Leave{1, 1}));
 }
 
+/// A member that leaves may have had successors that the log never saw; the
+/// next owner's token exceeds theirs.
+BOOST_AUTO_TEST_CASE(LeavingSkipsTokens) {
+  constexpr Token MostSuccessors = 1000;
+  Table State = tableWith({4, 4}, 1);
+  State.Services_[ServiceName][0] = {1, 5, NoMember};
+  BOOST_TEST(applyBody(State, Record::Leave{1, 1}));
+  BOOST_TEST(State.Services_[ServiceName][0].Token_ > 5 + MostSuccessors);
+}
+
 BOOST_AUTO_TEST_CASE(RepeatedJoinIsVoid) {
   Table State = tableWith({4}, 1);
   Member Joining;
--- a/tests/unit/witness_test.cpp
+++ b/tests/unit/witness_test.cpp
@@ -128,4 +128,15 @@
   BOOST_TEST(Inherited[0].Token_ == 7U);
 }
 
+/// A holder that had no witnesses may not know of its first ones.
+BOOST_AUTO_TEST_CASE(NoMajorityBeforeFirstSeatsAreDone) {
+  Takeover Attempt;
+  Attempt.Promises_[7] = {};
+  Member Victim;
+  Victim.Seats_.Witnesses_ = {7};
+  BOOST_TEST(hasMajority(Attempt, Victim));
+  Victim.OldSeats_ = SeatSet();
+  BOOST_TEST(!hasMajority(Attempt, Victim));
+}
+
 } // namespace lagoonhitch
