Cut a cold upstream's load at the first shed; refusals do not look fast

Traces: good answers of requests still running reset the count of bad ones and raised the limit by one each, so it probed all the time; and a refusal, which comes fast, made its upstream look fast to entries. Change: a shed lowers the limit at once and holds it, 200 ms and doubling; an upstream that refused is avoided for 20 ms; peaks fall to a half in 200 ms.

--- a/limits/admission.cpp
+++ b/limits/admission.cpp
@@ -59,8 +59,27 @@
   State.Limit_ = std::max(1.0, State.Limit_ * Options.Backoff_);
 }
 
-void raiseLimit(Admission &State) {
+/// A shed proves that the upstream does not bear what it has, unless it was
+/// sent before the limit was last lowered.
+void onShed(Admission &State, Instant StartedAt,
+            const AdmissionOptions &Options, Instant Now) {
+  if (State.LoweredAt_ != Instant::min() && StartedAt < State.LoweredAt_)
+    return;
+  State.LoweredAt_ = Now;
+  const double Borne = std::min<double>(State.Limit_, State.InFlight_ + 1);
+  State.Limit_ = std::max(1.0, Borne * Options.Backoff_);
+  State.Hold_ = State.Hold_ == Duration::zero()
+                    ? Duration(Options.HoldAfterShed_)
+                    : std::min<Duration>(State.Hold_ * 2, Options.MaxHold_);
+  State.HoldUntil_ = Now + State.Hold_;
+}
+
+void raiseLimit(Admission &State, Instant Now) {
+  if (State.HoldUntil_ != Instant::min() && Now < State.HoldUntil_)
+    return;
   State.Limit_ = std::min<double>(State.Capacity_, State.Limit_ + 1);
+  if (State.Limit_ >= State.Capacity_)
+    State.Hold_ = Duration::zero();
 }
 
 } // namespace
@@ -72,6 +91,8 @@
   State.Limit_ = std::min<double>(Options.ColdLimit_, State.Capacity_);
   State.UsualLatency_ = Duration::zero();
   State.BadInRow_ = 0;
+  State.HoldUntil_ = Instant::min();
+  State.Hold_ = Duration::zero();
 }
 
 AdmitResult admit(Admission &State, Ticket Id, Priority Class, Instant Deadline,
@@ -97,11 +118,13 @@
     learnLatency(State, Latency, Options);
   if (Result == UpstreamAnswer::Good && !Slow) {
     State.BadInRow_ = 0;
-    raiseLimit(State);
+    raiseLimit(State, Now);
     return false;
   }
   ++State.BadInRow_;
-  if (Result != UpstreamAnswer::Good)
+  if (Result == UpstreamAnswer::Shed)
+    onShed(State, Now - Latency, Options, Now);
+  if (Result == UpstreamAnswer::Failed)
     lowerLimit(State, Options, Now);
   if (State.BadInRow_ < Options.ColdAfter_)
     return false;
--- a/limits/admission.h
+++ b/limits/admission.h
@@ -40,6 +40,10 @@
   /// Slow answers, sheds and failures in a row.
   std::uint32_t BadInRow_ = 0;
   Instant LoweredAt_ = Instant::min();
+  /// The limit is not raised before this.
+  Instant HoldUntil_ = Instant::min();
+  /// How long the next shed holds the limit; zero before the first.
+  Duration Hold_{};
   std::array<std::deque<Waiting>, PriorityCount> Queues_;
 };
 
--- a/limits/admission_options.h
+++ b/limits/admission_options.h
@@ -22,6 +22,11 @@
   std::uint32_t ColdAfter_ = 4;
   /// What the limit is multiplied by after a shed or failed answer.
   double Backoff_ = 0.7;
+  /// How long the limit stays after a shed before it is raised again; doubles
+  /// with each shed until the upstream bears its full load.
+  std::chrono::milliseconds HoldAfterShed_{200};
+  /// Longest such time.
+  std::chrono::milliseconds MaxHold_{3200};
   /// Weight of one answer in the usual latency.
   double LatencyWeight_ = 0.05;
   /// Answers faster than this are never slow.
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -98,6 +98,12 @@
     Load.AvoidUntil_ = Now + Options.AvoidFor_;
     return;
   }
+  if (Kind == AnswerKind::Refused) {
+    // A refusal comes fast and must not make the upstream look fast.
+    Load.AvoidUntil_ =
+        std::max<Instant>(Load.AvoidUntil_, Now + Options.AvoidRefusing_);
+    return;
+  }
   const Duration Decayed = decayedPeak(Load, Options, Now);
   Load.PeakAt_ = Now;
   Load.PeakLatency_ = std::max(Decayed, Latency);
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -8,9 +8,9 @@
 #include "ownership/table.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace lagoonhitch {
@@ -26,7 +26,7 @@
 };
 
 /// Loads of the upstreams of one service, by member.
-using UpstreamLoads = std::map<MemberId, UpstreamLoad>;
+using UpstreamLoads = std::unordered_map<MemberId, UpstreamLoad>;
 
 /// Candidates for the requests of a shared service.
 struct UpstreamCandidates {
@@ -46,7 +46,9 @@
   /// Added to the latency of an upstream in another zone.
   std::chrono::microseconds ZoneCost_{1000};
   /// Time in which a peak falls to a half.
-  std::chrono::milliseconds PeakHalfLife_{500};
+  std::chrono::milliseconds PeakHalfLife_{200};
+  /// How long an upstream is avoided that has refused a request.
+  std::chrono::milliseconds AvoidRefusing_{20};
   /// How long an upstream is avoided that could not be reached.
   std::chrono::milliseconds AvoidFor_{500};
 };
