Finish planned moves without the log

The shard was being moved when the log went down: its owner had stopped serving it and its target waited for the release record. Ruled out: the take-over itself (the other shards of the same owner were served). Change: a release that a majority of the witnesses knows is final, so the owner tells the target directly, with every renewal until the log shows it; a take-over and a leave carry the final releases, so their order in the log does not matter. Test: MoveGoesOnWithoutLog, also with the owner lost afterwards. Before: such a shard is unserved for the whole outage.

--- a/control/control_state.h
+++ b/control/control_state.h
@@ -88,6 +88,9 @@
   std::set<MemberId> WaivedFor_;
 
   std::map<ShardKey, Release> Releases_;
+  /// Shards that their old owners have granted, by old owner and token; they
+  /// count while the table names this member as the target.
+  std::map<ShardKey, std::pair<MemberId, Token>> Granted_;
   /// Every release before this offset is read back.
   Offset ReleaseFloor_ = 0;
 
--- a/control/lease_duty.cpp
+++ b/control/lease_duty.cpp
@@ -1,6 +1,7 @@
 #include "control/lease_duty.h"
 
 #include "control/outbox.h"
+#include "control/release_duty.h"
 
 #include <set>
 
@@ -88,6 +89,7 @@
   Renewal.Withheld_ = withheldShards(State);
   for (MemberId Witness : seatedWitnesses(State, *Self))
     sendMessage(State, Witness, Renewal, Actions);
+  sendGrants(State, Actions);
   retireOldSeats(State, *Self, Now, Actions);
 }
 
--- a/control/member_duty.cpp
+++ b/control/member_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "control/lease_duty.h"
 #include "control/outbox.h"
+#include "control/release_duty.h"
 
 namespace lagoonhitch {
 
@@ -25,6 +26,7 @@
   State.WaivedFor_.clear();
   State.WaivedBy_.clear();
   State.Releases_.clear();
+  State.Granted_.clear();
   State.ReleaseFloor_ = 0;
   State.Resigning_ = false;
   State.UpdateSequence_ = 0;
@@ -68,9 +70,11 @@
     sendMessage(State, Heir, LeaseMessage::WaiveAsk{}, Actions);
   }
   if (AllWaived && !isAppending<Record::Leave>(State))
-    appendRecord(State, Record::Leave{Self.Id_, Self.Seats_.Epoch_},
-                 State.Leaving_ ? "orderly stop" : "the witnesses are lost",
-                 Now, Actions);
+    appendRecord(
+        State,
+        Record::Leave{Self.Id_, Self.Seats_.Epoch_, finalReleases(State)},
+        State.Leaving_ ? "orderly stop" : "the witnesses are lost", Now,
+        Actions);
 }
 
 } // namespace
--- a/control/release_duty.h
+++ b/control/release_duty.h
@@ -15,6 +15,16 @@
 /// Takes the word that nothing runs any more for a shard.
 void noteDrained(ControlState &State, const ShardRef &Ref);
 
+/// Returns the releases that can't be taken back any more.
+std::vector<ShardRef> finalReleases(const ControlState &State);
+
+/// Tells the targets of final releases that they may serve.
+void sendGrants(const ControlState &State, ControlActions &Actions);
+
+/// Takes an old owner's grants.
+void onGranted(ControlState &State, const LeaseMessage &Message,
+               ControlActions &Actions);
+
 /// Appends the releases that a majority of the witnesses knows of.
 void driveReleases(ControlState &State, Instant Now, ControlActions &Actions);
 
--- a/control/routing_view.h
+++ b/control/routing_view.h
@@ -19,6 +19,9 @@
   std::shared_ptr<const Table> Table_;
   /// Shards that are being released, with their tokens: no new work.
   std::map<ShardKey, Token> Releasing_;
+  /// Shards that their old owners have released to this daemon before the
+  /// log says so, with their new tokens.
+  std::map<ShardKey, Token> Granted_;
   /// Shards taken over before the log says so, with their new tokens.
   std::map<ShardKey, Token> Inherited_;
 };
--- a/control/takeover_duty.cpp
+++ b/control/takeover_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "control/lease_duty.h"
 #include "control/outbox.h"
+#include "control/release_duty.h"
 
 namespace lagoonhitch {
 
@@ -73,9 +74,12 @@
   if (Now < victimStoppedAt(Attempt, State.Options_.Lease_))
     return;
   Attempt.Phase_ = TakeoverPhase::Committed;
-  appendRecord(
-      State, Record::TakeOver{Attempt.Victim_, State.Self_, tokenStep(Attempt)},
-      "the member lost its lease", Now, Actions);
+  appendRecord(State,
+               Record::TakeOver{Attempt.Victim_, State.Self_,
+                                tokenStep(Attempt),
+                                std::vector<ShardRef>(Attempt.Withheld_.begin(),
+                                                      Attempt.Withheld_.end())},
+               "the member lost its lease", Now, Actions);
   Actions.ViewChanged_ = true;
   Actions.Events_.emplace_back(EventId::TakeoverServing,
                                std::to_string(Attempt.Victim_));
@@ -172,6 +176,10 @@
     sendMessage(State, Message.From_, LeaseMessage::WaiveAck{}, Actions);
     return;
   }
+  if (std::holds_alternative<LeaseMessage::Granted>(Message.Body_)) {
+    onGranted(State, Message, Actions);
+    return;
+  }
   if (std::holds_alternative<LeaseMessage::WaiveAck>(Message.Body_))
     State.WaivedBy_.insert(Message.From_);
 }
--- a/net/control_codec.cpp
+++ b/net/control_codec.cpp
@@ -31,6 +31,8 @@
   else if constexpr (std::is_same_v<Plain, LeaseMessage::Retire> ||
                      std::is_same_v<Plain, LeaseMessage::RetireAck>)
     return std::tie(Body.Epoch_);
+  else if constexpr (std::is_same_v<Plain, LeaseMessage::Granted>)
+    return std::tie(Body.Shards_);
   else if constexpr (std::is_same_v<Plain, ShardRef>)
     return std::tie(Body.Service_, Body.Shard_, Body.Token_);
   else
--- a/ownership/apply.cpp
+++ b/ownership/apply.cpp
@@ -135,6 +135,8 @@
                            findMember(State, Body.Successor_) != nullptr;
   if (!BothMembers || Body.Victim_ == Body.Successor_)
     return false;
+  for (const ShardRef &Ref : Body.Released_)
+    applyRelease(State, Body.Victim_, Ref);
   removeMember(State, Body.Victim_, Body.Successor_, Body.TokenStep_);
   return true;
 }
@@ -143,6 +145,8 @@
   const Member *Leaving = findMember(State, Body.Member_);
   if (Leaving == nullptr || Leaving->Seats_.Epoch_ != Body.Epoch_)
     return false;
+  for (const ShardRef &Ref : Body.Released_)
+    applyRelease(State, Body.Member_, Ref);
   removeMember(State, Body.Member_, NoMember, LeaveTokenStep);
   return true;
 }
--- a/ownership/record.h
+++ b/ownership/record.h
@@ -77,6 +77,8 @@
     /// Added to the tokens of all shards taken over: more than any earlier
     /// successor of the victim has used.
     Token TokenStep_ = 1;
+    /// Shards that the victim had released to their targets before.
+    std::vector<ShardRef> Released_;
   };
 
   /// A member that serves no more gives up its membership. Condition: its
@@ -84,6 +86,8 @@
   struct Leave {
     MemberId Member_ = NoMember;
     std::uint64_t Epoch_ = 0;
+    /// Shards that the member had released to their targets before.
+    std::vector<ShardRef> Released_;
   };
 
   /// Removes a member that has never settled. Condition: it is not settled
--- a/ownership/record_json.cpp
+++ b/ownership/record_json.cpp
@@ -139,22 +139,27 @@
 Json encodeBody(const Record::TakeOver &Body) {
   return {{"victim", Body.Victim_},
           {"successor", Body.Successor_},
-          {"token_step", Body.TokenStep_}};
+          {"token_step", Body.TokenStep_},
+          {"released", Body.Released_}};
 }
 
 void decodeBody(const Json &Source, Record::TakeOver &Body) {
   Source.at("victim").get_to(Body.Victim_);
   Source.at("successor").get_to(Body.Successor_);
   Source.at("token_step").get_to(Body.TokenStep_);
+  Source.at("released").get_to(Body.Released_);
 }
 
 Json encodeBody(const Record::Leave &Body) {
-  return {{"member", Body.Member_}, {"epoch", Body.Epoch_}};
+  return {{"member", Body.Member_},
+          {"epoch", Body.Epoch_},
+          {"released", Body.Released_}};
 }
 
 void decodeBody(const Json &Source, Record::Leave &Body) {
   Source.at("member").get_to(Body.Member_);
   Source.at("epoch").get_to(Body.Epoch_);
+  Source.at("released").get_to(Body.Released_);
 }
 
 Json encodeBody(const Record::Evict &Body) {
--- a/recovery/lease_message.h
+++ b/recovery/lease_message.h
@@ -63,6 +63,12 @@
     std::vector<ShardRef> Withheld_;
   };
 
+  /// Old owner to target: released and witnessed, with the old tokens. The
+  /// target need not wait for the log.
+  struct Granted {
+    std::vector<ShardRef> Shards_;
+  };
+
   /// Witness to successor: the victim still renews; does the attempt go on?
   struct PromiseQuery {
     MemberId Victim_ = NoMember;
@@ -101,6 +107,7 @@
   using PromiseAsk = LeaseMessageBodies::PromiseAsk;
   using PromiseResult = LeaseMessageBodies::PromiseResult;
   using PromiseReply = LeaseMessageBodies::PromiseReply;
+  using Granted = LeaseMessageBodies::Granted;
   using PromiseQuery = LeaseMessageBodies::PromiseQuery;
   using PromiseWithdraw = LeaseMessageBodies::PromiseWithdraw;
   using Retire = LeaseMessageBodies::Retire;
@@ -110,7 +117,7 @@
 
   using Body = std::variant<Renew, RenewAck, Suspect, PromiseAsk, PromiseReply,
                             PromiseQuery, PromiseWithdraw, Retire, RetireAck,
-                            WaiveAsk, WaiveAck>;
+                            WaiveAsk, WaiveAck, Granted>;
 
   MemberId From_ = NoMember;
   MemberId To_ = NoMember;
--- a/tests/schedule/lease_scenario_test.cpp
+++ b/tests/schedule/lease_scenario_test.cpp
@@ -206,4 +206,30 @@
   Play.requireSound();
 }
 
+/// A move whose plan was read is finished although the log goes down.
+BOOST_AUTO_TEST_CASE(MoveGoesOnWithoutLog) {
+  Stage Play;
+  Play.planMove(Play.Third_);
+  const std::size_t ThirdNode = Play.World_.nodeOf(Play.Third_);
+  const auto BothRead = [&Play, ThirdNode] {
+    const Offset End = Play.World_.log().size();
+    return tableOf(Play.World_.state(Play.OwnerNode_)).Next_ == End &&
+           tableOf(Play.World_.state(ThirdNode)).Next_ == End;
+  };
+  BOOST_REQUIRE(Play.World_.runUntil(BothRead, seconds(3)));
+  Fault Outage;
+  Outage.Kind_ = FaultKind::LogDown;
+  Outage.Length_ = Long;
+  Play.World_.schedule(Outage);
+  Play.World_.run(seconds(4));
+  BOOST_TEST(Play.World_.servedShards() == 6U);
+  // The old owner is lost too: its heir must leave the shard alone.
+  Play.World_.lose(Play.OwnerNode_);
+  Play.World_.run(seconds(4));
+  BOOST_TEST(Play.World_.servedShards() == 6U);
+  Play.World_.run(seconds(60));
+  BOOST_TEST(Play.World_.servedShards() == 6U);
+  Play.requireSound();
+}
+
 } // namespace lagoonhitch
--- a/tests/unit/ownership_test.cpp
+++ b/tests/unit/ownership_test.cpp
@@ -102,8 +102,8 @@
 
 BOOST_AUTO_TEST_CASE(LeaveOfOtherEpochIsVoid) {
   Table State = tableWith({4, 4}, 1);
-  BOOST_TEST(!applyBody(State, Record::Leave{1, 0}));
-  BOOST_TEST(applyBody(State, Record::Leave{1, 1}));
+  BOOST_TEST(!applyBody(State, Record::Leave{1, 0, {}}));
+  BOOST_TEST(applyBody(State, Record::Leave{1, 1, {}}));
 }
 
 /// A member that leaves may have had successors that the log never saw; the
@@ -112,7 +112,7 @@
   constexpr Token MostSuccessors = 1000;
   Table State = tableWith({4, 4}, 1);
   State.Services_[ServiceName][0] = {1, 5, NoMember};
-  BOOST_TEST(applyBody(State, Record::Leave{1, 1}));
+  BOOST_TEST(applyBody(State, Record::Leave{1, 1, {}}));
   BOOST_TEST(State.Services_[ServiceName][0].Token_ > 5 + MostSuccessors);
 }
 
