Let the stand-in upstream honour deadlines

The trace: the upstream was frozen during a run; its daemon closed the call at the end of the lease, so the shard was moved after the upstream was lost; at its thaw the stand-in finished the old run after the deadline that the request carried. An upstream that ignores deadlines is listed as not tolerated in docs/DESIGN.md. Change: a run found past its deadline ends at the deadline and is answered 504. It still counts as a run. The check is unchanged.

--- a/tests/standin/upstream_standin.cpp
+++ b/tests/standin/upstream_standin.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -105,27 +106,49 @@
                           const std::shared_ptr<HttpExchange> &Exchange) {
   ++InFlight_;
   const Instant Begin = Time_.now();
-  record(Request, Begin, false);
+  record(Request, Begin, nullptr);
   const std::shared_ptr<std::shared_ptr<void>> Timer =
       std::make_shared<std::shared_ptr<void>>();
-  *Timer = Loop_.after(
-      Options_.ServiceTime_, [this, Request, Exchange, Begin, Timer] {
-        --InFlight_;
-        record(Request, Begin, true);
-        HttpResponse Response;
-        Response.Headers_.push_back({"Content-Type", "application/json"});
-        Response.Body_ = Json({{"instance", Options_.Instance_},
-                               {"target", Request.Target_},
-                               {"token", textOf(Request, "Lagoonhitch-Token")},
-                               {"echo", Request.Body_}})
-                             .dump();
-        Exchange->respond(std::move(Response));
-        Timer->reset();
-      });
+  *Timer = Loop_.after(Options_.ServiceTime_,
+                       [this, Request, Exchange, Begin, Timer] {
+                         finish(Request, *Exchange, Begin);
+                         Timer->reset();
+                       });
+}
+
+Instant UpstreamStandin::deadlineOf(const HttpRequest &Request,
+                                    Instant Begin) const {
+  const std::int64_t Millis = numberOf(Request, "Lagoonhitch-Deadline-Ms");
+  return Millis == 0 ? Instant::max()
+                     : Begin + std::chrono::milliseconds(Millis);
+}
+
+/// A run that is found past its deadline, as after a freeze, has no effect
+/// any more: it ended at the deadline.
+void UpstreamStandin::finish(const HttpRequest &Request, HttpExchange &Exchange,
+                             Instant Begin) {
+  --InFlight_;
+  const Instant Deadline = deadlineOf(Request, Begin);
+  const Instant Now = Time_.now();
+  const Instant End = std::min(Now, Deadline);
+  record(Request, Begin, &End);
+  HttpResponse Response;
+  if (Now > Deadline) {
+    Response.Status_ = 504;
+    Exchange.respond(std::move(Response));
+    return;
+  }
+  Response.Headers_.push_back({"Content-Type", "application/json"});
+  Response.Body_ = Json({{"instance", Options_.Instance_},
+                         {"target", Request.Target_},
+                         {"token", textOf(Request, "Lagoonhitch-Token")},
+                         {"echo", Request.Body_}})
+                       .dump();
+  Exchange.respond(std::move(Response));
 }
 
 void UpstreamStandin::record(const HttpRequest &Request, Instant Begin,
-                             bool Ended) {
+                             const Instant *End) {
   if (!Runs_.is_open())
     return;
   Json Line = {{"id", textOf(Request, "Lagoonhitch-Request-Id")},
@@ -135,8 +158,8 @@
                {"token", numberOf(Request, "Lagoonhitch-Token")},
                {"instance", Options_.Instance_},
                {"begin_us", microsOf(Begin)}};
-  if (Ended)
-    Line["end_us"] = microsOf(Time_.now());
+  if (End != nullptr)
+    Line["end_us"] = microsOf(*End);
   Runs_ << Line.dump() << "\n" << std::flush;
 }
 
--- a/tests/standin/upstream_standin.h
+++ b/tests/standin/upstream_standin.h
@@ -32,7 +32,8 @@
 };
 
 /// Answers each request after its service time, sheds beyond its slots,
-/// refuses stale tokens and late starts, and records every run.
+/// refuses stale tokens and late starts, gives a run up at its deadline, and
+/// records every run.
 class UpstreamStandin {
 public:
   UpstreamStandin(IoLoop &Loop, const Clock &Time, HttpClient &Client,
@@ -49,7 +50,10 @@
   bool isStale(const HttpRequest &Request);
   void run(const HttpRequest &Request,
            const std::shared_ptr<HttpExchange> &Exchange);
-  void record(const HttpRequest &Request, Instant Begin, bool Ended);
+  void finish(const HttpRequest &Request, HttpExchange &Exchange,
+              Instant Begin);
+  Instant deadlineOf(const HttpRequest &Request, Instant Begin) const;
+  void record(const HttpRequest &Request, Instant Begin, const Instant *End);
   void setMode(const HttpRequest &Request, HttpExchange &Exchange);
 
   IoLoop &Loop_;
