Trace slow take-overs in the bench

Cause: one loss in 70 takes 4 s and more. Measured: 5 sites, 75 s: 5 such losses; in the one whose logs were kept the take-over began 2.8 s after the kill, without any lease lapsing.

--- a/bench/bench_takeover.cpp
+++ b/bench/bench_takeover.cpp
@@ -56,8 +56,10 @@
   const bool Served =
       Result.Status_ == HttpStatus::Answered && Result.Response_.Status_ == 200;
   if (!Served && absl::GetFlag(FLAGS_trace))
-    std::cerr << toMillis(Time.now().time_since_epoch()).count() << " " << Key
-              << " status " << Result.Response_.Status_ << " end "
+    std::cerr << std::chrono::duration_cast<milliseconds>(
+                     Time.wallNow().time_since_epoch())
+                     .count()
+              << " " << Key << " status " << Result.Response_.Status_ << " end "
               << static_cast<int>(Result.Status_) << " "
               << Result.Response_.Body_ << "\n";
   return Served;
