Let only the entry say what is known of a request

Cause: the last reading: when entry and owner are one daemon, an upstream's own Lagoonhitch-Outcome header was passed on beside ours, so a caller could read a "not-run" that nobody has proven. Over two daemons it was removed already. Change: the entry removes it in both cases.

--- a/daemon/entry_service.cpp
+++ b/daemon/entry_service.cpp
@@ -61,6 +61,8 @@
   for (const auto &[Name, Value] : Result.Headers_)
     if (Name != RefusalHeader)
       Response.Headers_.push_back({Name, Value});
+  // Only the entry says what is known, whatever the upstream has sent.
+  eraseHeader(Response.Headers_, OutcomeHeader);
   Response.Headers_.push_back({OutcomeHeader, outcomeName(Result.Outcome_)});
   Response.Body_ = Result.Body_;
   return Response;
