--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -11,6 +11,7 @@
     {EventId::DaemonStopping, EventLevel::Info, "daemon-stopping"},
     {EventId::DaemonStopped, EventLevel::Info, "daemon-stopped"},
     {EventId::SettingsRejected, EventLevel::Error, "settings-rejected"},
+    {EventId::SettingsReloaded, EventLevel::Info, "settings-reloaded"},
     {EventId::Joined, EventLevel::Info, "joined"},
     {EventId::LeaseAcquired, EventLevel::Info, "lease-acquired"},
     {EventId::LeaseLapsed, EventLevel::Warn, "lease-lapsed"},
@@ -22,6 +23,10 @@
     {EventId::LogUnavailable, EventLevel::Warn, "log-unavailable"},
     {EventId::LogRestored, EventLevel::Info, "log-restored"},
     {EventId::LogGap, EventLevel::Warn, "log-gap"},
+    {EventId::ConfigApplied, EventLevel::Info, "config-applied"},
+    {EventId::ConfigUnreadable, EventLevel::Error, "config-unreadable"},
+    {EventId::EvacuationChanged, EventLevel::Info, "evacuation-changed"},
+    {EventId::RecordUnreadable, EventLevel::Warn, "record-unreadable"},
     {EventId::UpstreamAnnounced, EventLevel::Info, "upstream-announced"},
     {EventId::UpstreamLost, EventLevel::Warn, "upstream-lost"},
     {EventId::UpstreamRestarted, EventLevel::Warn, "upstream-restarted"},
@@ -30,6 +35,8 @@
     {EventId::LinkSettled, EventLevel::Warn, "link-settled"},
     {EventId::RingFull, EventLevel::Error, "ring-full"},
     {EventId::LateTick, EventLevel::Warn, "late-tick"},
+    {EventId::RequestRefused, EventLevel::Info, "request-refused"},
+    {EventId::RequestFailed, EventLevel::Warn, "request-failed"},
 };
 
 } // namespace
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -18,6 +18,7 @@
   DaemonStopping = 101,
   DaemonStopped = 102,
   SettingsRejected = 110,
+  SettingsReloaded = 111,
   Joined = 200,
   LeaseAcquired = 201,
   LeaseLapsed = 202,
@@ -34,9 +35,15 @@
   UpstreamRestarted = 402,
   UpstreamDraining = 403,
   UpstreamCold = 404,
+  ConfigApplied = 310,
+  ConfigUnreadable = 311,
+  EvacuationChanged = 312,
+  RecordUnreadable = 313,
   LinkSettled = 500,
   RingFull = 600,
   LateTick = 601,
+  RequestRefused = 700,
+  RequestFailed = 701,
 };
 
 /// One row of the catalogue.
--- /dev/null
+++ b/core/key_range.h
@@ -0,0 +1,43 @@
+#ifndef LAGOONHITCH_CORE_KEY_RANGE_H
+#define LAGOONHITCH_CORE_KEY_RANGE_H
+
+/// \file
+/// A range of keys.
+
+#include <compare>
+#include <cstdint>
+
+namespace lagoonhitch {
+
+/// The number of a key of a divided service.
+using KeyId = std::uint32_t;
+
+/// The highest key.
+inline constexpr KeyId LastKey = 65535;
+
+/// The keys from First_ to Last_, both inclusive.
+struct KeyRange {
+  KeyId First_ = 0;
+  KeyId Last_ = 0;
+
+  auto operator<=>(const KeyRange &) const = default;
+};
+
+/// Returns whether the key lies in the range.
+constexpr bool contains(const KeyRange &Range, KeyId Key) {
+  return Range.First_ <= Key && Key <= Range.Last_;
+}
+
+/// Returns whether two ranges share a key.
+constexpr bool overlaps(const KeyRange &Left, const KeyRange &Right) {
+  return Left.First_ <= Right.Last_ && Right.First_ <= Left.Last_;
+}
+
+/// Returns the number of keys.
+constexpr std::uint32_t sizeOf(const KeyRange &Range) {
+  return Range.Last_ - Range.First_ + 1;
+}
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_CORE_KEY_RANGE_H
--- /dev/null
+++ b/daemon/door_request.h
@@ -0,0 +1,39 @@
+#ifndef LAGOONHITCH_DAEMON_DOOR_REQUEST_H
+#define LAGOONHITCH_DAEMON_DOOR_REQUEST_H
+
+/// \file
+/// A request as its entry hands it to the door of an upstream.
+
+#include "core/clock.h"
+#include "core/key_range.h"
+#include "core/request_id.h"
+#include "net/http_message.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace lagoonhitch {
+
+/// A request as its entry hands it to the door of an upstream.
+struct DoorRequest {
+  RequestId Id_;
+  std::string Service_;
+  /// Nothing if any upstream of the service may run it.
+  std::optional<KeyId> Key_;
+  /// Zero goes first.
+  std::uint32_t Rank_ = 0;
+  bool Idempotent_ = false;
+  /// When the caller stops waiting.
+  Instant Deadline_;
+  /// When the answer loses a part of its value, and the span until then from
+  /// the arrival.
+  Instant ObjectiveAt_;
+  Duration Objective_{};
+  /// The caller's request without headers of one connection.
+  HttpRequest Request_;
+};
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_DAEMON_DOOR_REQUEST_H
--- /dev/null
+++ b/daemon/key_keeper.cpp
@@ -0,0 +1,233 @@
+#include "daemon/key_keeper.h"
+
+#include "net/http_client.h"
+#include "platform/platform_codec.h"
+#include "store/store.h"
+
+#include <cmath>
+#include <utility>
+
+namespace lagoonhitch {
+
+namespace {
+
+constexpr std::chrono::milliseconds GrantTimeout{700};
+/// A release is answered when the work that runs has ended.
+constexpr std::chrono::milliseconds ReleaseTimeout{4000};
+constexpr std::chrono::milliseconds DecayEvery{200};
+/// Time in which a key's rate falls to about a third.
+constexpr std::chrono::milliseconds RateMemory{2500};
+constexpr double SmallestRate = 0.02;
+/// How long after a gain the load says little.
+constexpr std::chrono::milliseconds SettleFor{1500};
+/// Silence after which a host gets no keys.
+constexpr std::chrono::milliseconds FreshFor{1500};
+constexpr double Hundredth = 0.01;
+
+double capacityOf(const LoadDigest &Digest) {
+  if (Digest.ColdRate_ > 0)
+    return Digest.ColdRate_;
+  constexpr double MillisPerSecond = 1000;
+  const double Work = std::max<double>(Digest.WorkMillis_, 1);
+  return std::max(1.0, Digest.Slots_ * MillisPerSecond / Work);
+}
+
+} // namespace
+
+KeyKeeper::KeyKeeper(const Clock &Time, Store &Keys, HttpClient &Upstreams,
+                     const SiteState &Site, KeyKeeperPlace Place,
+                     KeyReports Reports)
+    : Time_(Time), Keys_(Keys), Upstreams_(Upstreams), Site_(Site),
+      Place_(std::move(Place)), Reports_(std::move(Reports)),
+      StartedAt_(Time.now()), DecayedAt_(StartedAt_) {
+  Duty_.Host_ = Place_.Host_;
+  Duty_.Options_.Hold_ = std::min(Duty_.Options_.Hold_, Place_.MaxHold_);
+  Duty_.UnknownHoldsEnd_ = StartedAt_ + Duty_.Options_.Hold_ * 2;
+}
+
+void KeyKeeper::onTable(const std::optional<KeyTable> &Table, Offset End) {
+  lagoonhitch::onTable(Duty_, Table, End, Time_.now());
+  noteChange();
+  tick();
+}
+
+void KeyKeeper::onUpstream(const OwnUpstream &Upstream) {
+  lagoonhitch::onUpstream(Duty_, Upstream);
+  tick();
+}
+
+bool KeyKeeper::serves(KeyId Key) const {
+  return servesKey(Duty_, Key, Time_.now());
+}
+
+void KeyKeeper::count(KeyId Key) {
+  const double PerSecond = 1.0 / std::chrono::duration<double>(RateMemory).count();
+  KeyRates_[Key] += PerSecond;
+  Rate_ += PerSecond;
+}
+
+void KeyKeeper::decayRates(Instant Now) {
+  if (Now - DecayedAt_ < DecayEvery)
+    return;
+  const double Part =
+      std::exp(-std::chrono::duration<double>(Now - DecayedAt_).count() /
+               std::chrono::duration<double>(RateMemory).count());
+  DecayedAt_ = Now;
+  Rate_ *= Part;
+  for (auto &[Key, Rate] : KeyRates_)
+    Rate *= Part;
+  std::erase_if(KeyRates_, [](const auto &Entry) {
+    return Entry.second < SmallestRate;
+  });
+}
+
+bool KeyKeeper::isSettling() const {
+  return GainedAt_ != Instant::min() && Time_.now() - GainedAt_ < SettleFor;
+}
+
+KeySurroundings KeyKeeper::surroundings() const {
+  const Instant Now = Time_.now();
+  KeySurroundings Around;
+  Around.KeyRates_ = &KeyRates_;
+  Around.Uptime_ = Now - StartedAt_;
+  for (const auto &[Host, Member] : Site_.Fleet_.Members_) {
+    if (Member.Record_.Service_ != Place_.Service_)
+      continue;
+    KeyPeer Peer;
+    Peer.Host_ = Host;
+    Peer.Upstream_ = Member.Record_.Upstream_;
+    Peer.Born_ = Member.Record_.Born_;
+    Peer.Epoch_ = Member.Digest_.KeyEpoch_;
+    Peer.Settling_ = Member.Digest_.Settling_;
+    Peer.Serving_ = takesRequests(Site_.Fleet_, Member) &&
+                    Member.Digest_.Accepts_ && !Member.Digest_.Stopping_ &&
+                    isFresh(Member, FreshFor, Now);
+    Peer.Silence_ =
+        Now - std::max({Member.HeardAt_, Member.KnownAt_, StartedAt_});
+    Peer.Rate_ = Member.Digest_.KeyRate_ * Hundredth;
+    Peer.Capacity_ = capacityOf(Member.Digest_);
+    if (Host == Place_.Host_)
+      Peer.Epoch_ = Duty_.Epoch_;
+    Around.Peers_.push_back(std::move(Peer));
+  }
+  return Around;
+}
+
+void KeyKeeper::tick() {
+  // Actions may end at once and ask for another tick.
+  if (Ticking_)
+    return;
+  Ticking_ = true;
+  const Instant Now = Time_.now();
+  decayRates(Now);
+  if (isDivided(Site_, Place_.Service_))
+    carryOut(onKeyTick(Duty_, surroundings(), Now));
+  Ticking_ = false;
+}
+
+void KeyKeeper::carryOut(const KeyActions &Actions) {
+  for (const KeyAction &Action : Actions) {
+    switch (Action.Kind_) {
+    case KeyAction::Kind::ShowEpoch:
+      showEpoch(Action);
+      break;
+    case KeyAction::Kind::AppendTable:
+      appendTable(Action);
+      break;
+    case KeyAction::Kind::Grant:
+      grant(Action);
+      break;
+    case KeyAction::Kind::Release:
+      release(Action);
+      break;
+    }
+  }
+}
+
+void KeyKeeper::showEpoch(const KeyAction &Action) {
+  const Instant SentAt = Time_.now();
+  const std::string Host = Action.Host_;
+  const std::uint64_t Epoch = Action.Epoch_;
+  const bool Own = Host == Place_.Host_;
+  if (!Own)
+    Reports_.Event_(EventId::TakeoverStarted, Host);
+  Keys_.showEpoch(
+      Host, Epoch, [this, Host, Epoch, SentAt, Own](const AppendReply &Reply) {
+        const Instant Now = Time_.now();
+        if (Own)
+          onShown(Duty_, Epoch, Reply.Kind_, SentAt, Now);
+        else
+          onTakeoverShown(Duty_, Host, Epoch, Reply.Kind_, Now);
+        if (Reply.Kind_ == AppendReply::Kind::Fenced)
+          Reports_.Event_(EventId::LeaseLapsed,
+                          Host + " epoch " + std::to_string(Epoch));
+        tick();
+      });
+}
+
+void KeyKeeper::appendTable(const KeyAction &Action) {
+  Keys_.append(KeyedPrefix + ("keys." + Place_.Service_), "table",
+               encodeTable(Action.Table_), Action.Base_,
+               [this](const AppendReply &Reply) {
+                 onAppended(Duty_, Reply, Time_.now());
+                 if (Reply.Kind_ == AppendReply::Kind::Done) {
+                   Reports_.Event_(EventId::TableChanged,
+                                   std::to_string(Reply.Offset_));
+                   Reports_.Table_(Duty_.Table_);
+                 }
+                 noteChange();
+                 tick();
+               });
+}
+
+void KeyKeeper::grant(const KeyAction &Action) {
+  const Instant SentAt = Time_.now();
+  const KeyRow Row = Action.Row_;
+  const Duration Hold = Action.Hold_;
+  HttpCallOptions Call;
+  Call.Timeout_ = GrantTimeout;
+  Upstreams_.send(
+      Place_.UpstreamAddress_, encodeGrant(Row, Hold), Call,
+      [this, Row, Hold, SentAt](const HttpResult &Result) {
+        GrantResult Ended = GrantResult::Unknown;
+        if (Result.Status_ == HttpStatus::NotSent)
+          Ended = GrantResult::Refused;
+        else if (Result.Status_ == HttpStatus::Answered)
+          Ended = Result.Response_.Status_ == 200   ? GrantResult::Granted
+                  : Result.Response_.Status_ == 409 ? GrantResult::HigherFence
+                                                    : GrantResult::Refused;
+        onGranted(Duty_, Row, Ended, SentAt, Hold, Time_.now());
+        noteChange();
+        tick();
+      });
+}
+
+void KeyKeeper::release(const KeyAction &Action) {
+  const KeyRow Row = Action.Row_;
+  Reports_.Event_(EventId::ReleaseStarted,
+                  std::to_string(Row.Range_.First_) + "-" +
+                      std::to_string(Row.Range_.Last_));
+  HttpCallOptions Call;
+  Call.Timeout_ = ReleaseTimeout;
+  Upstreams_.send(Place_.UpstreamAddress_, encodeRelease(Row), Call,
+                  [this, Row](const HttpResult &Result) {
+                    std::optional<std::string> Handover;
+                    if (Result.Status_ == HttpStatus::Answered &&
+                        Result.Response_.Status_ == 200)
+                      Handover = handoverOf(Result.Response_);
+                    onReleased(Duty_, Row, Handover, Time_.now());
+                    tick();
+                  });
+}
+
+void KeyKeeper::noteChange() {
+  std::size_t Owned = 0;
+  for (const KeyRow &Row : rowsOf(Duty_.Table_, Place_.Host_))
+    Owned += sizeOf(Row.Range_);
+  if (Owned > OwnedKeys_)
+    GainedAt_ = Time_.now();
+  OwnedKeys_ = Owned;
+  Reports_.Changed_();
+}
+
+} // namespace lagoonhitch
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -3,7 +3,9 @@
 
 #include "core/error.h"
 #include "daemon/daemon.h"
+#include "daemon/host_daemon.h"
 #include "platform/monotonic_clock.h"
+#include "settings/host_settings.h"
 #include "settings/settings_load.h"
 
 #include <absl/flags/flag.h>
@@ -21,6 +23,9 @@
 ABSL_FLAG(std::string, settings, "", "base file of the settings (JSON)");
 ABSL_FLAG(std::string, overlay, "", "overlay of the site (JSON)");
 ABSL_FLAG(std::string, host, "", "file of this host (JSON)");
+ABSL_FLAG(std::string, platform, "",
+          "file of this host (JSON) where the configuration lies in the "
+          "platform's store; no other file is read");
 
 namespace {
 
@@ -38,6 +43,7 @@
   sigemptyset(&Signals);
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
+  sigaddset(&Signals, SIGHUP);
   return Signals;
 }
 
@@ -59,6 +65,29 @@
   Server.run();
 }
 
+/// SIGHUP reads the settings again; any other signal starts a graceful
+/// shutdown.
+void waitForSignals(lagoonhitch::HostDaemon &Server) {
+  sigset_t Signals = stopSignals();
+  for (;;) {
+    int Number = 0;
+    sigwait(&Signals, &Number);
+    if (Number == SIGHUP)
+      Server.reload();
+    else
+      Server.stop();
+  }
+}
+
+void serveOnPlatform(const std::string &FileName) {
+  const lagoonhitch::MonotonicClock Time;
+  lagoonhitch::HostDaemon Server(Time, lagoonhitch::loadHostSettings(FileName),
+                                 FileName, randomProcessNumber());
+  std::thread Signals([&Server] { waitForSignals(Server); });
+  Signals.detach();
+  Server.run();
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -76,6 +105,11 @@
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   try {
+    const std::string Platform = absl::GetFlag(FLAGS_platform);
+    if (!Platform.empty()) {
+      serveOnPlatform(Platform);
+      return 0;
+    }
     lagoonhitch::SettingsFiles Files;
     Files.Base_ = absl::GetFlag(FLAGS_settings);
     Files.Overlay_ = absl::GetFlag(FLAGS_overlay);
--- /dev/null
+++ b/daemon/request_router.h
@@ -0,0 +1,118 @@
+#ifndef LAGOONHITCH_DAEMON_REQUEST_ROUTER_H
+#define LAGOONHITCH_DAEMON_REQUEST_ROUTER_H
+
+/// \file
+/// The entry's side of requests: from a caller to an upstream's door and back.
+
+#include "core/clock.h"
+#include "core/event_catalog.h"
+#include "daemon/door_answer.h"
+#include "daemon/door_request.h"
+#include "daemon/site_state.h"
+#include "limits/shared_budget.h"
+#include "net/header_names.h"
+#include "net/http_result.h"
+#include "routing/host_choice.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace lagoonhitch {
+
+class HttpClient;
+class HttpExchange;
+class IoLoop;
+class Metrics;
+class UpstreamDoor;
+
+/// Where a router stands.
+struct RouterPlace {
+  std::string Host_;
+  std::string Zone_;
+  /// The service of the upstream beside it.
+  std::string Service_;
+  /// The random number of this process.
+  std::uint64_t Process_ = 0;
+};
+
+/// Takes callers' requests to the doors of upstreams. Serving thread only.
+class RequestRouter {
+public:
+  using Report =
+      std::function<void(EventId Event, const std::string &RequestId,
+                         const std::string &Details)>;
+
+  RequestRouter(IoLoop &Loop, const Clock &Time, SiteState &Site,
+                HttpClient &Peers, UpstreamDoor &Door, Metrics &Numbers,
+                HeaderNames Names, SharedBudgetOptions Budget,
+                RouterPlace Place, Report Tell);
+  ~RequestRouter();
+  RequestRouter(const RequestRouter &) = delete;
+  RequestRouter &operator=(const RequestRouter &) = delete;
+
+  /// Handles a request from a caller.
+  void handle(HttpRequest Request,
+              const std::shared_ptr<HttpExchange> &Exchange);
+
+  /// Notices that keys have other owners, or that members have changed.
+  void onSiteChanged();
+
+  /// Returns the number of requests without an answer.
+  std::size_t openRequests() const { return Open_.size(); }
+
+private:
+  struct Open;
+  using OpenPtr = std::shared_ptr<Open>;
+
+  bool route(Open &Request);
+  void attempt(const OpenPtr &Request);
+  std::string ownerOf(const Open &Request) const;
+  std::optional<std::string> hostFor(const Open &Request);
+  void send(const OpenPtr &Request, const std::string &Host);
+  void sendToPeer(const OpenPtr &Request, const FleetMember &Member);
+  void onPeerResult(const OpenPtr &Request, std::uint32_t Attempt,
+                    HttpResult Result);
+  void askFate(const OpenPtr &Request, std::uint32_t Attempt);
+  void onFate(const OpenPtr &Request, std::uint32_t Attempt, HttpResult Result);
+  void onAnswer(const OpenPtr &Request, std::uint32_t Attempt,
+                DoorAnswer Answer);
+  void onRan(const OpenPtr &Request, DoorAnswer Answer);
+  void onNotRun(const OpenPtr &Request, const DoorAnswer &Answer);
+  void onLost(const OpenPtr &Request);
+  bool mayRepeat(Open &Request);
+  void waitForOwner(const OpenPtr &Request);
+  void endAttempt(Open &Request);
+  void onDeadline(const OpenPtr &Request);
+  void onAbandoned(const OpenPtr &Request);
+  void cancelAttempt(Open &Request);
+  void refuse(const OpenPtr &Request, unsigned Status, const std::string &Why,
+              Duration RetryAfter);
+  void fail(const OpenPtr &Request, unsigned Status, const std::string &Why);
+  void reply(const OpenPtr &Request, HttpResponse Response, Outcome Known);
+  HttpResponse ownAnswer(const Open &Request, unsigned Status,
+                         const std::string &Why) const;
+
+  IoLoop &Loop_;
+  const Clock &Time_;
+  SiteState &Site_;
+  HttpClient &Peers_;
+  UpstreamDoor &Door_;
+  Metrics &Numbers_;
+  HeaderNames Names_;
+  SharedBudgetOptions BudgetOptions_;
+  RouterPlace Place_;
+  Report Tell_;
+  HostChoiceOptions Choice_;
+  std::map<std::string, SharedBudget> Budgets_;
+  std::map<std::uint64_t, OpenPtr> Open_;
+  std::uint64_t NextNumber_ = 0;
+  std::mt19937_64 Random_;
+};
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_DAEMON_REQUEST_ROUTER_H
--- /dev/null
+++ b/daemon/topic_follower.h
@@ -0,0 +1,73 @@
+#ifndef LAGOONHITCH_DAEMON_TOPIC_FOLLOWER_H
+#define LAGOONHITCH_DAEMON_TOPIC_FOLLOWER_H
+
+/// \file
+/// Follows a topic that keeps the newest record of each key.
+
+#include "core/clock.h"
+#include "store/store.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoonhitch {
+
+class IoLoop;
+
+/// Reads the newest record of each key, then waits for further ones. A record
+/// that is older than one already handed on is passed over, so a read that is
+/// behind changes nothing.
+class TopicFollower {
+public:
+  /// Takes new records. Where records may have been missed, Whole tells that
+  /// keys that are not among them were dropped.
+  using Receiver =
+      std::function<void(const std::vector<StoreRecord> &Records, bool Whole)>;
+
+  TopicFollower(IoLoop &Loop, const Clock &Time, Store &Source,
+                std::string Topic, Receiver Receive);
+
+  /// Starts reading.
+  void start();
+
+  /// Notices that the topic ends at least there; reads anew if the read that
+  /// waits should have told so.
+  void hint(Offset End);
+
+  /// Returns where the topic ends as far as it was read.
+  Offset end() const { return Next_; }
+
+  /// Returns whether the topic was read at least once.
+  bool isKnown() const { return Known_; }
+
+private:
+  void readNewest();
+  void readOn();
+  void onNewest(ReadReply Reply);
+  void onRead(ReadReply Reply);
+  void deliver(std::vector<StoreRecord> Records, bool Whole);
+  void later(Duration Delay, void (TopicFollower::*Step)());
+
+  IoLoop &Loop_;
+  const Clock &Time_;
+  Store &Source_;
+  std::string Topic_;
+  Receiver Receive_;
+  Offset Next_ = 0;
+  bool Known_ = false;
+  /// Counts the reads; the answers to all but the last are passed over.
+  std::uint64_t Read_ = 0;
+  Instant ReadSince_ = Instant::min();
+  std::uint32_t Failures_ = 0;
+  /// Offset of the last record handed on, by key.
+  std::map<std::string, Offset> Newest_;
+  std::shared_ptr<void> Timer_;
+};
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_DAEMON_TOPIC_FOLLOWER_H
--- /dev/null
+++ b/limits/door_queue.cpp
@@ -0,0 +1,148 @@
+#include "limits/door_queue.h"
+
+#include <algorithm>
+
+namespace lagoonhitch {
+
+namespace {
+
+double secondsOf(Duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+Duration fromSeconds(double Seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
+void fillTokens(DoorQueue &State, Instant Now) {
+  if (State.ColdFilledAt_ < Now && State.ColdFilledAt_ != Instant::min())
+    State.ColdTokens_ = std::min(
+        State.Options_.ColdBurst_,
+        State.ColdTokens_ +
+            secondsOf(Now - State.ColdFilledAt_) * State.ColdPerSecond_);
+  State.ColdFilledAt_ = Now;
+}
+
+bool hasRoom(DoorQueue &State, Instant Now) {
+  if (State.Running_ >= State.Slots_ || Now < State.PausedUntil_)
+    return false;
+  if (!isCold(State, Now))
+    return true;
+  fillTokens(State, Now);
+  return State.ColdTokens_ >= 1;
+}
+
+void start(DoorQueue &State, Instant Now) {
+  ++State.Running_;
+  if (isCold(State, Now))
+    State.ColdTokens_ -= 1;
+}
+
+/// The longest wait that leaves the request some value.
+Duration patienceOf(const DoorQueue &State, const DoorTicket &Ticket,
+                    Instant Now) {
+  const Duration InTime = Ticket.ObjectiveAt_ - Now - State.Work_;
+  const Duration Late = std::chrono::duration_cast<Duration>(
+      Ticket.Objective_ * State.Options_.LateWaitPart_);
+  const Duration Last = Ticket.Deadline_ - Now - State.Work_;
+  return std::min(std::max(InTime, Late), Last);
+}
+
+std::pair<std::uint32_t, std::uint64_t> keyOf(const DoorTicket &Ticket) {
+  return {Ticket.Rank_, Ticket.Number_};
+}
+
+} // namespace
+
+void resetDoor(DoorQueue &State, std::uint32_t Slots) {
+  State.Slots_ = Slots;
+  State.Work_ = State.Options_.FirstWork_;
+  State.ColdUntil_ = Instant::min();
+  State.PausedUntil_ = Instant::min();
+}
+
+void setCold(DoorQueue &State, Instant Until, double PerSecond, Instant Now) {
+  if (PerSecond <= 0) {
+    State.ColdUntil_ = Instant::min();
+    return;
+  }
+  if (!isCold(State, Now)) {
+    State.ColdTokens_ = 1;
+    State.ColdFilledAt_ = Now;
+  }
+  State.ColdUntil_ = Until;
+  State.ColdPerSecond_ = PerSecond;
+}
+
+bool isCold(const DoorQueue &State, Instant Now) {
+  return Now < State.ColdUntil_;
+}
+
+DoorVerdict offer(DoorQueue &State, const DoorTicket &Ticket, Instant Now) {
+  const bool First = State.Waiting_.empty() ||
+                     Ticket.Rank_ < State.Waiting_.begin()->first.first;
+  if (First && hasRoom(State, Now)) {
+    start(State, Now);
+    return {DoorVerdict::Kind::Start, {}};
+  }
+  const Duration Wait = expectedWait(State, Ticket.Rank_, Now);
+  if (Wait > patienceOf(State, Ticket, Now) ||
+      State.Waiting_.size() >= State.Options_.MaxWaiting_)
+    return {DoorVerdict::Kind::Refuse, Wait};
+  State.Waiting_[keyOf(Ticket)] = Ticket;
+  return {DoorVerdict::Kind::Wait, Wait};
+}
+
+void finish(DoorQueue &State, std::optional<Duration> Work) {
+  --State.Running_;
+  if (!Work)
+    return;
+  const double Weight = State.Options_.WorkWeight_;
+  State.Work_ = std::chrono::duration_cast<Duration>(
+      State.Work_ * (1 - Weight) + *Work * Weight);
+}
+
+bool withdraw(DoorQueue &State, const DoorTicket &Ticket) {
+  return State.Waiting_.erase(keyOf(Ticket)) > 0;
+}
+
+DoorChange advance(DoorQueue &State, Instant Now) {
+  DoorChange Change;
+  std::erase_if(State.Waiting_, [&](const auto &Entry) {
+    if (Entry.second.Deadline_ - Now > State.Work_ / 2)
+      return false;
+    Change.Dropped_.push_back(Entry.second);
+    return true;
+  });
+  while (!State.Waiting_.empty() && hasRoom(State, Now)) {
+    const auto First = State.Waiting_.begin();
+    Change.Started_.push_back(First->second);
+    State.Waiting_.erase(First);
+    start(State, Now);
+  }
+  return Change;
+}
+
+Duration expectedWait(const DoorQueue &State, std::uint32_t Rank,
+                      Instant Now) {
+  const auto End = State.Waiting_.upper_bound({Rank + 1, 0});
+  const double Ahead = static_cast<double>(
+      std::distance(State.Waiting_.begin(), End));
+  const double Slots = std::max<double>(State.Slots_, 1);
+  double Seconds = (Ahead + 1) * secondsOf(State.Work_) / Slots;
+  if (isCold(State, Now))
+    Seconds = std::max(Seconds, (Ahead + 1 - State.ColdTokens_) /
+                                    State.ColdPerSecond_);
+  return fromSeconds(Seconds);
+}
+
+std::optional<Duration> nextColdStart(const DoorQueue &State, Instant Now) {
+  if (State.Waiting_.empty() || !isCold(State, Now) ||
+      State.Running_ >= State.Slots_)
+    return std::nullopt;
+  const double Missing = std::max(0.0, 1 - State.ColdTokens_);
+  return fromSeconds(Missing / State.ColdPerSecond_);
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/limits/shared_budget.h
@@ -0,0 +1,41 @@
+#ifndef LAGOONHITCH_LIMITS_SHARED_BUDGET_H
+#define LAGOONHITCH_LIMITS_SHARED_BUDGET_H
+
+/// \file
+/// One daemon's part of a retry budget that all daemons of a site share.
+
+#include "core/clock.h"
+
+#include <chrono>
+#include <cstddef>
+
+namespace lagoonhitch {
+
+/// What all daemons together may spend.
+struct SharedBudgetOptions {
+  /// Retries for each request.
+  double Ratio_ = 0.2;
+  /// Retries besides, in a window, over all daemons.
+  double Slack_ = 10;
+  std::chrono::milliseconds Window_{10000};
+  /// Part of both that is spent, since windows slide and parts are uneven.
+  double SafePart_ = 0.7;
+};
+
+/// A bucket that requests and time fill, and retries empty.
+struct SharedBudget {
+  double Tokens_ = 0;
+  Instant FilledAt_ = Instant::min();
+};
+
+/// Counts a first attempt.
+void earnShared(SharedBudget &Budget, const SharedBudgetOptions &Options);
+
+/// Takes one retry; returns whether there was one.
+/// \param Daemons how many daemons share the budget.
+bool spendShared(SharedBudget &Budget, const SharedBudgetOptions &Options,
+                 std::size_t Daemons, Instant Now);
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_LIMITS_SHARED_BUDGET_H
--- /dev/null
+++ b/membership/fleet.cpp
@@ -0,0 +1,58 @@
+#include "membership/fleet.h"
+
+namespace lagoonhitch {
+
+FleetMember *findMember(Fleet &State, const std::string &Host) {
+  const auto Found = State.Members_.find(Host);
+  return Found == State.Members_.end() ? nullptr : &Found->second;
+}
+
+const FleetMember *findMember(const Fleet &State, const std::string &Host) {
+  const auto Found = State.Members_.find(Host);
+  return Found == State.Members_.end() ? nullptr : &Found->second;
+}
+
+void noteRecord(Fleet &State, const MemberRecord &Record, Instant Now) {
+  FleetMember &Member = State.Members_[Record.Host_];
+  if (Member.KnownAt_ == Instant::min())
+    Member.KnownAt_ = Now;
+  if (Member.Record_.Born_ != Record.Born_)
+    Member.AvoidUntil_ = Instant::min();
+  Member.Record_ = Record;
+}
+
+void noteDigest(Fleet &State, const LoadDigest &Digest, Instant Now) {
+  FleetMember *Member = findMember(State, Digest.Host_);
+  if (Member == nullptr)
+    return;
+  const bool SameProcess = Member->Digest_.Process_ == Digest.Process_;
+  if (SameProcess && Digest.Sequence_ <= Member->Digest_.Sequence_)
+    return;
+  if (!SameProcess)
+    Member->AvoidUntil_ = Instant::min();
+  Member->Digest_ = Digest;
+  Member->HeardAt_ = Now;
+  Member->SentSinceDigest_ = 0;
+}
+
+bool isFresh(const FleetMember &Member, Duration Within, Instant Now) {
+  return Member.HeardAt_ != Instant::min() && Now - Member.HeardAt_ <= Within;
+}
+
+bool takesRequests(const Fleet &State, const FleetMember &Member) {
+  return Member.Record_.State_ == UpstreamState::Ready &&
+         !State.EvacuatedZones_.contains(Member.Record_.Zone_);
+}
+
+std::vector<std::string> servingHosts(const Fleet &State,
+                                      const std::string &Service,
+                                      Duration Within, Instant Now) {
+  std::vector<std::string> Hosts;
+  for (const auto &[Host, Member] : State.Members_)
+    if (Member.Record_.Service_ == Service && takesRequests(State, Member) &&
+        Member.Digest_.Accepts_ && isFresh(Member, Within, Now))
+      Hosts.push_back(Host);
+  return Hosts;
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/membership/fleet.h
@@ -0,0 +1,66 @@
+#ifndef LAGOONHITCH_MEMBERSHIP_FLEET_H
+#define LAGOONHITCH_MEMBERSHIP_FLEET_H
+
+/// \file
+/// What this daemon believes of all members of its site.
+
+#include "core/clock.h"
+#include "membership/load_digest.h"
+#include "membership/member_record.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lagoonhitch {
+
+/// One member as this daemon sees it.
+struct FleetMember {
+  MemberRecord Record_;
+  LoadDigest Digest_;
+  /// When the last digest or answer came; Instant::min() for never.
+  Instant HeardAt_ = Instant::min();
+  /// When the record was first read.
+  Instant KnownAt_ = Instant::min();
+  /// Nothing is sent there before this, after a failure to reach it.
+  Instant AvoidUntil_ = Instant::min();
+  /// This daemon's requests that wait for an answer from there.
+  std::uint32_t InFlight_ = 0;
+  /// This daemon's requests that were sent since the last digest.
+  std::uint32_t SentSinceDigest_ = 0;
+};
+
+/// All members by host.
+struct Fleet {
+  std::map<std::string, FleetMember> Members_;
+  /// Zones whose upstreams are to get nothing.
+  std::set<std::string> EvacuatedZones_;
+};
+
+/// Returns the member, or nullptr.
+FleetMember *findMember(Fleet &State, const std::string &Host);
+const FleetMember *findMember(const Fleet &State, const std::string &Host);
+
+/// Takes a record from the store.
+void noteRecord(Fleet &State, const MemberRecord &Record, Instant Now);
+
+/// Takes a digest unless a newer one of that process is known.
+void noteDigest(Fleet &State, const LoadDigest &Digest, Instant Now);
+
+/// Returns whether a member was heard of in the last span.
+bool isFresh(const FleetMember &Member, Duration Within, Instant Now);
+
+/// Returns whether new requests may be sent to a member's upstream.
+bool takesRequests(const Fleet &State, const FleetMember &Member);
+
+/// Returns the hosts of a service whose upstreams take requests and that were
+/// heard of in the last span.
+std::vector<std::string> servingHosts(const Fleet &State,
+                                      const std::string &Service,
+                                      Duration Within, Instant Now);
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_MEMBERSHIP_FLEET_H
--- /dev/null
+++ b/net/datagram_link.h
@@ -0,0 +1,39 @@
+#ifndef LAGOONHITCH_NET_DATAGRAM_LINK_H
+#define LAGOONHITCH_NET_DATAGRAM_LINK_H
+
+/// \file
+/// Small messages between daemons that may get lost.
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lagoonhitch {
+
+class IoLoop;
+
+/// A UDP socket on an IoLoop. Nothing is sent again, and nothing waits.
+class DatagramLink {
+public:
+  using Receiver = std::function<void(const char *Data, std::size_t Size)>;
+
+  /// Opens the socket; throws Error if the address is not usable.
+  DatagramLink(IoLoop &Loop, const std::string &Address, Receiver Receive);
+  ~DatagramLink();
+  DatagramLink(const DatagramLink &) = delete;
+  DatagramLink &operator=(const DatagramLink &) = delete;
+
+  /// Sends a message to `ip:port`; it is dropped if the socket has no room.
+  void send(const std::string &Address, const std::string &Message);
+
+  /// The library's types, for the back end only.
+  struct Impl;
+
+private:
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_NET_DATAGRAM_LINK_H
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -4,6 +4,7 @@
 #include "net/address.h"
 #include "net/beast_convert.h"
 #include "net/io_loop_impl.h"
+#include "net/watch_peer.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -79,7 +80,11 @@
     Message_.version(11);
     Message_.method_string(Request.Method_);
     Message_.target(Request.Target_);
-    Message_.set(http::field::host, Address_);
+    const std::string *Host = findHeader(Request.Headers_, "Host");
+    Message_.set(http::field::host, Host == nullptr ? Address_ : *Host);
+    if (const std::string *Expected =
+            findHeader(Request.Headers_, Options_.EchoHeader_))
+      Expected_ = *Expected;
     headersToBeast(Request.Headers_, Message_);
     Message_.body() = std::move(Request.Body_);
     Message_.keep_alive(true);
@@ -113,8 +118,11 @@
     while (!Target.Idle_.empty()) {
       std::unique_ptr<Connection> Candidate = std::move(Target.Idle_.back());
       Target.Idle_.pop_back();
+      const Duration IdleLimit = Options_.FreshWithin_ > Duration::zero()
+                                     ? Options_.FreshWithin_
+                                     : Client_->Options_.IdleLimit_;
       const bool Young =
-          Now - Candidate->IdleSince_ < Client_->Options_.IdleLimit_ &&
+          Now - Candidate->IdleSince_ < IdleLimit &&
           Now - Candidate->OpenedAt_ < Client_->Options_.AgeLimit_;
       if (Young && isUsable(*Candidate)) {
         Connection_ = std::move(Candidate);
@@ -142,12 +150,11 @@
           if (!Self->Connection_)
             return;
           if (Failure) {
+            Self->Refused_ = Failure == boost::asio::error::connection_refused;
             Self->finish(HttpStatus::NotSent);
             return;
           }
-          error_code Ignored;
-          Self->Connection_->Stream_.socket().set_option(tcp::no_delay(true),
-                                                         Ignored);
+          watchPeer(Self->Connection_->Stream_.socket());
           Self->write();
         });
   }
@@ -163,12 +170,17 @@
             Self->finishFailed(Failure, Size);
             return;
           }
-          Self->read();
+          Self->Written_ = true;
         });
+    // An answer may come before the whole request is written.
+    if (Connection_)
+      read();
   }
 
   void read() {
     Parser_.emplace();
+    if (Message_.method() == http::verb::head)
+      Parser_->skip(true);
     Parser_->body_limit(Client_->Options_.BodyLimit_);
     http::async_read(
         Connection_->Stream_, Connection_->Buffer_, *Parser_,
@@ -184,11 +196,15 @@
   }
 
   void finishAnswered() {
-    const bool Reusable =
-        Parser_->keep_alive() && Connection_->Buffer_.size() == 0;
+    const bool Reusable = Parser_->keep_alive() && Written_ &&
+                          Connection_->Buffer_.size() == 0;
     HttpResult Result;
     Result.Status_ = HttpStatus::Answered;
     Result.Response_ = responseFromBeast(Parser_->release());
+    if (!isOwnAnswer(Result.Response_)) {
+      finish(HttpStatus::Broken);
+      return;
+    }
     if (Reusable) {
       Connection_->Stream_.expires_never();
       Connection_->IdleSince_ = Client_->Time_.now();
@@ -198,6 +214,17 @@
     deliver(std::move(Result));
   }
 
+  /// An answer that came late, or twice, is another request's.
+  bool isOwnAnswer(const HttpResponse &Response) const {
+    if (Expected_.empty())
+      return true;
+    const std::string *Echo =
+        findHeader(Response.Headers_, Options_.EchoHeader_);
+    if (Echo != nullptr)
+      return *Echo == Expected_;
+    return findHeader(Response.Headers_, Options_.NotRunHeader_) != nullptr;
+  }
+
   void finishFailed(error_code Failure, std::size_t BytesSent) {
     const bool TimedOut = Failure == boost::beast::error::timeout;
     if (BytesSent == 0 && !TimedOut)
@@ -210,6 +237,7 @@
     drop();
     HttpResult Result;
     Result.Status_ = Status;
+    Result.Refused_ = Refused_;
     deliver(std::move(Result));
   }
 
@@ -230,7 +258,8 @@
     if (!Connection_)
       return;
     Connection_->Stream_.close();
-    Connection_.reset();
+    // Operations that were aborted still refer to the buffer.
+    Dead_ = std::move(Connection_);
     --Client_->pool(Address_).Open_;
   }
 
@@ -241,6 +270,11 @@
   http::request<http::string_body> Message_;
   std::optional<http::response_parser<http::string_body>> Parser_;
   std::unique_ptr<Connection> Connection_;
+  std::unique_ptr<Connection> Dead_;
+  /// The value that the answer must repeat; empty for any.
+  std::string Expected_;
+  bool Written_ = false;
+  bool Refused_ = false;
 };
 
 } // namespace
@@ -270,6 +304,15 @@
   Impl_->pool(Address).Limit_ = Limit;
 }
 
+void HttpClient::reapIdle() {
+  const Instant Now = Impl_->Time_.now();
+  for (auto &[Address, Target] : Impl_->Pools_)
+    Target.Open_ -= std::erase_if(
+        Target.Idle_, [&](const std::unique_ptr<Connection> &Idle) {
+          return Now - Idle->IdleSince_ >= Impl_->Options_.IdleLimit_;
+        });
+}
+
 void HttpClient::closeIdle(const std::string &Address) {
   Pool &Target = Impl_->pool(Address);
   Target.Open_ -= Target.Idle_.size();
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -36,6 +36,14 @@
   Duration Timeout_ = std::chrono::seconds(5);
   /// Whether the call must open a connection of its own.
   bool FreshConnection_ = false;
+  /// Longest idle time of a connection that is used again; zero for the
+  /// client's own limit.
+  Duration FreshWithin_{};
+  /// A header whose value an answer must repeat; empty for none. An answer
+  /// without it counts only if it says that nothing was executed.
+  std::string EchoHeader_;
+  /// The header that says so.
+  std::string NotRunHeader_;
 };
 
 /// Sends requests over pooled connections. A request is never sent twice, and
@@ -61,6 +69,9 @@
   /// Sets the most connections to one address, other than the default.
   void limitConnections(const std::string &Address, std::size_t Limit);
 
+  /// Closes connections that were idle for too long.
+  void reapIdle();
+
   /// Closes the idle connections to an address.
   void closeIdle(const std::string &Address);
 
--- a/net/http_result.h
+++ b/net/http_result.h
@@ -24,6 +24,8 @@
 struct HttpResult {
   HttpStatus Status_ = HttpStatus::NotSent;
   HttpResponse Response_;
+  /// Whether the address refused the connection, so that nobody listens.
+  bool Refused_ = false;
 };
 
 } // namespace lagoonhitch
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -4,6 +4,7 @@
 #include "net/address.h"
 #include "net/beast_convert.h"
 #include "net/io_loop_impl.h"
+#include "net/watch_peer.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -284,8 +285,7 @@
         if (!Server->Acceptor_.is_open())
           return;
         if (!Failure) {
-          error_code Ignored;
-          Socket.set_option(tcp::no_delay(true), Ignored);
+          watchPeer(Socket);
           std::make_shared<Session>(std::move(Socket), Server)->readNext();
         }
         acceptNext(Server);
@@ -323,6 +323,14 @@
   return formatEndpoint(Impl_->Acceptor_.local_endpoint());
 }
 
+void HttpServer::setLimits(const HttpServerOptions &Limits) {
+  const std::string Address = Impl_->Options_.Address_;
+  Impl_->Options_ = Limits;
+  Impl_->Options_.Address_ = Address;
+}
+
+void HttpServer::announceClose() { Impl_->Draining_ = true; }
+
 void HttpServer::drain() {
   Impl_->Draining_ = true;
   error_code Ignored;
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -32,6 +32,13 @@
   /// Returns the listening address with the port that is in use.
   std::string address() const;
 
+  /// Sets other limits; the address stays.
+  void setLimits(const HttpServerOptions &Limits);
+
+  /// Asks callers to close their connections after their current response,
+  /// while new ones are still accepted.
+  void announceClose();
+
   /// Stops accepting connections; open ones are closed after their current
   /// response, idle ones at once.
   void drain();
--- /dev/null
+++ b/net/watch_peer.h
@@ -0,0 +1,17 @@
+#ifndef LAGOONHITCH_NET_WATCH_PEER_H
+#define LAGOONHITCH_NET_WATCH_PEER_H
+
+/// \file
+/// Options of connected sockets; included by the back ends of net only.
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace lagoonhitch {
+
+/// Makes a connection send small messages at once, and break within seconds
+/// if the other end is gone without a sign.
+void watchPeer(boost::asio::ip::tcp::socket &Socket);
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_NET_WATCH_PEER_H
--- /dev/null
+++ b/ownership/key_duty.cpp
@@ -0,0 +1,629 @@
+#include "ownership/key_duty.h"
+
+#include "ownership/key_balance.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lagoonhitch {
+
+namespace {
+
+/// Highest step by which an epoch is raised after a refusal.
+constexpr std::uint64_t MaxEpochStep = 1U << 20U;
+
+bool hasLease(const KeyDuty &State, Instant Now) {
+  return State.Shown_ && Now < State.LeaseUntil_;
+}
+
+bool upstreamAlive(const KeyDuty &State) {
+  return State.Upstream_.State_ == OwnUpstream::State::Serving ||
+         State.Upstream_.State_ == OwnUpstream::State::Leaving;
+}
+
+KeyOwner self(const KeyDuty &State) {
+  return {State.Host_, State.Upstream_.Id_, State.Upstream_.Born_,
+          State.Epoch_};
+}
+
+Duration withDrift(const KeyDuty &State, Duration Span) {
+  return std::chrono::duration_cast<Duration>(Span *
+                                              (1 + State.Options_.Drift_));
+}
+
+bool isMoving(const KeyDuty &State, const KeyRange &Range) {
+  return std::any_of(
+      State.Moves_.begin(), State.Moves_.end(),
+      [&Range](const KeyMove &Move) { return overlaps(Move.Range_, Range); });
+}
+
+/// The rows that the upstream is to hold, cut where moves begin and end.
+std::vector<KeyRow> piecesOf(const KeyDuty &State) {
+  std::vector<KeyRow> Pieces;
+  if (!upstreamAlive(State))
+    return Pieces;
+  KeyTable Cut = State.Table_;
+  for (const KeyMove &Move : State.Moves_) {
+    const KeyRow *Row = findRow(Cut, Move.Range_.First_);
+    if (Row == nullptr)
+      continue;
+    KeyRow Piece = *Row;
+    Piece.Range_ = Move.Range_;
+    assignKeys(Cut, Piece);
+  }
+  for (const KeyRow &Row : Cut.Rows_)
+    if (Row.Owner_ == self(State))
+      Pieces.push_back(Row);
+  return Pieces;
+}
+
+/// Brings Held_ in line with the table; what is held by the same fence stays.
+void syncHeld(KeyDuty &State) {
+  std::map<KeyId, HeldKeys> Next;
+  std::set<KeyId> Kept;
+  for (const KeyRow &Piece : piecesOf(State)) {
+    HeldKeys Keys;
+    Keys.Row_ = Piece;
+    for (const auto &[First, Old] : State.Held_) {
+      const bool Same = Old.Row_.Fence_ == Piece.Fence_ &&
+                        sameLife(Old.Row_.Owner_, Piece.Owner_) &&
+                        Old.Row_.Range_.First_ <= Piece.Range_.First_ &&
+                        Piece.Range_.Last_ <= Old.Row_.Range_.Last_;
+      if (!Same)
+        continue;
+      Kept.insert(First);
+      Keys = Old;
+      // The answer to a grant of a larger range is not this piece's.
+      Keys.InFlight_ = Old.InFlight_ && Old.Row_.Range_ == Piece.Range_;
+      Keys.Row_ = Piece;
+    }
+    Next[Piece.Range_.First_] = Keys;
+  }
+  for (const auto &[First, Old] : State.Held_)
+    if (!Kept.contains(First) && Old.MayHoldUntil_ != Instant::min())
+      State.LateGrants_.push_back({Old.Row_.Range_, Old.MayHoldUntil_});
+  State.Held_ = std::move(Next);
+}
+
+/// Drops moves whose keys are no longer this daemon's.
+void syncMoves(KeyDuty &State) {
+  std::erase_if(State.Moves_, [&State](const KeyMove &Move) {
+    const KeyRow *Row = findRow(State.Table_, Move.Range_.First_);
+    const bool Mine = Row != nullptr && Row->Owner_.Host_ == State.Host_ &&
+                      Row->Fence_ == Move.Fence_;
+    if (!Mine)
+      State.MoveTargets_.erase(Move.Range_.First_);
+    return !Mine;
+  });
+}
+
+void syncAll(KeyDuty &State) {
+  syncMoves(State);
+  syncHeld(State);
+}
+
+/// From when on a late grant of these keys can't hold them any more.
+Instant lateGrantsEnd(const KeyDuty &State, const KeyRange &Range) {
+  Instant End = Instant::min();
+  for (const LateGrant &Late : State.LateGrants_)
+    if (overlaps(Late.Range_, Range))
+      End = std::max(End, Late.Until_);
+  return End;
+}
+
+Instant holdsEnd(const KeyDuty &State, const KeyRange &Range) {
+  Instant End = std::max(lateGrantsEnd(State, Range), State.UnknownHoldsEnd_);
+  for (const auto &[First, Keys] : State.Held_)
+    if (overlaps(Keys.Row_.Range_, Range))
+      End = std::max(End, Keys.MayHoldUntil_);
+  return End;
+}
+
+void addShowing(KeyDuty &State, KeyActions &Actions, Instant Now) {
+  if (State.Showing_ || Now < State.ShowAt_)
+    return;
+  State.Showing_ = true;
+  KeyAction Action;
+  Action.Kind_ = KeyAction::Kind::ShowEpoch;
+  Action.Host_ = State.Host_;
+  Action.Epoch_ = State.Epoch_;
+  Actions.push_back(std::move(Action));
+}
+
+bool isServing(const KeySurroundings &Around, const std::string &Host) {
+  return std::any_of(Around.Peers_.begin(), Around.Peers_.end(),
+                     [&Host](const KeyPeer &Peer) {
+                       return Peer.Host_ == Host && Peer.Serving_;
+                     });
+}
+
+const KeyPeer *findPeer(const KeySurroundings &Around,
+                        const std::string &Host) {
+  for (const KeyPeer &Peer : Around.Peers_)
+    if (Peer.Host_ == Host)
+      return &Peer;
+  return nullptr;
+}
+
+KeyOwner ownerOf(const KeyDuty &State, const KeyPeer &Peer) {
+  if (Peer.Host_ == State.Host_)
+    return self(State);
+  return {Peer.Host_, Peer.Upstream_, Peer.Born_, Peer.Epoch_};
+}
+
+/// Gives keys to other owners in a table that is being written.
+void place(const KeyDuty &State, KeyTable &Next,
+           const std::vector<KeyPlacement> &Placements,
+           const KeySurroundings &Around, const std::string &Handover) {
+  for (const KeyPlacement &Placement : Placements) {
+    const KeyPeer *Peer = findPeer(Around, Placement.Host_);
+    if (Peer == nullptr)
+      continue;
+    KeyRow Row;
+    Row.Range_ = Placement.Range_;
+    Row.Owner_ = ownerOf(State, *Peer);
+    Row.Fence_ = State.End_ + 1;
+    Row.Handover_ = Handover;
+    assignKeys(Next, Row);
+  }
+}
+
+/// How many hosts act before this one.
+std::size_t rankOf(const KeyDuty &State, const KeySurroundings &Around) {
+  std::size_t Rank = 0;
+  for (const KeyPeer &Peer : Around.Peers_) {
+    if (Peer.Host_ == State.Host_)
+      break;
+    if (Peer.Serving_)
+      ++Rank;
+  }
+  return Rank;
+}
+
+bool planFirst(KeyDuty &State, const KeySurroundings &Around, KeyTable &Next,
+               Instant Now) {
+  if (State.Table_.At_ || !isServing(Around, State.Host_))
+    return false;
+  const std::size_t Count = static_cast<std::size_t>(
+      std::count_if(Around.Peers_.begin(), Around.Peers_.end(),
+                    [](const KeyPeer &Peer) { return Peer.Serving_; }));
+  if (Count != State.SettledCount_) {
+    State.SettledCount_ = Count;
+    State.SettledSince_ = Now;
+  }
+  const Duration Wait =
+      State.Options_.SettleFor_ +
+      State.Options_.RankDelay_ * static_cast<int>(rankOf(State, Around));
+  if (Now - State.SettledSince_ < Wait)
+    return false;
+  place(State, Next, placeKeys({{0, LastKey}}, Around, ""), Around, "");
+  return true;
+}
+
+/// Rewrites rows of this daemon's earlier processes and epochs, and gives away
+/// those of upstreams that have ended.
+bool planOwnRows(const KeyDuty &State, const KeySurroundings &Around,
+                 KeyTable &Next, Instant Now) {
+  if (!hasLease(State, Now) ||
+      State.Upstream_.State_ == OwnUpstream::State::Unheard)
+    return false;
+  bool Changed = false;
+  for (const KeyRow &Row : rowsOf(State.Table_, State.Host_)) {
+    const bool Alive =
+        upstreamAlive(State) && sameLife(Row.Owner_, self(State));
+    if (Alive && Row.Owner_.Epoch_ == State.Epoch_)
+      continue;
+    if (Alive) {
+      KeyRow Renewed = Row;
+      Renewed.Owner_.Epoch_ = State.Epoch_;
+      assignKeys(Next, Renewed);
+      Changed = true;
+      continue;
+    }
+    const bool Silent = State.Upstream_.State_ == OwnUpstream::State::Lost &&
+                        !State.Upstream_.Proven_;
+    if (Silent && Now < holdsEnd(State, Row.Range_))
+      continue;
+    const std::vector<KeyPlacement> Placements =
+        placeKeys({Row.Range_}, Around, "");
+    place(State, Next, Placements, Around, "");
+    Changed = Changed || !Placements.empty();
+  }
+  return Changed;
+}
+
+bool planMoves(const KeyDuty &State, const KeySurroundings &Around,
+               KeyTable &Next, Instant Now) {
+  if (!hasLease(State, Now))
+    return false;
+  bool Changed = false;
+  for (const KeyMove &Move : State.Moves_) {
+    const bool Ready =
+        Move.Phase_ == KeyMove::Phase::Released && Now >= Move.SafeAt_;
+    if (!Ready)
+      continue;
+    std::vector<KeyPlacement> Placements = {
+        {Move.Range_, State.MoveTargets_.at(Move.Range_.First_)}};
+    if (!isServing(Around, Placements.front().Host_))
+      Placements = placeKeys({Move.Range_}, Around, "");
+    place(State, Next, Placements, Around, Move.Handover_);
+    Changed = Changed || !Placements.empty();
+  }
+  return Changed;
+}
+
+bool planTakeovers(const KeyDuty &State, const KeySurroundings &Around,
+                   KeyTable &Next, Instant Now) {
+  const Duration Wait = withDrift(State, State.Options_.Lease_) +
+                        State.Options_.PauseMargin_;
+  bool Changed = false;
+  for (const auto &[Host, Attempt] : State.Takeovers_) {
+    if (!Attempt.ShownAt_ || Now < *Attempt.ShownAt_ + Wait)
+      continue;
+    std::vector<KeyRange> Ranges;
+    for (const KeyRow &Row : rowsOf(State.Table_, Host))
+      if (Row.Owner_.Epoch_ < Attempt.Epoch_)
+        Ranges.push_back(Row.Range_);
+    const std::vector<KeyPlacement> Placements =
+        placeKeys(Ranges, Around, Host);
+    place(State, Next, Placements, Around, "");
+    Changed = Changed || !Placements.empty();
+  }
+  return Changed;
+}
+
+void addAppend(KeyDuty &State, const KeySurroundings &Around,
+               KeyActions &Actions, Instant Now) {
+  if (Now < State.AppendAt_)
+    return;
+  if (State.Append_) {
+    if (!State.Append_->Unclear_)
+      return;
+    // The same change again: at most one of both can take effect.
+    State.Append_->Unclear_ = false;
+  } else {
+    const bool AtEnd = State.Table_.At_ ? *State.Table_.At_ + 1 == State.End_
+                                        : State.End_ == 0;
+    if (!AtEnd)
+      return;
+    KeyTable Next = State.Table_;
+    bool Changed = planFirst(State, Around, Next, Now);
+    Changed = planOwnRows(State, Around, Next, Now) || Changed;
+    Changed = planMoves(State, Around, Next, Now) || Changed;
+    Changed = planTakeovers(State, Around, Next, Now) || Changed;
+    if (!Changed)
+      return;
+    joinRows(Next);
+    State.Append_ = PendingAppend{std::move(Next), State.End_, false};
+  }
+  KeyAction Action;
+  Action.Kind_ = KeyAction::Kind::AppendTable;
+  Action.Table_ = State.Append_->Table_;
+  Action.Base_ = State.Append_->Base_;
+  Actions.push_back(std::move(Action));
+}
+
+void startMove(KeyDuty &State, const KeyPlacement &Placement, Instant Now) {
+  const KeyRow *Row = findRow(State.Table_, Placement.Range_.First_);
+  if (Row == nullptr || isMoving(State, Placement.Range_))
+    return;
+  KeyMove Move;
+  Move.Range_ = Placement.Range_;
+  Move.Fence_ = Row->Fence_;
+  Move.Since_ = Now;
+  State.MoveTargets_[Move.Range_.First_] = Placement.Host_;
+  State.Moves_.push_back(Move);
+}
+
+void startMoves(KeyDuty &State, const KeySurroundings &Around, Instant Now) {
+  if (!hasLease(State, Now) || !upstreamAlive(State) || State.Append_)
+    return;
+  std::vector<KeyRow> Own;
+  for (const KeyRow &Row : State.Table_.Rows_)
+    if (Row.Owner_ == self(State))
+      Own.push_back(Row);
+  if (State.Upstream_.State_ == OwnUpstream::State::Leaving) {
+    for (const KeyRow &Row : Own)
+      if (!isMoving(State, Row.Range_))
+        for (const KeyPlacement &Placement :
+             placeKeys({Row.Range_}, Around, State.Host_))
+          startMove(State, Placement, Now);
+    return;
+  }
+  if (Now < State.RebalanceAt_ || !State.Moves_.empty())
+    return;
+  const std::optional<KeyPlacement> Found =
+      findMove(Own, State.Host_, Around, State.Options_);
+  if (!Found)
+    return;
+  State.RebalanceAt_ = Now + State.Options_.RebalanceEvery_;
+  startMove(State, *Found, Now);
+}
+
+void advanceMoves(KeyDuty &State, KeyActions &Actions, Instant Now) {
+  for (KeyMove &Move : State.Moves_) {
+    if (Move.Phase_ != KeyMove::Phase::Draining)
+      continue;
+    const auto Held = State.Held_.find(Move.Range_.First_);
+    if (Held != State.Held_.end() && Held->second.InFlight_)
+      continue;
+    // A grant of a larger range may still be on its way.
+    const bool LargerInFlight = std::any_of(
+        State.GrantsInFlight_.begin(), State.GrantsInFlight_.end(),
+        [&Move](const KeyRow &Row) {
+          return overlaps(Row.Range_, Move.Range_);
+        });
+    if (LargerInFlight)
+      continue;
+    Move.Phase_ = KeyMove::Phase::Releasing;
+    KeyAction Action;
+    Action.Kind_ = KeyAction::Kind::Release;
+    Action.Row_.Range_ = Move.Range_;
+    Action.Row_.Fence_ = Move.Fence_;
+    Actions.push_back(std::move(Action));
+  }
+  static_cast<void>(Now);
+}
+
+Duration holdFor(const KeyDuty &State, Instant Now) {
+  const Duration Left =
+      std::chrono::duration_cast<Duration>((State.LeaseUntil_ - Now) *
+                                           (1 - State.Options_.Drift_)) -
+      State.Options_.PauseMargin_;
+  return std::min<Duration>(State.Options_.Hold_, Left);
+}
+
+void addGrants(KeyDuty &State, KeyActions &Actions, Instant Now) {
+  if (!hasLease(State, Now) || !upstreamAlive(State))
+    return;
+  const Duration Hold = holdFor(State, Now);
+  if (Hold < State.Options_.PauseMargin_)
+    return;
+  for (auto &[First, Keys] : State.Held_) {
+    const bool Due = !Keys.InFlight_ && Now >= Keys.RenewAt_ &&
+                     !isMoving(State, Keys.Row_.Range_);
+    if (!Due)
+      continue;
+    Keys.InFlight_ = true;
+    State.GrantsInFlight_.push_back(Keys.Row_);
+    KeyAction Action;
+    Action.Kind_ = KeyAction::Kind::Grant;
+    Action.Row_ = Keys.Row_;
+    Action.Hold_ = Hold;
+    Actions.push_back(std::move(Action));
+  }
+}
+
+/// The highest epoch that the table names for a host.
+std::uint64_t highestEpoch(const KeyTable &Table, const std::string &Host) {
+  std::uint64_t Highest = 0;
+  for (const KeyRow &Row : Table.Rows_)
+    if (Row.Owner_.Host_ == Host)
+      Highest = std::max(Highest, Row.Owner_.Epoch_);
+  return Highest;
+}
+
+bool isSilent(const KeyDuty &State, const KeySurroundings &Around,
+              const std::string &Host) {
+  const KeyPeer *Peer = findPeer(Around, Host);
+  const Duration Limit =
+      State.Options_.SuspectAfter_ +
+      State.Options_.RankDelay_ * static_cast<int>(rankOf(State, Around));
+  return Peer != nullptr ? Peer->Silence_ > Limit
+                         : Around.Uptime_ > Limit;
+}
+
+void updateTakeovers(KeyDuty &State, const KeySurroundings &Around,
+                     KeyActions &Actions, Instant Now) {
+  std::erase_if(State.Takeovers_, [&](const auto &Entry) {
+    return !isSilent(State, Around, Entry.first) ||
+           highestEpoch(State.Table_, Entry.first) == 0;
+  });
+  for (const KeyRow &Row : State.Table_.Rows_) {
+    const std::string &Host = Row.Owner_.Host_;
+    const bool Foreign =
+        Host != State.Host_ && !State.Takeovers_.contains(Host);
+    if (Foreign && isSilent(State, Around, Host))
+      State.Takeovers_[Host].Epoch_ = highestEpoch(State.Table_, Host) + 1;
+  }
+  for (auto &[Host, Attempt] : State.Takeovers_) {
+    const bool Outdated =
+        highestEpoch(State.Table_, Host) >= Attempt.Epoch_;
+    if (Outdated) {
+      Attempt.Epoch_ = highestEpoch(State.Table_, Host) + 1;
+      Attempt.ShownAt_.reset();
+    }
+    if (Attempt.ShownAt_ || Attempt.Asking_ || Now < Attempt.AskAt_)
+      continue;
+    Attempt.Asking_ = true;
+    KeyAction Action;
+    Action.Kind_ = KeyAction::Kind::ShowEpoch;
+    Action.Host_ = Host;
+    Action.Epoch_ = Attempt.Epoch_;
+    Actions.push_back(std::move(Action));
+  }
+}
+
+void dropLateGrants(KeyDuty &State, Instant Now) {
+  std::erase_if(State.LateGrants_, [Now](const LateGrant &Late) {
+    return Late.Until_ <= Now;
+  });
+}
+
+} // namespace
+
+void onTable(KeyDuty &State, const std::optional<KeyTable> &Table, Offset End,
+             Instant Now) {
+  State.TableKnown_ = true;
+  if (End < State.End_)
+    return;
+  if (State.Append_ && End > State.Append_->Base_)
+    State.Append_.reset();
+  State.End_ = End;
+  if (!Table || (State.Table_.At_ && *Table->At_ <= *State.Table_.At_))
+    return;
+  State.Table_ = *Table;
+  if (!State.Shown_ && !State.Showing_)
+    State.Epoch_ =
+        std::max(State.Epoch_, highestEpoch(State.Table_, State.Host_) + 1);
+  syncAll(State);
+  static_cast<void>(Now);
+}
+
+KeyActions onKeyTick(KeyDuty &State, const KeySurroundings &Around,
+                     Instant Now) {
+  KeyActions Actions;
+  if (!State.TableKnown_)
+    return Actions;
+  dropLateGrants(State, Now);
+  addShowing(State, Actions, Now);
+  updateTakeovers(State, Around, Actions, Now);
+  startMoves(State, Around, Now);
+  syncAll(State);
+  advanceMoves(State, Actions, Now);
+  addAppend(State, Around, Actions, Now);
+  addGrants(State, Actions, Now);
+  return Actions;
+}
+
+void onShown(KeyDuty &State, std::uint64_t Epoch, AppendReply::Kind Result,
+             Instant SentAt, Instant Now) {
+  if (Epoch != State.Epoch_)
+    return;
+  State.Showing_ = false;
+  switch (Result) {
+  case AppendReply::Kind::Done:
+    State.Shown_ = true;
+    State.EpochStep_ = 1;
+    State.LeaseUntil_ =
+        std::max(State.LeaseUntil_, SentAt + State.Options_.Lease_);
+    State.ShowAt_ = SentAt + State.Options_.ShowEvery_;
+    return;
+  case AppendReply::Kind::Fenced:
+    // What is held under the old epoch stays held until its lease ends; the
+    // rows are rewritten with the new one.
+    State.Epoch_ += State.EpochStep_;
+    State.EpochStep_ = std::min(State.EpochStep_ * 2, MaxEpochStep);
+    State.Shown_ = false;
+    State.ShowAt_ = Now;
+    syncAll(State);
+    return;
+  default:
+    State.ShowAt_ = Now + State.Options_.ShowAgain_;
+    return;
+  }
+}
+
+void onTakeoverShown(KeyDuty &State, const std::string &Host,
+                     std::uint64_t Epoch, AppendReply::Kind Result,
+                     Instant Now) {
+  const auto Found = State.Takeovers_.find(Host);
+  if (Found == State.Takeovers_.end() || Found->second.Epoch_ != Epoch)
+    return;
+  Takeover &Attempt = Found->second;
+  Attempt.Asking_ = false;
+  if (Result == AppendReply::Kind::Done) {
+    Attempt.ShownAt_ = Now;
+    return;
+  }
+  Attempt.AskAt_ = Now + State.Options_.ShowAgain_;
+  if (Result == AppendReply::Kind::Fenced) {
+    Attempt.Epoch_ += Attempt.Step_;
+    Attempt.Step_ = std::min(Attempt.Step_ * 2, MaxEpochStep);
+  }
+}
+
+void onAppended(KeyDuty &State, const AppendReply &Reply, Instant Now) {
+  if (!State.Append_)
+    return;
+  switch (Reply.Kind_) {
+  case AppendReply::Kind::Done:
+    State.Table_ = State.Append_->Table_;
+    State.Table_.At_ = Reply.Offset_;
+    State.End_ = std::max(State.End_, Reply.Offset_ + 1);
+    State.Append_.reset();
+    syncAll(State);
+    return;
+  case AppendReply::Kind::Conflict:
+    State.End_ = std::max(State.End_, Reply.End_);
+    State.Append_.reset();
+    return;
+  case AppendReply::Kind::Refused:
+  case AppendReply::Kind::Fenced:
+    State.Append_->Unclear_ = true;
+    State.AppendAt_ = Now + State.Options_.AppendAgain_;
+    return;
+  case AppendReply::Kind::Unknown:
+    State.Append_->Unclear_ = true;
+    State.AppendAt_ = Now + State.Options_.AppendAgain_;
+    return;
+  }
+}
+
+void onGranted(KeyDuty &State, const KeyRow &Row, GrantResult Result,
+               Instant SentAt, Duration Hold, Instant Now) {
+  const auto InFlight = std::find(State.GrantsInFlight_.begin(),
+                                  State.GrantsInFlight_.end(), Row);
+  if (InFlight != State.GrantsInFlight_.end())
+    State.GrantsInFlight_.erase(InFlight);
+  const Instant LatestEnd = Now + withDrift(State, Hold);
+  if (Result == GrantResult::Unknown)
+    State.LateGrants_.push_back({Row.Range_, LatestEnd});
+  const auto Found = State.Held_.find(Row.Range_.First_);
+  const bool Known = Found != State.Held_.end() &&
+                     Found->second.Row_.Range_ == Row.Range_ &&
+                     Found->second.Row_.Fence_ == Row.Fence_;
+  if (!Known) {
+    if (Result == GrantResult::Granted)
+      State.LateGrants_.push_back({Row.Range_, LatestEnd});
+    return;
+  }
+  HeldKeys &Keys = Found->second;
+  Keys.InFlight_ = false;
+  Keys.MayHoldUntil_ = std::max(Keys.MayHoldUntil_, LatestEnd);
+  if (Result != GrantResult::Granted) {
+    Keys.RenewAt_ = Now + State.Options_.AppendAgain_;
+    return;
+  }
+  Keys.Granted_ = true;
+  Keys.SureUntil_ = SentAt + Hold;
+  Keys.RenewAt_ = SentAt + State.Options_.GrantEvery_;
+}
+
+void onReleased(KeyDuty &State, const KeyRow &Row,
+                const std::optional<std::string> &Handover, Instant Now) {
+  for (KeyMove &Move : State.Moves_) {
+    if (Move.Range_ != Row.Range_ || Move.Fence_ != Row.Fence_ ||
+        Move.Phase_ != KeyMove::Phase::Releasing)
+      continue;
+    Move.Phase_ = KeyMove::Phase::Released;
+    Move.Handover_ = Handover.value_or("");
+    Move.SafeAt_ = Handover ? lateGrantsEnd(State, Move.Range_)
+                            : holdsEnd(State, Move.Range_);
+  }
+  static_cast<void>(Now);
+}
+
+void onUpstream(KeyDuty &State, const OwnUpstream &Upstream) {
+  State.Upstream_ = Upstream;
+  syncAll(State);
+}
+
+bool servesKey(const KeyDuty &State, KeyId Key, Instant Now) {
+  if (Now >= State.LeaseUntil_ || isMoving(State, {Key, Key}))
+    return false;
+  const auto After = State.Held_.upper_bound(Key);
+  if (After == State.Held_.begin())
+    return false;
+  const HeldKeys &Keys = std::prev(After)->second;
+  return contains(Keys.Row_.Range_, Key) && Keys.Granted_ &&
+         Now < Keys.SureUntil_;
+}
+
+bool ownsKey(const KeyDuty &State, KeyId Key) {
+  const KeyRow *Row = findRow(State.Table_, Key);
+  return Row != nullptr && Row->Owner_.Host_ == State.Host_ &&
+         !isMoving(State, {Key, Key});
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/ownership/key_duty_options.h
@@ -0,0 +1,44 @@
+#ifndef LAGOONHITCH_OWNERSHIP_KEY_DUTY_OPTIONS_H
+#define LAGOONHITCH_OWNERSHIP_KEY_DUTY_OPTIONS_H
+
+/// \file
+/// Settings of a KeyDuty.
+
+#include <chrono>
+
+namespace lagoonhitch {
+
+/// Settings of a KeyDuty.
+struct KeyDutyOptions {
+  /// How long an acknowledged showing of the epoch lets keys be held.
+  std::chrono::milliseconds Lease_{8000};
+  std::chrono::milliseconds ShowEvery_{2000};
+  /// Pause after a showing that failed.
+  std::chrono::milliseconds ShowAgain_{300};
+  /// How long the upstream holds keys by one grant.
+  std::chrono::milliseconds Hold_{2500};
+  std::chrono::milliseconds GrantEvery_{800};
+  /// How much slower than ours the upstream's clock may run.
+  double Drift_ = 0.02;
+  /// Time between the last look at the clock and the arrival of a grant.
+  std::chrono::milliseconds PauseMargin_{150};
+  /// How long the members stay the same before keys are first divided.
+  std::chrono::milliseconds SettleFor_{1000};
+  /// Silence after which a host is suspected.
+  std::chrono::milliseconds SuspectAfter_{2500};
+  /// How much later each further host acts.
+  std::chrono::milliseconds RankDelay_{400};
+  /// Pause after an append that failed.
+  std::chrono::milliseconds AppendAgain_{150};
+  /// Pause between two moves for balance.
+  std::chrono::milliseconds RebalanceEvery_{1500};
+  /// How much busier than another a host must be to move keys there, as a part
+  /// of what it bears.
+  double RebalanceGap_ = 0.2;
+  /// Part of the difference that is moved at a time.
+  double RebalancePart_ = 0.8;
+};
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_OWNERSHIP_KEY_DUTY_OPTIONS_H
--- /dev/null
+++ b/ownership/key_table.cpp
@@ -0,0 +1,140 @@
+#include "ownership/key_table.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lagoonhitch {
+
+namespace {
+
+using Json = nlohmann::json;
+
+bool startsLater(KeyId Key, const KeyRow &Row) {
+  return Key < Row.Range_.First_;
+}
+
+bool canJoin(const KeyRow &Left, const KeyRow &Right) {
+  return Left.Range_.Last_ + 1 == Right.Range_.First_ &&
+         Left.Owner_ == Right.Owner_ && Left.Fence_ == Right.Fence_ &&
+         Left.Handover_ == Right.Handover_;
+}
+
+bool isOrdered(const std::vector<KeyRow> &Rows) {
+  for (std::size_t Index = 0; Index < Rows.size(); ++Index) {
+    const KeyRange &Range = Rows[Index].Range_;
+    if (Range.First_ > Range.Last_ || Range.Last_ > LastKey)
+      return false;
+    if (Index > 0 && Rows[Index - 1].Range_.Last_ >= Range.First_)
+      return false;
+  }
+  return true;
+}
+
+KeyRow decodeRow(const Json &Source) {
+  KeyRow Row;
+  Source.at("first").get_to(Row.Range_.First_);
+  Source.at("last").get_to(Row.Range_.Last_);
+  Source.at("host").get_to(Row.Owner_.Host_);
+  Source.at("upstream").get_to(Row.Owner_.Upstream_);
+  Source.at("born").get_to(Row.Owner_.Born_);
+  Source.at("epoch").get_to(Row.Owner_.Epoch_);
+  Source.at("fence").get_to(Row.Fence_);
+  Row.Handover_ = Source.value("handover", "");
+  return Row;
+}
+
+} // namespace
+
+bool sameLife(const KeyOwner &Left, const KeyOwner &Right) {
+  return Left.Host_ == Right.Host_ && Left.Upstream_ == Right.Upstream_ &&
+         Left.Born_ == Right.Born_;
+}
+
+const KeyRow *findRow(const KeyTable &Table, KeyId Key) {
+  const auto After = std::upper_bound(Table.Rows_.begin(), Table.Rows_.end(),
+                                      Key, startsLater);
+  if (After == Table.Rows_.begin())
+    return nullptr;
+  const KeyRow &Row = *std::prev(After);
+  return contains(Row.Range_, Key) ? &Row : nullptr;
+}
+
+std::vector<KeyRow> rowsOf(const KeyTable &Table, const std::string &Host) {
+  std::vector<KeyRow> Rows;
+  for (const KeyRow &Row : Table.Rows_)
+    if (Row.Owner_.Host_ == Host)
+      Rows.push_back(Row);
+  return Rows;
+}
+
+void assignKeys(KeyTable &Table, const KeyRow &Row) {
+  std::vector<KeyRow> Rows;
+  for (const KeyRow &Old : Table.Rows_) {
+    if (!overlaps(Old.Range_, Row.Range_)) {
+      Rows.push_back(Old);
+      continue;
+    }
+    if (Old.Range_.First_ < Row.Range_.First_) {
+      KeyRow Left = Old;
+      Left.Range_.Last_ = Row.Range_.First_ - 1;
+      Rows.push_back(Left);
+    }
+    if (Old.Range_.Last_ > Row.Range_.Last_) {
+      KeyRow Right = Old;
+      Right.Range_.First_ = Row.Range_.Last_ + 1;
+      Rows.push_back(Right);
+    }
+  }
+  Rows.push_back(Row);
+  std::sort(Rows.begin(), Rows.end(),
+            [](const KeyRow &Left, const KeyRow &Right) {
+              return Left.Range_.First_ < Right.Range_.First_;
+            });
+  Table.Rows_ = std::move(Rows);
+}
+
+void joinRows(KeyTable &Table) {
+  std::vector<KeyRow> Rows;
+  for (const KeyRow &Row : Table.Rows_) {
+    if (!Rows.empty() && canJoin(Rows.back(), Row))
+      Rows.back().Range_.Last_ = Row.Range_.Last_;
+    else
+      Rows.push_back(Row);
+  }
+  Table.Rows_ = std::move(Rows);
+}
+
+std::string encodeTable(const KeyTable &Table) {
+  Json Rows = Json::array();
+  for (const KeyRow &Row : Table.Rows_) {
+    Json Text = {{"first", Row.Range_.First_},
+                 {"last", Row.Range_.Last_},
+                 {"host", Row.Owner_.Host_},
+                 {"upstream", Row.Owner_.Upstream_},
+                 {"born", Row.Owner_.Born_},
+                 {"epoch", Row.Owner_.Epoch_},
+                 {"fence", Row.Fence_}};
+    if (!Row.Handover_.empty())
+      Text["handover"] = Row.Handover_;
+    Rows.push_back(std::move(Text));
+  }
+  return Json{{"rows", std::move(Rows)}}.dump();
+}
+
+std::optional<KeyTable> decodeTable(const std::string &Text, Offset At) {
+  try {
+    const Json Source = Json::parse(Text);
+    KeyTable Table;
+    Table.At_ = At;
+    for (const Json &Row : Source.at("rows"))
+      Table.Rows_.push_back(decodeRow(Row));
+    if (!isOrdered(Table.Rows_))
+      return std::nullopt;
+    return Table;
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/settings/host_settings.cpp
@@ -0,0 +1,130 @@
+#include "settings/host_settings.h"
+
+#include "settings/settings_error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <utility>
+#include <vector>
+
+namespace lagoonhitch {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Reads fields and collects the faults of all of them.
+class FieldReader {
+public:
+  explicit FieldReader(const Json &Source, std::string Path)
+      : Source_(Source), Path_(std::move(Path)) {}
+
+  void text(const char *Name, std::string &Target) {
+    const Json *Field = find(Name);
+    if (Field == nullptr || !Field->is_string() || Field->empty() ||
+        Field->get_ref<const std::string &>().empty()) {
+      addFault(Name, Field, "a text");
+      return;
+    }
+    Target = Field->get<std::string>();
+  }
+
+  void seconds(const char *Name, std::chrono::milliseconds &Target) {
+    double Value = static_cast<double>(Target.count()) / MillisPerSecond;
+    number(Name, Value);
+    Target = std::chrono::milliseconds(
+        static_cast<std::int64_t>(Value * MillisPerSecond));
+  }
+
+  /// A missing field keeps its default.
+  void number(const char *Name, double &Target) {
+    const Json *Field = find(Name);
+    if (Field == nullptr || Field->is_null())
+      return;
+    if (!Field->is_number() || Field->get<double>() < 0) {
+      addFault(Name, Field, "a number of zero or more");
+      return;
+    }
+    Target = Field->get<double>();
+  }
+
+  std::vector<SettingsFault> takeFaults() { return std::move(Faults_); }
+
+private:
+  static constexpr double MillisPerSecond = 1000;
+
+  const Json *find(const char *Name) const {
+    if (!Source_.is_object())
+      return nullptr;
+    const auto Found = Source_.find(Name);
+    return Found == Source_.end() ? nullptr : &*Found;
+  }
+
+  void addFault(const char *Name, const Json *Field, const char *Allowed) {
+    Faults_.push_back({Path_ + "/" + Name,
+                       Field == nullptr ? "nothing" : Field->dump(), Allowed,
+                       "mend the field in the host's settings"});
+  }
+
+  const Json &Source_;
+  std::string Path_;
+  std::vector<SettingsFault> Faults_;
+};
+
+std::vector<SettingsFault> readBounds(const Json &Source, SiteBounds &Bounds) {
+  FieldReader Fields(Source, "/bounds");
+  Fields.seconds("drain_s", Bounds.DrainWithin_);
+  Fields.seconds("evacuate_s", Bounds.EvacuateWithin_);
+  Fields.seconds("stop_s", Bounds.StopWithin_);
+  Fields.seconds("max_hold_s", Bounds.MaxHold_);
+  Fields.number("retry_ratio", Bounds.RetryRatio_);
+  Fields.number("retry_slack", Bounds.RetrySlack_);
+  Fields.seconds("retry_window_s", Bounds.RetryWindow_);
+  return Fields.takeFaults();
+}
+
+} // namespace
+
+HostSettings parseHostSettings(const Json &Source) {
+  HostSettings Settings;
+  FieldReader Fields(Source, "");
+  Fields.text("host", Settings.Host_);
+  Fields.text("zone", Settings.Zone_);
+  Fields.text("service", Settings.Service_);
+  Fields.text("upstream", Settings.UpstreamAddress_);
+  Fields.text("callers", Settings.CallersAddress_);
+  Fields.text("ready", Settings.ReadyAddress_);
+  Fields.text("announce", Settings.AnnounceAddress_);
+  Fields.text("peers", Settings.PeersAddress_);
+  Fields.text("admin", Settings.AdminAddress_);
+  Fields.text("store", Settings.StoreAddress_);
+  double MemoryMb = static_cast<double>(Settings.MemoryMb_);
+  Fields.number("memory_mb", MemoryMb);
+  Settings.MemoryMb_ = static_cast<std::size_t>(MemoryMb);
+  std::vector<SettingsFault> Faults = Fields.takeFaults();
+  const Json None = Json::object();
+  const Json &Bounds = Source.is_object() && Source.contains("bounds")
+                           ? Source.at("bounds")
+                           : None;
+  for (SettingsFault &Fault : readBounds(Bounds, Settings.Bounds_))
+    Faults.push_back(std::move(Fault));
+  if (!Faults.empty())
+    throw SettingsError(std::move(Faults));
+  return Settings;
+}
+
+HostSettings loadHostSettings(const std::string &FileName) {
+  std::ifstream Source(FileName);
+  if (!Source)
+    throw SettingsError({{"/", "no readable file " + FileName, "a JSON file",
+                          "check the name and its permissions"}});
+  try {
+    return parseHostSettings(Json::parse(Source));
+  } catch (const Json::exception &Failure) {
+    throw SettingsError({{"/", FileName + " is no JSON: " + Failure.what(),
+                          "one JSON object", "mend the syntax"}});
+  }
+}
+
+} // namespace lagoonhitch
