Check histories of key ownership over a faulty store

10,000 schedules of up to 12 faults (freezes, kills, power losses, cuts, a store that is down, slow, behind, or loses answers, late grants, drains, hot keys) run the decisions of ownership/key_duty.h against a model of the store and of upstreams with slow clocks; two holders of a key, or a fence that is not above all others, fail the schedule. Smaller schedules must end with all keys held.

Found by it on the way: a span since 'never' overflowed, in the model and in the daemon, which therefore never asked a silent upstream for its health.

Unit tests for the codec of the platform, the door, tables, fleets and choices.

--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -186,7 +186,7 @@
   bool AskingHealth_ = false;
   bool WasEvacuated_ = false;
   bool ColdUnknown_ = false;
-  Instant HealthAskedAt_ = Instant::min();
+  std::optional<Instant> HealthAskedAt_;
   MemberRecord Published_;
   bool Publishing_ = false;
   Instant PublishAt_ = Instant::min();
@@ -385,7 +385,8 @@
     return;
   const Instant Now = Time_.now();
   const bool Quiet = Now - Life_->HeardAt_ > HeartbeatPatience;
-  const bool Asked = Now - HealthAskedAt_ < HeartbeatPatience / 2;
+  const bool Asked =
+      HealthAskedAt_ && Now - *HealthAskedAt_ < HeartbeatPatience / 2;
   if ((Quiet && !Life_->Silent_ && !Asked) || (ColdUnknown_ && !Asked))
     askHealth();
 }
--- a/ownership/key_duty.cpp
+++ b/ownership/key_duty.cpp
@@ -547,9 +547,6 @@
     return;
   case AppendReply::Kind::Refused:
   case AppendReply::Kind::Fenced:
-    State.Append_->Unclear_ = true;
-    State.AppendAt_ = Now + State.Options_.AppendAgain_;
-    return;
   case AppendReply::Kind::Unknown:
     State.Append_->Unclear_ = true;
     State.AppendAt_ = Now + State.Options_.AppendAgain_;
--- /dev/null
+++ b/tests/schedule/key_schedule_test.cpp
@@ -0,0 +1,111 @@
+/// \file
+/// Random schedules of faults against the decisions about keys.
+
+#define BOOST_TEST_MODULE key_schedule
+#include "tests/schedule/key_world.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+namespace lagoonhitch {
+
+namespace {
+
+constexpr std::uint32_t HostCount = 4;
+constexpr std::size_t LookedAtKeys = 256;
+constexpr int LatestFaultMillis = 9000;
+constexpr int LongestFaultMillis = 9000;
+
+rc::Gen<KeyFault> anyFault() {
+  return rc::gen::build<KeyFault>(
+      rc::gen::set(&KeyFault::Kind_,
+                   rc::gen::map(rc::gen::inRange(0, KeyFaultKindCount),
+                                [](int Number) {
+                                  return static_cast<KeyFaultKind>(Number);
+                                })),
+      rc::gen::set(&KeyFault::At_,
+                   rc::gen::map(rc::gen::inRange(0, LatestFaultMillis),
+                                [](int Millis) {
+                                  return std::chrono::milliseconds(Millis);
+                                })),
+      rc::gen::set(&KeyFault::Length_,
+                   rc::gen::map(rc::gen::inRange(10, LongestFaultMillis),
+                                [](int Millis) {
+                                  return std::chrono::milliseconds(Millis);
+                                })),
+      rc::gen::set(&KeyFault::Host_,
+                   rc::gen::inRange<std::uint32_t>(0, HostCount)));
+}
+
+std::string wordsOf(const KeyWorld &World) {
+  std::string Words;
+  for (const std::string &Rule : World.broken())
+    Words += Rule + "; ";
+  return Words;
+}
+
+} // namespace
+
+RC_BOOST_PROP(SafetyHoldsUnderAnyFaults, ()) {
+  const std::uint64_t Seed = *rc::gen::arbitrary<std::uint64_t>();
+  const std::vector<KeyFault> Faults = *rc::gen::resize(
+      12, rc::gen::container<std::vector<KeyFault>>(anyFault()));
+  KeyWorld World(HostCount, Seed);
+  World.run(std::chrono::seconds(5), {});
+  World.run(std::chrono::seconds(22), Faults);
+  RC_ASSERT(wordsOf(World) == "");
+}
+
+RC_BOOST_PROP(AllKeysAreServedAgainAfterTheFaults, ()) {
+  const std::uint64_t Seed = *rc::gen::arbitrary<std::uint64_t>();
+  const std::vector<KeyFault> Faults = *rc::gen::resize(
+      4, rc::gen::container<std::vector<KeyFault>>(anyFault()));
+  KeyWorld World(HostCount, Seed);
+  World.run(std::chrono::seconds(5), {});
+  World.run(std::chrono::seconds(45), Faults);
+  RC_ASSERT(World.heldKeys() == LookedAtKeys);
+  RC_ASSERT(wordsOf(World) == "");
+}
+
+BOOST_AUTO_TEST_CASE(CalmHostsDivideAllKeysOnce) {
+  KeyWorld World(HostCount, 7);
+  World.run(std::chrono::seconds(20), {});
+  BOOST_TEST(World.heldKeys() == LookedAtKeys);
+  BOOST_TEST(World.tables() == 1U);
+  BOOST_TEST(wordsOf(World) == "");
+}
+
+BOOST_AUTO_TEST_CASE(SilentHostIsTakenOverAfterTheLease) {
+  KeyWorld World(HostCount, 7);
+  World.run(std::chrono::seconds(5), {});
+  const std::chrono::milliseconds Long(60000);
+  World.run(std::chrono::seconds(9),
+            {{KeyFaultKind::PowerLoss, std::chrono::milliseconds(0), Long, 1}});
+  BOOST_TEST(World.heldKeys() < LookedAtKeys);
+  World.run(std::chrono::seconds(5), {});
+  BOOST_TEST(World.heldKeys() == LookedAtKeys);
+  BOOST_TEST(wordsOf(World) == "");
+}
+
+BOOST_AUTO_TEST_CASE(LostUpstreamIsReplacedAtOnce) {
+  KeyWorld World(HostCount, 7);
+  World.run(std::chrono::seconds(5), {});
+  World.run(std::chrono::milliseconds(600),
+            {{KeyFaultKind::UpstreamCrash, std::chrono::milliseconds(0),
+              std::chrono::milliseconds(60000), 1}});
+  BOOST_TEST(World.heldKeys() == LookedAtKeys);
+  BOOST_TEST(wordsOf(World) == "");
+}
+
+BOOST_AUTO_TEST_CASE(RestartedDaemonResumesWithoutMoves) {
+  KeyWorld World(HostCount, 7);
+  World.run(std::chrono::seconds(5), {});
+  World.run(std::chrono::seconds(3),
+            {{KeyFaultKind::Kill, std::chrono::milliseconds(0),
+              std::chrono::milliseconds(1000), 1}});
+  BOOST_TEST(World.heldKeys() == LookedAtKeys);
+  BOOST_TEST(World.tables() == 2U);
+  BOOST_TEST(wordsOf(World) == "");
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/tests/unit/door_test.cpp
@@ -0,0 +1,121 @@
+/// \file
+/// What a door lets in, in patterns of load.
+
+#define BOOST_TEST_MODULE door
+#include "limits/door_queue.h"
+#include "limits/shared_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+namespace lagoonhitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const Instant Start{std::chrono::hours(1)};
+
+DoorTicket ticket(std::uint64_t Number, Instant Now, std::uint32_t Rank = 1,
+                  milliseconds Objective = milliseconds(600),
+                  milliseconds Deadline = milliseconds(2000)) {
+  return {Number, Rank, Now + Objective, Now + Deadline, Objective};
+}
+
+DoorQueue openDoor(std::uint32_t Slots) {
+  DoorQueue Door;
+  resetDoor(Door, Slots);
+  return Door;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(NeverMoreThanTheSlotsRun) {
+  DoorQueue Door = openDoor(4);
+  std::uint32_t Started = 0;
+  for (std::uint64_t Number = 1; Number <= 40; ++Number) {
+    const DoorVerdict Verdict = offer(Door, ticket(Number, Start), Start);
+    Started += Verdict.Kind_ == DoorVerdict::Kind::Start ? 1 : 0;
+    BOOST_TEST(Door.Running_ <= 4U);
+  }
+  BOOST_TEST(Started == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAtOnceWhatCannotBeServedInTime) {
+  DoorQueue Door = openDoor(4);
+  std::uint64_t Number = 0;
+  DoorVerdict Last;
+  do {
+    Last = offer(Door, ticket(++Number, Start), Start);
+  } while (Last.Kind_ != DoorVerdict::Kind::Refuse && Number < 100);
+  BOOST_TEST((Last.Kind_ == DoorVerdict::Kind::Refuse));
+  // The wait that is told is the one behind all who wait already.
+  BOOST_TEST((Last.RetryAfter_ > milliseconds(300)));
+  BOOST_TEST(Number < 20U);
+}
+
+BOOST_AUTO_TEST_CASE(UrgentRequestsGoFirst) {
+  DoorQueue Door = openDoor(1);
+  offer(Door, ticket(1, Start), Start);
+  offer(Door, ticket(2, Start, 2), Start);
+  offer(Door, ticket(3, Start, 0), Start);
+  finish(Door, milliseconds(100));
+  const DoorChange Change = advance(Door, Start + milliseconds(100));
+  BOOST_REQUIRE(Change.Started_.size() == 1U);
+  BOOST_TEST(Change.Started_.front().Number_ == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(DropsWhoCannotBeAnsweredAnyMore) {
+  DoorQueue Door = openDoor(1);
+  offer(Door, ticket(1, Start), Start);
+  offer(Door, ticket(2, Start, 1, milliseconds(600), milliseconds(700)), Start);
+  const DoorChange Change = advance(Door, Start + milliseconds(690));
+  BOOST_REQUIRE(Change.Dropped_.size() == 1U);
+  BOOST_TEST(Change.Dropped_.front().Number_ == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ColdUpstreamsGetTheirRateInEverySecond) {
+  DoorQueue Door = openDoor(50);
+  constexpr double PerSecond = 17;
+  setCold(Door, Start + milliseconds(3000), PerSecond, Start);
+  std::deque<Instant> Starts;
+  std::uint64_t Number = 0;
+  for (Instant Now = Start; Now < Start + milliseconds(3000);
+       Now += milliseconds(5)) {
+    const DoorVerdict Verdict = offer(Door, ticket(++Number, Now), Now);
+    std::size_t Begun = Verdict.Kind_ == DoorVerdict::Kind::Start ? 1 : 0;
+    Begun += advance(Door, Now).Started_.size();
+    for (; Begun > 0; --Begun) {
+      Starts.push_back(Now);
+      finish(Door, milliseconds(200));
+    }
+    while (!Starts.empty() && Starts.front() + milliseconds(1000) <= Now)
+      Starts.pop_front();
+    BOOST_TEST(Starts.size() <= PerSecond * 1.5);
+  }
+  BOOST_TEST(Starts.size() >= PerSecond * 0.8);
+}
+
+BOOST_AUTO_TEST_CASE(SharedBudgetHoldsOverAllDaemons) {
+  SharedBudgetOptions Options;
+  Options.Ratio_ = 0.2;
+  Options.Slack_ = 62;
+  constexpr std::size_t Daemons = 12;
+  std::vector<SharedBudget> Budgets(Daemons);
+  double Spent = 0;
+  constexpr int Requests = 400;
+  // All daemons spend as much as they may, in one window.
+  for (int Step = 0; Step < Requests; ++Step) {
+    const Instant Now = Start + milliseconds(25) * Step;
+    for (SharedBudget &Budget : Budgets) {
+      earnShared(Budget, Options);
+      while (spendShared(Budget, Options, Daemons, Now))
+        Spent += 1;
+    }
+  }
+  BOOST_TEST(Spent <= Options.Ratio_ * Requests * Daemons + Options.Slack_);
+  BOOST_TEST(Spent >= Options.Ratio_ * Requests * Daemons / 2);
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/tests/unit/fleet_test.cpp
@@ -0,0 +1,168 @@
+/// \file
+/// Members, upstreams' lives, and the choice among hosts.
+
+#define BOOST_TEST_MODULE fleet
+#include "membership/fleet.h"
+#include "membership/upstream_life.h"
+#include "net/digest_codec.h"
+#include "routing/host_choice.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace lagoonhitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const Instant Start{std::chrono::hours(1)};
+
+void addHost(Fleet &State, const std::string &Host, const std::string &Zone,
+             std::uint32_t Running, std::uint32_t WorkMillis = 100) {
+  MemberRecord Record;
+  Record.Host_ = Host;
+  Record.Zone_ = Zone;
+  Record.Service_ = "s";
+  Record.State_ = UpstreamState::Ready;
+  noteRecord(State, Record, Start);
+  LoadDigest Digest;
+  Digest.Host_ = Host;
+  Digest.Process_ = 1;
+  Digest.Sequence_ = 1;
+  Digest.Accepts_ = true;
+  Digest.Slots_ = 18;
+  Digest.Running_ = Running;
+  Digest.WorkMillis_ = WorkMillis;
+  noteDigest(State, Digest, Start);
+}
+
+std::map<std::string, int> choose(const Fleet &State, HostChoice Choice) {
+  Choice.Service_ = "s";
+  std::map<std::string, int> Counts;
+  std::uint64_t Draw = 88172645463325252ULL;
+  for (int Round = 0; Round < 1000; ++Round) {
+    Draw ^= Draw << 13U;
+    Draw ^= Draw >> 7U;
+    Draw ^= Draw << 17U;
+    if (const auto Host =
+            chooseHost(State, Choice, HostChoiceOptions(), Draw, Start))
+      ++Counts[*Host];
+  }
+  return Counts;
+}
+
+Announcement heard(const std::string &Upstream, std::int64_t Born,
+                   std::uint64_t Sequence, bool Draining = false) {
+  Announcement Heard;
+  Heard.Upstream_ = Upstream;
+  Heard.Service_ = "s";
+  Heard.Address_ = "a:1";
+  Heard.Born_ = Born;
+  Heard.Sequence_ = Sequence;
+  Heard.Draining_ = Draining;
+  return Heard;
+}
+
+AnnouncementResult take(std::optional<UpstreamLife> &Life,
+                        const Announcement &Heard) {
+  return takeAnnouncement(Life, Heard, "s", "a:1", Start);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(OwnZoneIsTakenWhileItHasRoom) {
+  Fleet State;
+  addHost(State, "near", "z1", 3);
+  addHost(State, "far", "z2", 3);
+  HostChoice Choice;
+  Choice.OwnZone_ = "z1";
+  BOOST_TEST(choose(State, Choice)["near"] == 1000);
+}
+
+BOOST_AUTO_TEST_CASE(FullHostOfTheOwnZoneIsLeft) {
+  Fleet State;
+  addHost(State, "near", "z1", 40);
+  addHost(State, "far", "z2", 3);
+  HostChoice Choice;
+  Choice.OwnZone_ = "z1";
+  BOOST_TEST(choose(State, Choice)["far"] > 700);
+}
+
+BOOST_AUTO_TEST_CASE(HostsThatLeaveOrWereTriedAreLeftOut) {
+  Fleet State;
+  addHost(State, "a", "z1", 3);
+  addHost(State, "b", "z1", 3);
+  addHost(State, "c", "z3", 3);
+  State.EvacuatedZones_ = {"z3"};
+  HostChoice Choice;
+  Choice.OwnZone_ = "z1";
+  Choice.Tried_ = {"a"};
+  BOOST_TEST(choose(State, Choice)["b"] == 1000);
+  Choice.Tried_ = {"a", "b"};
+  BOOST_TEST(choose(State, Choice).empty());
+}
+
+BOOST_AUTO_TEST_CASE(LateDigestsChangeNothing) {
+  Fleet State;
+  addHost(State, "a", "z1", 3);
+  LoadDigest Late;
+  Late.Host_ = "a";
+  Late.Process_ = 1;
+  Late.Sequence_ = 1;
+  Late.Running_ = 99;
+  noteDigest(State, Late, Start);
+  BOOST_TEST(findMember(State, "a")->Digest_.Running_ == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(DigestsSurviveTheirCodec) {
+  LoadDigest Digest;
+  Digest.Host_ = "host-1";
+  Digest.Process_ = 1ULL << 62U;
+  Digest.KeyEpoch_ = 9;
+  Digest.TableEnd_ = 77;
+  Digest.Stopping_ = true;
+  const std::string Message = encodeDigest(Digest);
+  const std::optional<LoadDigest> Again =
+      decodeDigest(Message.data(), Message.size());
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(Again->Host_ == "host-1");
+  BOOST_TEST(Again->Process_ == Digest.Process_);
+  BOOST_TEST(Again->TableEnd_ == 77U);
+  BOOST_TEST(Again->Stopping_);
+  for (std::size_t Size = 0; Size < Message.size(); ++Size)
+    BOOST_TEST(!decodeDigest(Message.data(), Size).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(StaleAndForeignHeartbeatsChangeNothing) {
+  std::optional<UpstreamLife> Life;
+  BOOST_TEST((take(Life, heard("i", 100, 5)) == AnnouncementResult::Taken));
+  BOOST_TEST(
+      (take(Life, heard("i", 100, 4, true)) == AnnouncementResult::Stale));
+  BOOST_TEST(!Life->Leaving_);
+  BOOST_TEST(
+      (take(Life, heard("j", 90, 9, true)) == AnnouncementResult::Stale));
+  Announcement Foreign = heard("k", 200, 1);
+  Foreign.Address_ = "other:1";
+  BOOST_TEST((take(Life, Foreign) == AnnouncementResult::Foreign));
+  BOOST_TEST(Life->Last_.Upstream_ == "i");
+}
+
+BOOST_AUTO_TEST_CASE(LaterLifeUnderTheSameNameIsAnotherOne) {
+  std::optional<UpstreamLife> Life;
+  take(Life, heard("i", 100, 50, true));
+  BOOST_TEST((ownUpstream(Life).State_ == OwnUpstream::State::Leaving));
+  BOOST_TEST((take(Life, heard("i", 200, 1)) == AnnouncementResult::Taken));
+  BOOST_TEST((ownUpstream(Life).State_ == OwnUpstream::State::Serving));
+  BOOST_TEST(ownUpstream(Life).Born_ == 200);
+}
+
+BOOST_AUTO_TEST_CASE(OnceLeavingALifeStaysSo) {
+  std::optional<UpstreamLife> Life;
+  take(Life, heard("i", 100, 1));
+  BOOST_TEST(!takeFarewell(Life, "other"));
+  BOOST_TEST(takeFarewell(Life, "i"));
+  take(Life, heard("i", 100, 2));
+  BOOST_TEST(!takesRequests(Life));
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/tests/unit/keys_test.cpp
@@ -0,0 +1,132 @@
+/// \file
+/// Tables of keys, and who gets which.
+
+#define BOOST_TEST_MODULE keys
+#include "ownership/key_balance.h"
+#include "ownership/key_table.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+namespace lagoonhitch {
+
+namespace {
+
+KeyRow row(KeyId First, KeyId Last, const std::string &Host, Token Fence = 1) {
+  KeyRow Row;
+  Row.Range_ = {First, Last};
+  Row.Owner_.Host_ = Host;
+  Row.Fence_ = Fence;
+  return Row;
+}
+
+KeyPeer peer(const std::string &Host, double Rate, double Capacity = 60) {
+  KeyPeer Peer;
+  Peer.Host_ = Host;
+  Peer.Serving_ = true;
+  Peer.Rate_ = Rate;
+  Peer.Capacity_ = Capacity;
+  return Peer;
+}
+
+std::uint32_t keysOf(const std::vector<KeyPlacement> &Placements,
+                     const std::string &Host) {
+  std::uint32_t Count = 0;
+  for (const KeyPlacement &Placement : Placements)
+    if (Placement.Host_ == Host)
+      Count += sizeOf(Placement.Range_);
+  return Count;
+}
+
+} // namespace
+
+RC_BOOST_PROP(EveryKeyHasTheOwnerItWasGivenLast, ()) {
+  KeyTable Table;
+  std::map<KeyId, std::string> Expected;
+  const std::size_t Steps = *rc::gen::inRange<std::size_t>(1, 30);
+  for (std::size_t Step = 0; Step < Steps; ++Step) {
+    const KeyId First = *rc::gen::inRange<KeyId>(0, 200);
+    const KeyId Last = First + *rc::gen::inRange<KeyId>(0, 60);
+    const std::string Host = "h" + std::to_string(Step % 5);
+    assignKeys(Table, row(First, Last, Host));
+    joinRows(Table);
+    for (KeyId Key = First; Key <= Last; ++Key)
+      Expected[Key] = Host;
+  }
+  for (KeyId Key = 0; Key < 300; ++Key) {
+    const KeyRow *Found = findRow(Table, Key);
+    const auto Owner = Expected.find(Key);
+    RC_ASSERT((Found == nullptr) == (Owner == Expected.end()));
+    if (Found != nullptr)
+      RC_ASSERT(Found->Owner_.Host_ == Owner->second);
+  }
+  const std::optional<KeyTable> Again = decodeTable(encodeTable(Table), 3);
+  RC_ASSERT(Again.has_value());
+  RC_ASSERT(Again->Rows_ == Table.Rows_);
+}
+
+BOOST_AUTO_TEST_CASE(TablesWithOverlapsAreNotRead) {
+  KeyTable Table;
+  Table.Rows_ = {row(0, 10, "a"), row(10, 20, "b")};
+  BOOST_TEST(!decodeTable(encodeTable(Table), 0).has_value());
+  Table.Rows_ = {row(0, 70000, "a")};
+  BOOST_TEST(!decodeTable(encodeTable(Table), 0).has_value());
+  BOOST_TEST(!decodeTable("{}", 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(KeysAreDividedByWhatHostsBear) {
+  KeySurroundings Around;
+  Around.Peers_ = {peer("a", 0, 100), peer("b", 0, 50), peer("c", 0, 50)};
+  const std::vector<KeyPlacement> Placements =
+      placeKeys({{0, LastKey}}, Around, "");
+  const std::uint32_t All = LastKey + 1;
+  BOOST_TEST(keysOf(Placements, "a") + keysOf(Placements, "b") +
+                 keysOf(Placements, "c") ==
+             All);
+  BOOST_TEST(keysOf(Placements, "a") >= keysOf(Placements, "b"));
+}
+
+BOOST_AUTO_TEST_CASE(HostsThatTakeNothingGetNoKeys) {
+  KeySurroundings Around;
+  Around.Peers_ = {peer("a", 0), peer("b", 0)};
+  Around.Peers_[1].Serving_ = false;
+  BOOST_TEST(keysOf(placeKeys({{0, 99}}, Around, ""), "a") == 100U);
+  BOOST_TEST(placeKeys({{0, 99}}, Around, "a").empty());
+}
+
+BOOST_AUTO_TEST_CASE(BusyHostMovesAboutHalfOfTheDifference) {
+  std::map<KeyId, double> Rates;
+  for (KeyId Key = 0; Key < 1000; Key += 10)
+    Rates[Key] = 0.6;
+  KeySurroundings Around;
+  Around.KeyRates_ = &Rates;
+  Around.Peers_ = {peer("a", 60), peer("b", 10)};
+  const std::optional<KeyPlacement> Move =
+      findMove({row(0, 999, "a")}, "a", Around, KeyDutyOptions());
+  BOOST_REQUIRE(Move.has_value());
+  BOOST_TEST(Move->Host_ == "b");
+  BOOST_TEST(sizeOf(Move->Range_) > 200U);
+  BOOST_TEST(sizeOf(Move->Range_) < 500U);
+}
+
+BOOST_AUTO_TEST_CASE(OneHotKeyStaysAndTheOthersLeave) {
+  std::map<KeyId, double> Rates = {{100, 2}, {500, 50}, {900, 2}};
+  KeySurroundings Around;
+  Around.KeyRates_ = &Rates;
+  Around.Peers_ = {peer("a", 54), peer("b", 10)};
+  const std::optional<KeyPlacement> Move =
+      findMove({row(0, 999, "a")}, "a", Around, KeyDutyOptions());
+  if (Move)
+    BOOST_TEST(!contains(Move->Range_, 500));
+}
+
+BOOST_AUTO_TEST_CASE(EvenLoadsMoveNothing) {
+  std::map<KeyId, double> Rates = {{100, 20}, {900, 20}};
+  KeySurroundings Around;
+  Around.KeyRates_ = &Rates;
+  Around.Peers_ = {peer("a", 40), peer("b", 35)};
+  BOOST_TEST(
+      !findMove({row(0, 999, "a")}, "a", Around, KeyDutyOptions()).has_value());
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/tests/unit/manifest_test.cpp
@@ -0,0 +1,150 @@
+/// \file
+/// Routes, and the bodies that the platform exchanges with us.
+
+#define BOOST_TEST_MODULE manifest
+#include "manifest/route_match.h"
+#include "platform/platform_codec.h"
+#include "settings/host_settings.h"
+#include "settings/settings_error.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace lagoonhitch {
+
+namespace {
+
+const char *const Text = R"({"version":"0000000c",
+  "services":[{"name":"a","health-path":"/h","max-connections":130,
+               "cold-start-s":3.0,"cold-per-s":17.0,"sharded":true,
+               "warm-s":5.0,"grants":"direct"},
+              {"name":"b","cold-per-s":2}],
+  "limits":{"max-header-bytes":9000,"max-body-bytes":70000,
+            "header-timeout-s":3,"idle-timeout-s":15},
+  "virtual-hosts":[{"hostname":"x.example","paths":[
+     {"name":"r1","path-prefix":"/p/","kind":"non_idempotent",
+      "timeout-s":2.5,"target-latency-s":0.8,"priority":1,"service":"b",
+      "attempts":2},
+     {"name":"r2","path-prefix":"/p/q/","kind":"idempotent","timeout-s":2,
+      "target-latency-s":0.6,"priority":2,"attempts":3,
+      "weighted-clusters":[{"service":"a","weight":90},
+                           {"service":"b","weight":10}]}]}],
+  "unknown":{"field":1}})";
+
+Manifest decoded() {
+  const std::optional<Manifest> Found = decodeManifest(Text);
+  BOOST_REQUIRE(Found.has_value());
+  return *Found;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(DecodesEveryFieldOfAManifest) {
+  const Manifest Found = decoded();
+  BOOST_TEST(Found.Version_ == 12U);
+  BOOST_TEST(Found.Services_.at("a").Divided_);
+  BOOST_TEST(!Found.Services_.at("b").Divided_);
+  BOOST_TEST(Found.Services_.at("a").ColdPerSecond_ == 17.0);
+  BOOST_TEST(Found.Services_.at("a").ColdFor_.count() == 3000);
+  BOOST_TEST(Found.Limits_.HeaderBytes_ == 9000U);
+  BOOST_TEST(Found.Limits_.IdleTimeout_.count() == 15000);
+}
+
+BOOST_AUTO_TEST_CASE(TakesTheLongestPrefixOfTheHost) {
+  const Manifest Found = decoded();
+  BOOST_TEST(findRoute(Found, "x.example", "/p/1")->Name_ == "r1");
+  BOOST_TEST(findRoute(Found, "x.example:80", "/p/q/1?z=/p/")->Name_ == "r2");
+  BOOST_TEST(findRoute(Found, "x.example", "/p") == nullptr);
+  BOOST_TEST(findRoute(Found, "y.example", "/p/1") == nullptr);
+  BOOST_TEST(!findRoute(Found, "x.example", "/p/1")->Idempotent_);
+  BOOST_TEST(findRoute(Found, "x.example", "/p/q/")->Idempotent_);
+}
+
+BOOST_AUTO_TEST_CASE(SharesARouteByWeights) {
+  const Manifest Found = decoded();
+  const Route &Shared = *findRoute(Found, "x.example", "/p/q/");
+  std::map<std::string, int> Counts;
+  for (std::uint64_t Draw = 0; Draw < 1000; ++Draw)
+    ++Counts[pickService(Shared, Draw)];
+  BOOST_TEST(Counts["a"] == 900);
+  BOOST_TEST(Counts["b"] == 100);
+}
+
+BOOST_AUTO_TEST_CASE(PassesOverManifestsThatCannotBeRead) {
+  for (const char *Bad :
+       {"", "{", "[]", R"({"version":"zz","services":[],"virtual-hosts":[]})",
+        R"({"version":12,"services":[],"virtual-hosts":[]})",
+        R"({"version":"1","services":[{}],"virtual-hosts":[]})",
+        R"({"version":"1","services":[],"virtual-hosts":[{"hostname":"h",
+            "paths":[{"name":"r","path-prefix":"/","kind":"idempotent",
+                      "timeout-s":1}]}]})"})
+    BOOST_TEST(!decodeManifest(Bad).has_value(), Bad);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsHeartbeatsAndRefusesForgedOnes) {
+  const std::string Good =
+      R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1",
+          "slots":18,"state":"draining","cold-left-s":1.5,"sequence":4,
+          "born":1773018966000})";
+  const std::optional<Announcement> Heard = decodeAnnouncement("i-1", Good);
+  BOOST_REQUIRE(Heard.has_value());
+  BOOST_TEST(Heard->Draining_);
+  BOOST_TEST(Heard->Born_ == 1773018966000);
+  BOOST_TEST(Heard->ColdFor_.count() == 1500);
+  for (const char *Bad :
+       {"", "7", R"({"service":"s"})",
+        R"({"service":7,"address":"a","slots":1,"state":"ready","sequence":1})",
+        R"({"service":"s","address":"a","slots":1,"state":"odd","sequence":1})",
+        R"({"service":"s","address":"a","slots":"1","state":"ready",
+            "sequence":1})"})
+    BOOST_TEST(!decodeAnnouncement("i-1", Bad).has_value(), Bad);
+}
+
+BOOST_AUTO_TEST_CASE(NamesTheUpstreamInThePath) {
+  BOOST_TEST(*announcedUpstream("/instances/i-1") == "i-1");
+  BOOST_TEST(!announcedUpstream("/instances/").has_value());
+  BOOST_TEST(!announcedUpstream("/other").has_value());
+  BOOST_TEST(*evacuatedZone("evacuate/kv-a") == "kv-a");
+  BOOST_TEST(!evacuatedZone("config").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(WritesGrantsInSeconds) {
+  KeyRow Row;
+  Row.Range_ = {4096, 8191};
+  Row.Fence_ = 12;
+  Row.Handover_ = "5c";
+  const HttpRequest Grant = encodeGrant(Row, std::chrono::milliseconds(2500));
+  const nlohmann::json Body = nlohmann::json::parse(Grant.Body_);
+  BOOST_TEST(Body == nlohmann::json::parse(
+                         R"({"from":4096,"to":8191,"fence":12,"hold-s":2.5,
+                             "handover":"5c"})"));
+  BOOST_TEST(Grant.Target_ == "/grant");
+  BOOST_TEST(encodeRelease(Row).Target_ == "/release");
+}
+
+BOOST_AUTO_TEST_CASE(HostSettingsNameEachFault) {
+  nlohmann::json Source = {
+      {"host", "h"},       {"zone", "z"},
+      {"service", "s"},    {"upstream", "u:1"},
+      {"callers", "c:1"},  {"ready", "r:1"},
+      {"announce", "a:1"}, {"peers", "p:1"},
+      {"admin", "m:1"},    {"store", "s:1"},
+      {"memory_mb", 260},  {"bounds", {{"drain_s", 2.5}, {"stop_s", nullptr}}}};
+  const HostSettings Settings = parseHostSettings(Source);
+  BOOST_TEST(Settings.Bounds_.DrainWithin_.count() == 2500);
+  BOOST_TEST(Settings.Bounds_.StopWithin_.count() == 6000);
+  Source["zone"] = 7;
+  Source.erase("store");
+  Source["bounds"]["retry_ratio"] = -1;
+  try {
+    parseHostSettings(Source);
+    BOOST_ERROR("the faults were not found");
+  } catch (const SettingsError &Failure) {
+    BOOST_TEST(Failure.faults().size() == 3U);
+  }
+}
+
+} // namespace lagoonhitch
