Estimate work by kind of request; short calls wait as long as they can

The door judged calls of 55 ms by the mean work of all requests (290 ms), so their objective of 200 ms seemed out of reach and they were refused at once; each refusal wasted the parent's work.

Ruled out: routing (three to six hosts share the load evenly), the retry budget (1,045 repeats), priorities (the manifest gives calls the same rank).

Change: the usual work time is kept by kind (objective); the queue orders by rank, then by objective; a request with less than 0.9 s in all waits as long as it can be answered, since it can't come back after a refusal.

A replay of the pattern: ShortCallsAreLetInAmongLongRequests.

--- a/daemon/upstream_door.cpp
+++ b/daemon/upstream_door.cpp
@@ -96,8 +96,12 @@
   const std::uint64_t Number = ++NextNumber_;
   Open &Entry = Requests_[Number];
   Numbers_[Request.Id_] = Number;
-  Entry.Ticket_ = {Number, Request.Rank_, Request.ObjectiveAt_,
-                   Request.Deadline_, Request.Objective_};
+  Entry.Ticket_ = {Number,
+                   Request.Rank_,
+                   Request.ObjectiveAt_,
+                   Request.Deadline_,
+                   Request.Objective_,
+                   Request.Deadline_ - Now};
   Entry.Request_ = std::move(Request);
   Entry.Callback_ = std::move(Callback);
   Entry.Since_ = Now;
@@ -184,7 +188,7 @@
   const bool Moved =
       Entry.Request_.Key_ && !Keys_.Serves_(*Entry.Request_.Key_);
   if (Moved) {
-    finish(Queue_, std::nullopt);
+    finish(Queue_, Entry.Ticket_, std::nullopt);
     park(Number);
     return;
   }
@@ -209,8 +213,9 @@
   const Open &Entry = Found->second;
   DoorAnswer Answer = classify(Entry, std::move(Result));
   const bool Ran = Answer.Outcome_ == Outcome::Ran;
-  finish(Queue_, Ran ? std::optional<Duration>(Time_.now() - Entry.Since_)
-                     : std::nullopt);
+  finish(Queue_, Entry.Ticket_,
+         Ran ? std::optional<Duration>(Time_.now() - Entry.Since_)
+             : std::nullopt);
   conclude(Number, std::move(Answer));
   pump();
 }
@@ -292,7 +297,7 @@
   if (!Entry.Request_.Idempotent_)
     return false;
   Upstreams_.cancel(Entry.Call_);
-  finish(Queue_, std::nullopt);
+  finish(Queue_, Entry.Ticket_, std::nullopt);
   conclude(Number, DoorAnswer());
   pump();
   return false;
--- a/limits/door_queue.cpp
+++ b/limits/door_queue.cpp
@@ -42,15 +42,23 @@
 /// The longest wait that leaves the request some value.
 Duration patienceOf(const DoorQueue &State, const DoorTicket &Ticket,
                     Instant Now) {
-  const Duration InTime = Ticket.ObjectiveAt_ - Now - State.Work_;
+  const Duration Work = workOf(State, Ticket);
+  const Duration Last = Ticket.Deadline_ - Now - Work;
+  if (Ticket.Limit_ < State.Options_.ShortLimit_)
+    return Last;
+  const Duration InTime = Ticket.ObjectiveAt_ - Now - Work;
   const Duration Late = std::chrono::duration_cast<Duration>(
       Ticket.Objective_ * State.Options_.LateWaitPart_);
-  const Duration Last = Ticket.Deadline_ - Now - State.Work_;
   return std::min(std::max(InTime, Late), Last);
 }
 
-std::pair<std::uint32_t, std::uint64_t> keyOf(const DoorTicket &Ticket) {
-  return {Ticket.Rank_, Ticket.Number_};
+DoorOrder orderOf(const DoorTicket &Ticket) {
+  return {Ticket.Rank_, Ticket.ObjectiveAt_, Ticket.Number_};
+}
+
+void learn(Duration &Usual, Duration Seen, double Weight) {
+  Usual = std::chrono::duration_cast<Duration>(Usual * (1 - Weight) +
+                                               Seen * Weight);
 }
 
 } // namespace
@@ -58,6 +66,7 @@
 void resetDoor(DoorQueue &State, std::uint32_t Slots) {
   State.Slots_ = Slots;
   State.Work_ = State.Options_.FirstWork_;
+  State.WorkOfKind_.clear();
   State.ColdUntil_ = Instant::min();
   State.PausedUntil_ = Instant::min();
 }
@@ -80,37 +89,47 @@
 }
 
 DoorVerdict offer(DoorQueue &State, const DoorTicket &Ticket, Instant Now) {
-  const bool First = State.Waiting_.empty() ||
-                     Ticket.Rank_ < State.Waiting_.begin()->first.first;
+  const bool First =
+      State.Waiting_.empty() || orderOf(Ticket) < State.Waiting_.begin()->first;
   if (First && hasRoom(State, Now)) {
     start(State, Now);
     return {DoorVerdict::Kind::Start, {}};
   }
-  const Duration Wait = expectedWait(State, Ticket.Rank_, Now);
+  const Duration Wait = expectedWait(State, Ticket, Now);
   if (Wait > patienceOf(State, Ticket, Now) ||
       State.Waiting_.size() >= State.Options_.MaxWaiting_)
     return {DoorVerdict::Kind::Refuse, Wait};
-  State.Waiting_[keyOf(Ticket)] = Ticket;
+  State.Waiting_[orderOf(Ticket)] = Ticket;
   return {DoorVerdict::Kind::Wait, Wait};
 }
 
-void finish(DoorQueue &State, std::optional<Duration> Work) {
+void finish(DoorQueue &State, const DoorTicket &Ticket,
+            std::optional<Duration> Work) {
   --State.Running_;
   if (!Work)
     return;
-  const double Weight = State.Options_.WorkWeight_;
-  State.Work_ = std::chrono::duration_cast<Duration>(
-      State.Work_ * (1 - Weight) + *Work * Weight);
+  learn(State.Work_, *Work, State.Options_.WorkWeight_);
+  const auto [Kind, Added] =
+      State.WorkOfKind_.try_emplace(Ticket.Objective_, *Work);
+  if (!Added)
+    learn(Kind->second, *Work, State.Options_.WorkWeight_);
+}
+
+Duration workOf(const DoorQueue &State, const DoorTicket &Ticket) {
+  const auto Kind = State.WorkOfKind_.find(Ticket.Objective_);
+  return Kind == State.WorkOfKind_.end()
+             ? std::min(State.Work_, Ticket.Objective_ / 2)
+             : Kind->second;
 }
 
 bool withdraw(DoorQueue &State, const DoorTicket &Ticket) {
-  return State.Waiting_.erase(keyOf(Ticket)) > 0;
+  return State.Waiting_.erase(orderOf(Ticket)) > 0;
 }
 
 DoorChange advance(DoorQueue &State, Instant Now) {
   DoorChange Change;
   std::erase_if(State.Waiting_, [&](const auto &Entry) {
-    if (Entry.second.Deadline_ - Now > State.Work_ / 2)
+    if (Entry.second.Deadline_ - Now > workOf(State, Entry.second) / 2)
       return false;
     Change.Dropped_.push_back(Entry.second);
     return true;
@@ -124,12 +143,20 @@
   return Change;
 }
 
-Duration expectedWait(const DoorQueue &State, std::uint32_t Rank, Instant Now) {
-  const auto End = State.Waiting_.upper_bound({Rank + 1, 0});
-  const double Ahead =
-      static_cast<double>(std::distance(State.Waiting_.begin(), End));
+Duration expectedWait(const DoorQueue &State, const DoorTicket &Ticket,
+                      Instant Now) {
+  const DoorOrder Order = orderOf(Ticket);
+  double Ahead = 0;
+  // Someone who runs must end first.
+  Duration Work = State.Work_;
+  for (const auto &[Other, Waiting] : State.Waiting_) {
+    if (Order < Other)
+      break;
+    Ahead += 1;
+    Work += workOf(State, Waiting);
+  }
   const double Slots = std::max<double>(State.Slots_, 1);
-  double Seconds = (Ahead + 1) * secondsOf(State.Work_) / Slots;
+  double Seconds = secondsOf(Work) / Slots;
   if (isCold(State, Now))
     Seconds = std::max(Seconds,
                        (Ahead + 1 - State.ColdTokens_) / State.ColdPerSecond_);
--- a/limits/door_queue.h
+++ b/limits/door_queue.h
@@ -6,10 +6,10 @@
 
 #include "core/clock.h"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <utility>
 #include <vector>
 
 namespace lagoonhitch {
@@ -26,6 +26,10 @@
   double ColdBurst_ = 3;
   /// Most requests that wait.
   std::size_t MaxWaiting_ = 512;
+  /// A request with less time than this in all can't come back after a
+  /// refusal, so it waits as long as it can be answered at all. Mostly it is
+  /// a part of work that was begun elsewhere.
+  std::chrono::milliseconds ShortLimit_{900};
 };
 
 /// A request that waits for the upstream.
@@ -37,8 +41,20 @@
   Instant ObjectiveAt_;
   /// When its caller stops waiting.
   Instant Deadline_;
-  /// Span from its arrival to ObjectiveAt_.
+  /// Span from its arrival to ObjectiveAt_; requests that have the same one
+  /// are of one kind.
   Duration Objective_{};
+  /// Span from its arrival to Deadline_.
+  Duration Limit_{};
+};
+
+/// The order in which requests are started: by rank, then by objective.
+struct DoorOrder {
+  std::uint32_t Rank_ = 0;
+  Instant ObjectiveAt_;
+  std::uint64_t Number_ = 0;
+
+  auto operator<=>(const DoorOrder &) const = default;
 };
 
 /// The load of the one upstream, and who waits for it.
@@ -46,8 +62,9 @@
   DoorOptions Options_;
   std::uint32_t Slots_ = 0;
   std::uint32_t Running_ = 0;
-  /// Usual time of an answer.
+  /// Usual time of an answer, over all kinds and by objective.
   Duration Work_{};
+  std::map<Duration, Duration> WorkOfKind_;
   /// Until when the upstream is cold, and what it bears until then.
   Instant ColdUntil_ = Instant::min();
   double ColdPerSecond_ = 0;
@@ -55,7 +72,7 @@
   Instant ColdFilledAt_ = Instant::min();
   /// Nothing is started before this, after the upstream had no room.
   Instant PausedUntil_ = Instant::min();
-  std::map<std::pair<std::uint32_t, std::uint64_t>, DoorTicket> Waiting_;
+  std::map<DoorOrder, DoorTicket> Waiting_;
 };
 
 /// What becomes of a request at the door.
@@ -81,7 +98,8 @@
 
 /// Takes the end of a started request.
 /// \param Work how long it took; nothing if that says nothing of the upstream.
-void finish(DoorQueue &State, std::optional<Duration> Work);
+void finish(DoorQueue &State, const DoorTicket &Ticket,
+            std::optional<Duration> Work);
 
 /// Removes a waiting request; returns whether it was there.
 bool withdraw(DoorQueue &State, const DoorTicket &Ticket);
@@ -96,8 +114,12 @@
 /// Starts waiting requests while there is room.
 DoorChange advance(DoorQueue &State, Instant Now);
 
-/// Returns how long a request of that rank would wait.
-Duration expectedWait(const DoorQueue &State, std::uint32_t Rank, Instant Now);
+/// Returns how long a request would wait.
+Duration expectedWait(const DoorQueue &State, const DoorTicket &Ticket,
+                      Instant Now);
+
+/// Returns the usual time of an answer to requests of that kind.
+Duration workOf(const DoorQueue &State, const DoorTicket &Ticket);
 
 /// Returns when a cold upstream can take the next request, if one waits for
 /// just that.
--- a/tests/unit/door_test.cpp
+++ b/tests/unit/door_test.cpp
@@ -20,7 +20,7 @@
 DoorTicket ticket(std::uint64_t Number, Instant Now, std::uint32_t Rank = 1,
                   milliseconds Objective = milliseconds(600),
                   milliseconds Deadline = milliseconds(2000)) {
-  return {Number, Rank, Now + Objective, Now + Deadline, Objective};
+  return {Number, Rank, Now + Objective, Now + Deadline, Objective, Deadline};
 }
 
 DoorQueue openDoor(std::uint32_t Slots) {
@@ -60,12 +60,40 @@
   offer(Door, ticket(1, Start), Start);
   offer(Door, ticket(2, Start, 2), Start);
   offer(Door, ticket(3, Start, 0), Start);
-  finish(Door, milliseconds(100));
+  finish(Door, ticket(1, Start), milliseconds(100));
   const DoorChange Change = advance(Door, Start + milliseconds(100));
   BOOST_REQUIRE(Change.Started_.size() == 1U);
   BOOST_TEST(Change.Started_.front().Number_ == 3U);
 }
 
+/// Short calls of work that was begun elsewhere, among long requests of the
+/// same rank: the estimate of the long ones must not turn them away.
+BOOST_AUTO_TEST_CASE(ShortCallsAreLetInAmongLongRequests) {
+  DoorQueue Door = openDoor(18);
+  const milliseconds CallObjective(200);
+  const milliseconds CallLimit(600);
+  std::uint64_t Number = 0;
+  for (int Round = 0; Round < 200; ++Round) {
+    const DoorTicket Long = ticket(++Number, Start, 1, milliseconds(800));
+    offer(Door, Long, Start);
+    finish(Door, Long, milliseconds(400));
+    const DoorTicket Call =
+        ticket(++Number, Start, 1, CallObjective, CallLimit);
+    offer(Door, Call, Start);
+    finish(Door, Call, milliseconds(55));
+  }
+  for (int Waiting = 0; Waiting < 26; ++Waiting)
+    offer(Door, ticket(++Number, Start, 1, milliseconds(800)), Start);
+  BOOST_TEST(Door.Running_ == 18U);
+  const DoorVerdict Verdict =
+      offer(Door, ticket(++Number, Start, 1, CallObjective, CallLimit), Start);
+  BOOST_TEST((Verdict.Kind_ == DoorVerdict::Kind::Wait));
+  finish(Door, ticket(1, Start), std::nullopt);
+  const DoorChange Change = advance(Door, Start + milliseconds(20));
+  BOOST_REQUIRE(Change.Started_.size() == 1U);
+  BOOST_TEST(Change.Started_.front().Number_ == Number);
+}
+
 BOOST_AUTO_TEST_CASE(DropsWhoCannotBeAnsweredAnyMore) {
   DoorQueue Door = openDoor(1);
   offer(Door, ticket(1, Start), Start);
@@ -88,7 +116,7 @@
     Begun += advance(Door, Now).Started_.size();
     for (; Begun > 0; --Begun) {
       Starts.push_back(Now);
-      finish(Door, milliseconds(200));
+      finish(Door, ticket(1, Now), milliseconds(200));
     }
     while (!Starts.empty() && Starts.front() + milliseconds(1000) <= Now)
       Starts.pop_front();
