Pass tables on between peers instead of reading each from the store

Change: who appends a table sends the acknowledged record to all peers in a datagram; followers of tables read only when a digest tells that they are behind, or every 10 s. The text of a table names each owner once, so that it fits.

Members are followed by waiting reads.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -127,6 +127,7 @@
   void onManifest();
   void onReady(HttpExchange &Exchange) const;
   LoadDigest makeDigest();
+  void passOn(const std::string &Topic, const StoreRecord &Record);
   std::string pickRelay();
   void tick();
   void startStop();
@@ -216,12 +217,15 @@
             }),
       Digests_(Loop_, Time, Site_, Peer_.address(), Settings_.Host_,
                {[this] { return makeDigest(); },
-                [this](const LoadDigest &Digest) { Watch_.hint(Digest); }}),
-      Upstream_(Time, Store_, Upstreams_, Site_, Door_, Keys_, Names_,
-                upstreamPlace(),
-                [this](EventId Id, const std::string &Subject) {
-                  tell(Id, Subject);
-                }),
+                [this](const LoadDigest &Digest) { Watch_.hint(Digest); },
+                [this](const PassedRecord &Passed) {
+                  Watch_.takeRecord(Passed.Topic_, Passed.Record_);
+                }}),
+      Upstream_(
+          Time, Store_, Upstreams_, Site_, Door_, Keys_, Names_,
+          upstreamPlace(),
+          [this](EventId Id, const std::string &Subject) { tell(Id, Subject); },
+          [this](const StoreRecord &Record) { passOn(MembersTopic, Record); }),
       Operators_(Time, Settings_, Site_, Keys_, Door_, Store_, Trail_,
                  Numbers_),
       Announce_(Loop_, listenOn(Settings_.AnnounceAddress_),
@@ -253,6 +257,11 @@
   Reports.Table_ = [this](const KeyTable &Table) {
     Site_.Tables_[Settings_.Service_] = Table;
     Router_.onSiteChanged();
+    passOn(tableTopic(Settings_.Service_),
+           {"table", encodeTable(Table), *Table.At_});
+  };
+  Reports.Behind_ = [this](Offset End) {
+    Watch_.hintTable(Settings_.Service_, End);
   };
   Reports.Event_ = [this](EventId Id, const std::string &Subject) {
     tell(Id, Subject);
@@ -376,6 +385,14 @@
   return Digest;
 }
 
+/// Peers learn of an acknowledged record from its writer, and this daemon's own
+/// reader with them.
+void Daemon::Parts::passOn(const std::string &Topic,
+                           const StoreRecord &Record) {
+  Watch_.takeRecord(Topic, Record);
+  Digests_.pass({Topic, Record});
+}
+
 std::string Daemon::Parts::pickRelay() {
   std::vector<std::string> Addresses;
   const Instant Now = Time_.now();
--- a/daemon/digest_exchange.cpp
+++ b/daemon/digest_exchange.cpp
@@ -1,7 +1,5 @@
 #include "daemon/digest_exchange.h"
 
-#include "net/digest_codec.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -12,6 +10,8 @@
 constexpr std::chrono::milliseconds DigestEvery{250};
 /// Digests a second that one daemon sends at most.
 constexpr double MaxDigestsPerSecond = 60;
+/// Larger records are read from the store instead.
+constexpr std::size_t MaxPassedBytes = 8000;
 
 } // namespace
 
@@ -37,7 +37,16 @@
   SendAt_ = Now + std::max<Duration>(DigestEvery, Pause);
   const LoadDigest Digest = Hooks_.Make_();
   noteDigest(Site_.Fleet_, Digest, Now);
-  const std::string Message = encodeDigest(Digest);
+  sendToAll(encodeDigest(Digest));
+}
+
+void DigestExchange::pass(const PassedRecord &Passed) {
+  const std::string Message = encodePassedRecord(Passed);
+  if (Message.size() <= MaxPassedBytes)
+    sendToAll(Message);
+}
+
+void DigestExchange::sendToAll(const std::string &Message) {
   for (const auto &[Host, Member] : Site_.Fleet_.Members_)
     if (Host != OwnHost_)
       Link_.send(Member.Record_.DigestAddress_, Message);
@@ -45,8 +54,11 @@
 
 void DigestExchange::receive(const char *Data, std::size_t Size) {
   const std::optional<LoadDigest> Digest = decodeDigest(Data, Size);
-  if (!Digest)
+  if (!Digest) {
+    if (const auto Passed = decodePassedRecord(Data, Size))
+      Hooks_.Passed_(*Passed);
     return;
+  }
   noteDigest(Site_.Fleet_, *Digest, Time_.now());
   Hooks_.Heard_(*Digest);
 }
--- a/daemon/digest_exchange.h
+++ b/daemon/digest_exchange.h
@@ -7,6 +7,7 @@
 #include "core/clock.h"
 #include "daemon/site_state.h"
 #include "net/datagram_link.h"
+#include "net/digest_codec.h"
 
 #include <functional>
 #include <string>
@@ -21,6 +22,8 @@
   std::function<LoadDigest()> Make_;
   /// Takes a peer's digest.
   std::function<void(const LoadDigest &)> Heard_;
+  /// Takes a record that a peer passes on.
+  std::function<void(const PassedRecord &)> Passed_;
 };
 
 /// Sends small digests several times a second. Serving thread only.
@@ -34,10 +37,15 @@
   /// Sends a digest if one is due.
   void tick();
 
+  /// Passes a record of the store on to all peers. One that gets lost is read
+  /// by whoever hears from the next digest that it is behind.
+  void pass(const PassedRecord &Passed);
+
   /// Sends a digest at once.
   void sendNow();
 
 private:
+  void sendToAll(const std::string &Message);
   void receive(const char *Data, std::size_t Size);
 
   const Clock &Time_;
--- a/daemon/key_keeper.cpp
+++ b/daemon/key_keeper.cpp
@@ -168,9 +168,8 @@
 
 void KeyKeeper::appendTable(const KeyAction &Action) {
   const std::uint64_t Number = Action.Number_;
-  Keys_.append(tableTopic(Place_.Service_), "table",
-               encodeTable(Action.Table_), Action.Base_,
-               [this, Number](const AppendReply &Reply) {
+  Keys_.append(tableTopic(Place_.Service_), "table", encodeTable(Action.Table_),
+               Action.Base_, [this, Number](const AppendReply &Reply) {
                  onTableAppended(Number, Reply);
                });
 }
@@ -178,10 +177,14 @@
 void KeyKeeper::onTableAppended(std::uint64_t Number,
                                 const AppendReply &Reply) {
   onAppended(Duty_, Number, Reply, Time_.now());
-  if (Reply.Kind_ == AppendReply::Kind::Done) {
+  const bool Taken = Reply.Kind_ == AppendReply::Kind::Done &&
+                     Duty_.Table_.At_ == Reply.Offset_;
+  if (Taken) {
     Reports_.Event_(EventId::TableChanged, std::to_string(Reply.Offset_));
     Reports_.Table_(Duty_.Table_);
   }
+  if (Reply.Kind_ == AppendReply::Kind::Conflict)
+    Reports_.Behind_(Reply.End_);
   noteChange();
   tick();
 }
--- a/daemon/key_keeper.h
+++ b/daemon/key_keeper.h
@@ -32,6 +32,8 @@
   std::function<void()> Changed_;
   /// The table was changed by this daemon.
   std::function<void(const KeyTable &)> Table_;
+  /// The table in the store is newer than what is known.
+  std::function<void(Offset End)> Behind_;
   /// Something to log.
   std::function<void(EventId, const std::string &)> Event_;
 };
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -411,6 +411,29 @@
   return Response;
 }
 
+/// What was decided about a request, and on what it rested.
+std::string RequestRouter::explain(const Open &Request,
+                                   const std::string &Why) const {
+  const Instant Now = Time_.now();
+  std::string Text = absl::StrCat(
+      Why, "; ", Request.Door_.Service_, ", offer ", Request.Plan_.Offers_,
+      ", runs ", Request.Plan_.Runs_, ", after ",
+      toMillis(Now - Request.ArrivedAt_).count(), " ms");
+  if (Request.Door_.Key_)
+    absl::StrAppend(&Text, ", key ", *Request.Door_.Key_);
+  if (Site_.Manifest_ != nullptr)
+    absl::StrAppend(&Text, ", configuration ", Site_.Manifest_->Version_);
+  const FleetMember *Member = findMember(Site_.Fleet_, Request.Host_);
+  if (Member == nullptr || Member->HeardAt_ == Instant::min())
+    return Text;
+  absl::StrAppend(&Text, "; last at ", Request.Host_, ", heard ",
+                  toMillis(Now - Member->HeardAt_).count(), " ms ago, ",
+                  Member->Digest_.Running_, " running and ",
+                  Member->Digest_.Queued_, " waiting for ",
+                  Member->Digest_.Slots_, " slots");
+  return Text;
+}
+
 void RequestRouter::refuse(const OpenPtr &Request, const std::string &Why,
                            Duration RetryAfter) {
   // A refusal promises that nothing was run, which an earlier attempt may have.
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -93,6 +93,7 @@
               Duration RetryAfter);
   void fail(const OpenPtr &Request, unsigned Status, const std::string &Why);
   void reply(const OpenPtr &Request, HttpResponse Response, Outcome Known);
+  std::string explain(const Open &Request, const std::string &Why) const;
   static HttpResponse ownAnswer(unsigned Status, const std::string &Why);
 
   IoLoop &Loop_;
--- a/daemon/site_watch.cpp
+++ b/daemon/site_watch.cpp
@@ -26,11 +26,13 @@
                      SiteState &Site, std::string OwnHost, SiteReports Reports)
     : Loop_(Loop), Time_(Time), Source_(Source), Site_(Site),
       OwnHost_(std::move(OwnHost)), Reports_(std::move(Reports)),
-      Operators_(Loop, Time, Source, OperatorTopic,
+      Operators_(Loop, Time, Source, OperatorTopic, FollowMode::Wait,
                  [this](const std::vector<StoreRecord> &Records, bool Whole) {
                    onOperatorRecords(Records, Whole);
                  }),
-      Members_(Loop, Time, Source, MembersTopic,
+      // Records are passed on to known members only, so members must be found
+      // in the store.
+      Members_(Loop, Time, Source, MembersTopic, FollowMode::Wait,
                [this](const std::vector<StoreRecord> &Records, bool) {
                  onMemberRecords(Records);
                }) {}
@@ -51,6 +53,24 @@
     Table->second->hint(Digest.TableEnd_);
 }
 
+void SiteWatch::hintTable(const std::string &Service, Offset End) {
+  const auto Table = Tables_.find(Service);
+  if (Table != Tables_.end())
+    Table->second->hint(End);
+}
+
+void SiteWatch::takeRecord(const std::string &Topic,
+                           const StoreRecord &Record) {
+  if (Topic == MembersTopic) {
+    Members_.take(Record, false);
+    return;
+  }
+  // A table's topic has one key, so each record says all.
+  for (const auto &[Service, Follower] : Tables_)
+    if (tableTopic(Service) == Topic)
+      Follower->take(Record, true);
+}
+
 void SiteWatch::writeEnds(LoadDigest &Digest,
                           const std::string &OwnService) const {
   Digest.ConfigEnd_ = Operators_.end();
@@ -107,7 +127,7 @@
       continue;
     const std::string Service = Name;
     Tables_[Name] = std::make_unique<TopicFollower>(
-        Loop_, Time_, Source_, tableTopic(Name),
+        Loop_, Time_, Source_, tableTopic(Name), FollowMode::Passed,
         [this, Service](const std::vector<StoreRecord> &Records, bool) {
           onTableRecords(Service, Records);
         });
--- a/daemon/site_watch.h
+++ b/daemon/site_watch.h
@@ -59,6 +59,12 @@
   /// Takes the ends of topics that a peer has told.
   void hint(const LoadDigest &Digest);
 
+  /// Notices that a service's table is newer than what is known.
+  void hintTable(const std::string &Service, Offset End);
+
+  /// Takes a record that a peer has passed on.
+  void takeRecord(const std::string &Topic, const StoreRecord &Record);
+
   /// Writes the ends of topics into a digest.
   void writeEnds(LoadDigest &Digest, const std::string &OwnService) const;
 
--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds ReadWait{10000};
 /// Pause between two reads, so that changes close together come as one.
 constexpr std::chrono::milliseconds ReadPause{20};
+/// Pause between two reads where peers pass records on.
+constexpr std::chrono::milliseconds PassedReadEvery{10000};
 constexpr std::chrono::milliseconds FirstRetry{100};
 constexpr std::chrono::milliseconds MaxRetry{800};
 /// A read that waits for longer than this should have told of a new end.
@@ -21,9 +23,10 @@
 } // namespace
 
 TopicFollower::TopicFollower(IoLoop &Loop, const Clock &Time, Store &Source,
-                             std::string Topic, Receiver Receive)
+                             std::string Topic, FollowMode Mode,
+                             Receiver Receive)
     : Loop_(Loop), Time_(Time), Source_(Source), Topic_(std::move(Topic)),
-      Receive_(std::move(Receive)) {}
+      Mode_(Mode), Receive_(std::move(Receive)) {}
 
 void TopicFollower::start() { readNewest(); }
 
@@ -32,15 +35,49 @@
 }
 
 void TopicFollower::hint(Offset End) {
-  const bool Behind = Known_ && End > Next_;
-  if (!Behind || Time_.now() - ReadSince_ < HintPatience)
+  Hinted_ = std::max(Hinted_, End);
+  const bool Behind = Known_ && Hinted_ > Next_;
+  if (!Behind)
     return;
-  readOn();
+  if (Mode_ == FollowMode::Passed) {
+    // The record itself may be on its way.
+    if (!Reading_ && !HintTimer_)
+      HintTimer_ = Loop_.after(HintPatience, [this] { readIfBehind(); });
+    return;
+  }
+  if (Time_.now() - ReadSince_ >= HintPatience)
+    readOn();
+}
+
+void TopicFollower::readIfBehind() {
+  HintTimer_.reset();
+  if (!Reading_ && Hinted_ > Next_)
+    readOn();
+}
+
+void TopicFollower::take(const StoreRecord &Record, bool Whole) {
+  if (!Known_)
+    return;
+  const bool Next = Record.Offset_ == Next_;
+  if (Next || (Whole && Record.Offset_ > Next_))
+    Next_ = Record.Offset_ + 1;
+  deliver({Record}, false);
+}
+
+/// Waits for further records in the way of the mode.
+void TopicFollower::goOn() {
+  if (Mode_ == FollowMode::Wait) {
+    readOn();
+    return;
+  }
+  later(PassedReadEvery, &TopicFollower::readOn);
+  hint(Hinted_);
 }
 
 void TopicFollower::readNewest() {
   const std::uint64_t Number = ++Read_;
   ReadSince_ = Time_.now();
+  Reading_ = true;
   Source_.readNewest(Topic_, [this, Number](ReadReply Reply) {
     if (Number == Read_)
       onNewest(std::move(Reply));
@@ -50,13 +87,17 @@
 void TopicFollower::readOn() {
   const std::uint64_t Number = ++Read_;
   ReadSince_ = Time_.now();
-  Source_.read(Topic_, Next_, ReadWait, [this, Number](ReadReply Reply) {
+  Reading_ = true;
+  const std::chrono::milliseconds Wait =
+      Mode_ == FollowMode::Wait ? ReadWait : std::chrono::milliseconds(0);
+  Source_.read(Topic_, Next_, Wait, [this, Number](ReadReply Reply) {
     if (Number == Read_)
       onRead(std::move(Reply));
   });
 }
 
 void TopicFollower::onNewest(ReadReply Reply) {
+  Reading_ = false;
   const bool Usable =
       Reply.Kind_ == ReadReply::Kind::Done && Reply.End_ >= Next_;
   if (!Usable) {
@@ -68,10 +109,11 @@
   Next_ = Reply.End_;
   Known_ = true;
   deliver(std::move(Reply.Records_), true);
-  readOn();
+  goOn();
 }
 
 void TopicFollower::onRead(ReadReply Reply) {
+  Reading_ = false;
   if (Reply.Kind_ == ReadReply::Kind::Expired) {
     readNewest();
     return;
@@ -85,7 +127,10 @@
   Next_ = std::max(Next_, Reply.End_);
   if (!Reply.Records_.empty())
     deliver(std::move(Reply.Records_), false);
-  later(ReadPause, &TopicFollower::readOn);
+  if (Mode_ == FollowMode::Wait)
+    later(ReadPause, &TopicFollower::readOn);
+  else
+    goOn();
 }
 
 void TopicFollower::deliver(std::vector<StoreRecord> Records, bool Whole) {
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -18,7 +18,16 @@
 
 class IoLoop;
 
-/// Reads the newest record of each key, then waits for further ones. A record
+/// How a TopicFollower learns of further records.
+enum class FollowMode {
+  /// A read always waits for them.
+  Wait,
+  /// Peers pass them on; it reads only where one was missed. Each call to the
+  /// store is paid, and a change would otherwise cost one for each daemon.
+  Passed,
+};
+
+/// Reads the newest record of each key, then learns of further ones. A record
 /// that is older than one already handed on is passed over, so a read that is
 /// behind changes nothing.
 class TopicFollower {
@@ -29,7 +38,7 @@
       std::function<void(const std::vector<StoreRecord> &Records, bool Whole)>;
 
   TopicFollower(IoLoop &Loop, const Clock &Time, Store &Source,
-                std::string Topic, Receiver Receive);
+                std::string Topic, FollowMode Mode, Receiver Receive);
 
   /// Starts reading.
   void start();
@@ -38,6 +47,10 @@
   /// waits should have told so.
   void hint(Offset End);
 
+  /// Takes a record that a peer has passed on.
+  /// \param Whole whether the record says all that the topic holds.
+  void take(const StoreRecord &Record, bool Whole);
+
   /// Returns where the topic ends as far as it was read.
   Offset end() const { return Next_; }
 
@@ -47,6 +60,8 @@
 private:
   void readNewest();
   void readOn();
+  void readIfBehind();
+  void goOn();
   void onNewest(ReadReply Reply);
   void onRead(ReadReply Reply);
   void deliver(std::vector<StoreRecord> Records, bool Whole);
@@ -56,8 +71,12 @@
   const Clock &Time_;
   Store &Source_;
   std::string Topic_;
+  FollowMode Mode_;
   Receiver Receive_;
   Offset Next_ = 0;
+  /// Where the topic ends at least, as peers have told.
+  Offset Hinted_ = 0;
+  bool Reading_ = false;
   bool Known_ = false;
   /// Counts the reads; the answers to all but the last are passed over.
   std::uint64_t Read_ = 0;
@@ -66,6 +85,7 @@
   /// Offset of the last record handed on, by key.
   std::map<std::string, Offset> Newest_;
   std::shared_ptr<void> Timer_;
+  std::shared_ptr<void> HintTimer_;
 };
 
 } // namespace lagoonhitch
--- a/daemon/upstream_keeper.cpp
+++ b/daemon/upstream_keeper.cpp
@@ -39,10 +39,11 @@
                                HttpClient &Upstreams, SiteState &Site,
                                UpstreamDoor &Door, KeyKeeper &Keys,
                                HeaderNames Names, UpstreamPlace Place,
-                               Report Tell)
+                               Report Tell, PassMember Pass)
     : Time_(Time), Members_(Members), Upstreams_(Upstreams), Site_(Site),
       Door_(Door), Keys_(Keys), Names_(std::move(Names)),
-      Place_(std::move(Place)), Tell_(std::move(Tell)) {}
+      Place_(std::move(Place)), Tell_(std::move(Tell)), Pass_(std::move(Pass)) {
+}
 
 const ServiceSpec *UpstreamKeeper::spec() const {
   if (Site_.Manifest_ == nullptr)
@@ -243,10 +244,12 @@
   Members_.append(MembersTopic, Record.Host_, encodeMember(Record),
                   std::nullopt, [this, Record](const AppendReply &Reply) {
                     Publishing_ = false;
-                    if (Reply.Kind_ == AppendReply::Kind::Done)
-                      Published_ = Record;
-                    else
+                    if (Reply.Kind_ != AppendReply::Kind::Done) {
                       PublishAt_ = Time_.now() + MemberRetry;
+                      return;
+                    }
+                    Published_ = Record;
+                    Pass_({Record.Host_, encodeMember(Record), Reply.Offset_});
                   });
 }
 
--- a/daemon/upstream_keeper.h
+++ b/daemon/upstream_keeper.h
@@ -10,6 +10,7 @@
 #include "membership/upstream_life.h"
 #include "net/header_names.h"
 #include "net/http_exchange.h"
+#include "store/store_record.h"
 
 #include <chrono>
 #include <functional>
@@ -39,10 +40,13 @@
 class UpstreamKeeper {
 public:
   using Report = std::function<void(EventId, const std::string &)>;
+  /// Passes the own member record on to the peers.
+  using PassMember = std::function<void(const StoreRecord &)>;
 
   UpstreamKeeper(const Clock &Time, Store &Members, HttpClient &Upstreams,
                  SiteState &Site, UpstreamDoor &Door, KeyKeeper &Keys,
-                 HeaderNames Names, UpstreamPlace Place, Report Tell);
+                 HeaderNames Names, UpstreamPlace Place, Report Tell,
+                 PassMember Pass);
 
   /// Handles a heartbeat or a farewell.
   void handle(const HttpRequest &Request, HttpExchange &Exchange);
@@ -86,6 +90,7 @@
   HeaderNames Names_;
   UpstreamPlace Place_;
   Report Tell_;
+  PassMember Pass_;
   std::optional<UpstreamLife> Life_;
   /// The life that the door was opened for.
   std::string OpenLife_;
--- a/net/datagram_link.cpp
+++ b/net/datagram_link.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 /// Largest message that is received.
-constexpr std::size_t MaxMessageBytes = 2048;
+constexpr std::size_t MaxMessageBytes = 9216;
 
 udp::endpoint toDatagram(const std::string &Address) {
   const boost::asio::ip::tcp::endpoint Parsed = parseEndpoint(Address);
--- a/net/digest_codec.cpp
+++ b/net/digest_codec.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t MaxNameBytes = 256;
+constexpr std::size_t MaxValueBytes = 8192;
 constexpr std::size_t MaxFields = 32;
 
 using Fields =
@@ -17,6 +18,29 @@
                std::uint64_t, std::uint32_t, std::uint32_t, std::uint64_t,
                std::uint64_t, std::uint64_t>;
 
+using RecordFields =
+    std::tuple<std::string, std::string, std::string, std::uint64_t>;
+
+/// Unpacks an array of just these fields.
+template <typename T>
+bool unpackFields(const char *Data, std::size_t Size, std::size_t MaxText,
+                  T &Unpacked) {
+  try {
+    const msgpack::unpack_limit Limit(MaxFields, 0, MaxText, 0, 0, 2);
+    const msgpack::object_handle Handle =
+        msgpack::unpack(Data, Size, nullptr, nullptr, Limit);
+    if (Handle.get().type != msgpack::type::ARRAY ||
+        Handle.get().via.array.size != std::tuple_size_v<T>)
+      return false;
+    Handle.get().convert(Unpacked);
+    return true;
+  } catch (const msgpack::unpack_error &) {
+    return false;
+  } catch (const msgpack::type_error &) {
+    return false;
+  }
+}
+
 } // namespace
 
 std::string encodeDigest(const LoadDigest &Digest) {
@@ -33,28 +57,35 @@
 }
 
 std::optional<LoadDigest> decodeDigest(const char *Data, std::size_t Size) {
-  try {
-    const msgpack::unpack_limit Limit(MaxFields, 0, MaxNameBytes, 0, 0, 2);
-    const msgpack::object_handle Handle =
-        msgpack::unpack(Data, Size, nullptr, nullptr, Limit);
-    Fields Unpacked;
-    if (Handle.get().type != msgpack::type::ARRAY ||
-        Handle.get().via.array.size != std::tuple_size_v<Fields>)
-      return std::nullopt;
-    Handle.get().convert(Unpacked);
-    LoadDigest Digest;
-    std::tie(Digest.Host_, Digest.Process_, Digest.Sequence_, Digest.Accepts_,
-             Digest.Stopping_, Digest.Settling_, Digest.Running_,
-             Digest.Queued_, Digest.Slots_, Digest.WorkMillis_,
-             Digest.KeyEpoch_, Digest.KeyRate_, Digest.ColdRate_,
-             Digest.ConfigEnd_, Digest.MembersEnd_, Digest.TableEnd_) =
-        Unpacked;
-    return Digest;
-  } catch (const msgpack::unpack_error &) {
+  Fields Unpacked;
+  if (!unpackFields(Data, Size, MaxNameBytes, Unpacked))
     return std::nullopt;
-  } catch (const msgpack::type_error &) {
+  LoadDigest Digest;
+  std::tie(Digest.Host_, Digest.Process_, Digest.Sequence_, Digest.Accepts_,
+           Digest.Stopping_, Digest.Settling_, Digest.Running_, Digest.Queued_,
+           Digest.Slots_, Digest.WorkMillis_, Digest.KeyEpoch_, Digest.KeyRate_,
+           Digest.ColdRate_, Digest.ConfigEnd_, Digest.MembersEnd_,
+           Digest.TableEnd_) = Unpacked;
+  return Digest;
+}
+
+std::string encodePassedRecord(const PassedRecord &Passed) {
+  const RecordFields Packed = {Passed.Topic_, Passed.Record_.Key_,
+                               Passed.Record_.Value_, Passed.Record_.Offset_};
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Packed);
+  return {Buffer.data(), Buffer.size()};
+}
+
+std::optional<PassedRecord> decodePassedRecord(const char *Data,
+                                               std::size_t Size) {
+  RecordFields Unpacked;
+  if (!unpackFields(Data, Size, MaxValueBytes, Unpacked))
     return std::nullopt;
-  }
+  PassedRecord Passed;
+  std::tie(Passed.Topic_, Passed.Record_.Key_, Passed.Record_.Value_,
+           Passed.Record_.Offset_) = Unpacked;
+  return Passed;
 }
 
 } // namespace lagoonhitch
--- a/net/digest_codec.h
+++ b/net/digest_codec.h
@@ -2,9 +2,10 @@
 #define LAGOONHITCH_NET_DIGEST_CODEC_H
 
 /// \file
-/// The msgpack form of load digests.
+/// The msgpack form of what daemons tell each other in datagrams.
 
 #include "membership/load_digest.h"
+#include "store/store_record.h"
 
 #include <cstddef>
 #include <optional>
@@ -18,6 +19,19 @@
 /// Decodes a digest; returns nothing if it is malformed or too large.
 std::optional<LoadDigest> decodeDigest(const char *Data, std::size_t Size);
 
+/// A record of the store that a daemon passes on to its peers.
+struct PassedRecord {
+  std::string Topic_;
+  StoreRecord Record_;
+};
+
+/// Encodes a passed record.
+std::string encodePassedRecord(const PassedRecord &Passed);
+
+/// Decodes a passed record; returns nothing if it is malformed or too large.
+std::optional<PassedRecord> decodePassedRecord(const char *Data,
+                                               std::size_t Size);
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_NET_DIGEST_CODEC_H
--- a/net/io_loop.cpp
+++ b/net/io_loop.cpp
@@ -27,6 +27,8 @@
 
 void IoLoop::stop() { Impl_->Context_.stop(); }
 
+void IoLoop::restart() { Impl_->Context_.restart(); }
+
 void IoLoop::post(std::function<void()> Work) {
   boost::asio::post(Impl_->Context_, std::move(Work));
 }
--- a/net/io_loop.h
+++ b/net/io_loop.h
@@ -29,6 +29,9 @@
   /// Makes run() return.
   void stop();
 
+  /// Lets run() be called again after a stop().
+  void restart();
+
   /// Runs the work on the loop's thread; callable from any thread.
   void post(std::function<void()> Work);
 
--- a/ownership/key_table.cpp
+++ b/ownership/key_table.cpp
@@ -31,16 +31,29 @@
   return true;
 }
 
-KeyRow decodeRow(const Json &Source) {
+/// An owner is written once, as [host, upstream, born, epoch].
+Json encodeOwner(const KeyOwner &Owner) {
+  return Json::array({Owner.Host_, Owner.Upstream_, Owner.Born_, Owner.Epoch_});
+}
+
+KeyOwner decodeOwner(const Json &Source) {
+  KeyOwner Owner;
+  Source.at(0).get_to(Owner.Host_);
+  Source.at(1).get_to(Owner.Upstream_);
+  Source.at(2).get_to(Owner.Born_);
+  Source.at(3).get_to(Owner.Epoch_);
+  return Owner;
+}
+
+/// A row is [first, last, number of the owner, fence, handover if any].
+KeyRow decodeRow(const Json &Source, const std::vector<KeyOwner> &Owners) {
   KeyRow Row;
-  Source.at("first").get_to(Row.Range_.First_);
-  Source.at("last").get_to(Row.Range_.Last_);
-  Source.at("host").get_to(Row.Owner_.Host_);
-  Source.at("upstream").get_to(Row.Owner_.Upstream_);
-  Source.at("born").get_to(Row.Owner_.Born_);
-  Source.at("epoch").get_to(Row.Owner_.Epoch_);
-  Source.at("fence").get_to(Row.Fence_);
-  Row.Handover_ = Source.value("handover", "");
+  Source.at(0).get_to(Row.Range_.First_);
+  Source.at(1).get_to(Row.Range_.Last_);
+  Row.Owner_ = Owners.at(Source.at(2).get<std::size_t>());
+  Source.at(3).get_to(Row.Fence_);
+  if (Source.size() > 4)
+    Source.at(4).get_to(Row.Handover_);
   return Row;
 }
 
@@ -106,31 +119,41 @@
 }
 
 std::string encodeTable(const KeyTable &Table) {
+  std::vector<KeyOwner> Owners;
+  Json OwnerTexts = Json::array();
   Json Rows = Json::array();
   for (const KeyRow &Row : Table.Rows_) {
-    Json Text = {
-        {"first", Row.Range_.First_}, {"last", Row.Range_.Last_},
-        {"host", Row.Owner_.Host_},   {"upstream", Row.Owner_.Upstream_},
-        {"born", Row.Owner_.Born_},   {"epoch", Row.Owner_.Epoch_},
-        {"fence", Row.Fence_}};
+    const auto Found = std::find(Owners.begin(), Owners.end(), Row.Owner_);
+    const std::size_t Number =
+        static_cast<std::size_t>(std::distance(Owners.begin(), Found));
+    if (Found == Owners.end()) {
+      Owners.push_back(Row.Owner_);
+      OwnerTexts.push_back(encodeOwner(Row.Owner_));
+    }
+    Json Text =
+        Json::array({Row.Range_.First_, Row.Range_.Last_, Number, Row.Fence_});
     if (!Row.Handover_.empty())
-      Text["handover"] = Row.Handover_;
+      Text.push_back(Row.Handover_);
     Rows.push_back(std::move(Text));
   }
-  return Json{{"rows", std::move(Rows)}}.dump();
+  return Json{{"owners", std::move(OwnerTexts)}, {"rows", std::move(Rows)}}
+      .dump();
 }
 
 std::optional<KeyTable> decodeTable(const std::string &Text, Offset At) {
   try {
     const Json Source = Json::parse(Text);
+    std::vector<KeyOwner> Owners;
+    for (const Json &Owner : Source.at("owners"))
+      Owners.push_back(decodeOwner(Owner));
     KeyTable Table;
     Table.At_ = At;
     for (const Json &Row : Source.at("rows"))
-      Table.Rows_.push_back(decodeRow(Row));
+      Table.Rows_.push_back(decodeRow(Row, Owners));
     if (!isOrdered(Table.Rows_))
       return std::nullopt;
     return Table;
-  } catch (const Json::exception &) {
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
--- /dev/null
+++ b/tests/unit/follower_test.cpp
@@ -0,0 +1,161 @@
+/// \file
+/// What a follower of a topic makes of reads that are late, stale or missing.
+
+#define BOOST_TEST_MODULE follower
+#include "daemon/topic_follower.h"
+#include "net/digest_codec.h"
+#include "net/io_loop.h"
+#include "platform/monotonic_clock.h"
+#include "tests/standin/store_model.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace lagoonhitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *Topic = "keyed.t";
+
+/// Answers from a model, at once or not at all.
+class FakeStore : public Store {
+public:
+  explicit FakeStore(IoLoop &Loop) : Loop_(Loop) {}
+
+  void append(const std::string &Into, const std::string &Key,
+              const std::string &Value, std::optional<Offset> At,
+              AppendDone Done) override {
+    StoreAppend Call;
+    Call.Topic_ = Into;
+    Call.At_ = At;
+    Call.Records_ = {{Key, Value, 0}};
+    const AppendReply Reply = appendTo(State_, Call);
+    Loop_.post([Done, Reply] { Done(Reply); });
+  }
+
+  void showEpoch(const std::string &, std::uint64_t, AppendDone) override {}
+
+  void read(const std::string &From, Offset At, milliseconds Wait,
+            ReadDone Done) override {
+    ++Reads_;
+    const ReadReply Reply = readFrom(State_, From, At);
+    // A read that waits and finds nothing does not end in these tests.
+    if (Reply.Records_.empty() && Wait.count() > 0)
+      return;
+    Loop_.post([Done, Reply] { Done(Reply); });
+  }
+
+  void readNewest(const std::string &From, ReadDone Done) override {
+    ++Reads_;
+    ReadReply Reply = readNewestOf(Stale_ ? *Stale_ : State_, From);
+    Loop_.post([Done, Reply] { Done(Reply); });
+  }
+
+  IoLoop &Loop_;
+  StoreModel State_;
+  std::optional<StoreModel> Stale_;
+  int Reads_ = 0;
+};
+
+struct Stage {
+  explicit Stage(FollowMode Mode)
+      : Source_(Loop_),
+        Follower_(Loop_, Time_, Source_, Topic, Mode,
+                  [this](const std::vector<StoreRecord> &Records, bool) {
+                    for (const StoreRecord &Record : Records)
+                      Seen_.push_back(Record.Value_);
+                  }) {}
+
+  void add(const std::string &Key, const std::string &Value) {
+    Source_.append(Topic, Key, Value, std::nullopt, [](AppendReply) {});
+  }
+
+  void runFor(milliseconds Span) {
+    const std::shared_ptr<void> End =
+        Loop_.after(Span, [this] { Loop_.stop(); });
+    Loop_.restart();
+    Loop_.run();
+  }
+
+  MonotonicClock Time_;
+  IoLoop Loop_;
+  FakeStore Source_;
+  TopicFollower Follower_;
+  std::vector<std::string> Seen_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(PassedRecordsCostNoRead) {
+  Stage Play(FollowMode::Passed);
+  Play.add("k", "v0");
+  Play.Follower_.start();
+  Play.runFor(milliseconds(20));
+  const int Reads = Play.Source_.Reads_;
+  Play.add("k", "v1");
+  Play.Follower_.take({"k", "v1", 1}, true);
+  Play.Follower_.hint(2);
+  Play.runFor(milliseconds(300));
+  BOOST_TEST(Play.Source_.Reads_ == Reads);
+  BOOST_TEST(Play.Seen_ == (std::vector<std::string>{"v0", "v1"}));
+}
+
+BOOST_AUTO_TEST_CASE(MissedRecordIsReadAfterAHint) {
+  Stage Play(FollowMode::Passed);
+  Play.Follower_.start();
+  Play.runFor(milliseconds(20));
+  Play.add("k", "v0");
+  Play.Follower_.hint(1);
+  Play.runFor(milliseconds(400));
+  BOOST_TEST(Play.Seen_ == (std::vector<std::string>{"v0"}));
+}
+
+BOOST_AUTO_TEST_CASE(OlderRecordsChangeNothing) {
+  Stage Play(FollowMode::Passed);
+  Play.add("k", "v0");
+  Play.add("k", "v1");
+  Play.Follower_.start();
+  Play.runFor(milliseconds(20));
+  Play.Follower_.take({"k", "v0", 0}, true);
+  BOOST_TEST(Play.Seen_ == (std::vector<std::string>{"v1"}));
+}
+
+/// A gap among several keys: the record counts, and the others are read.
+BOOST_AUTO_TEST_CASE(GapIsReadThoughALaterRecordWasPassed) {
+  Stage Play(FollowMode::Passed);
+  Play.Follower_.start();
+  Play.runFor(milliseconds(20));
+  Play.add("a", "a0");
+  Play.add("b", "b0");
+  Play.Follower_.take({"b", "b0", 1}, false);
+  Play.Follower_.hint(2);
+  Play.runFor(milliseconds(400));
+  BOOST_TEST(Play.Seen_ == (std::vector<std::string>{"b0", "a0"}));
+}
+
+BOOST_AUTO_TEST_CASE(WaitingReadThatWentSilentIsDoneAnew) {
+  Stage Play(FollowMode::Wait);
+  Play.Follower_.start();
+  Play.runFor(milliseconds(20));
+  Play.add("k", "v0");
+  Play.runFor(milliseconds(200));
+  BOOST_TEST(Play.Seen_.empty());
+  Play.Follower_.hint(1);
+  Play.runFor(milliseconds(50));
+  BOOST_TEST(Play.Seen_ == (std::vector<std::string>{"v0"}));
+}
+
+BOOST_AUTO_TEST_CASE(PassedRecordsSurviveTheirCodec) {
+  const std::string Message =
+      encodePassedRecord({"keyed.keys.s", {"table", "{\"rows\":[]}", 7}});
+  const auto Again = decodePassedRecord(Message.data(), Message.size());
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(Again->Topic_ == "keyed.keys.s");
+  BOOST_TEST(Again->Record_.Offset_ == 7U);
+  BOOST_TEST(!decodeDigest(Message.data(), Message.size()).has_value());
+  for (std::size_t Size = 0; Size < Message.size(); ++Size)
+    BOOST_TEST(!decodePassedRecord(Message.data(), Size).has_value());
+}
+
+} // namespace lagoonhitch
