--- a/bench/bench_micro.cpp
+++ b/bench/bench_micro.cpp
@@ -94,12 +94,9 @@
   std::uint64_t Number = 0;
   while (Run.KeepRunning()) {
     const std::chrono::milliseconds Objective(600);
-    const DoorTicket Ticket = {++Number,
-                               1,
-                               Start + Objective,
-                               Start + 2 * Objective,
-                               Objective,
-                               2 * Objective};
+    const DoorTicket Ticket = {++Number,          1,
+                               Start + Objective, Start + 2 * Objective,
+                               Objective,         2 * Objective};
     offer(Door, Ticket, Start);
     finish(Door, Ticket, std::chrono::milliseconds(100));
   }
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -76,7 +76,7 @@
   Call(std::shared_ptr<HttpClient::Impl> Client, std::string Address,
        HttpRequest Request, HttpCallOptions Options, HttpClient::Callback Done)
       : Client_(std::move(Client)), Address_(std::move(Address)),
-        Options_(Options), Done_(std::move(Done)) {
+        Options_(std::move(Options)), Done_(std::move(Done)) {
     Message_.version(11);
     Message_.method_string(Request.Method_);
     Message_.target(Request.Target_);
@@ -289,7 +289,7 @@
                                        HttpRequest Request,
                                        HttpCallOptions Options, Callback Done) {
   std::shared_ptr<Call> Started = std::make_shared<Call>(
-      Impl_, Address, std::move(Request), Options, std::move(Done));
+      Impl_, Address, std::move(Request), std::move(Options), std::move(Done));
   Started->start();
   return Started;
 }
--- a/tests/schedule/key_schedule_test.cpp
+++ b/tests/schedule/key_schedule_test.cpp
@@ -155,11 +155,10 @@
   for (std::uint64_t Seed = 0; Seed < 20; ++Seed) {
     KeyWorld World(HostCount, Seed);
     World.run(std::chrono::seconds(5), {});
-    World.run(std::chrono::seconds(22),
-              {{KeyFaultKind::UpstreamSilent, milliseconds(0),
-                milliseconds(3500), 0},
-               {KeyFaultKind::StoreDown, milliseconds(0), milliseconds(3500),
-                0}});
+    World.run(
+        std::chrono::seconds(22),
+        {{KeyFaultKind::UpstreamSilent, milliseconds(0), milliseconds(3500), 0},
+         {KeyFaultKind::StoreDown, milliseconds(0), milliseconds(3500), 0}});
     BOOST_TEST(wordsOf(World) == "");
   }
 }
