--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -452,17 +452,15 @@
       {"Retry-After",
        absl::StrFormat("%.3f",
                        std::chrono::duration<double>(Pause).count() * Spread)});
-  Tell_(
-      EventId::RequestRefused, Request->Routed_.CallerId_,
-      absl::StrCat(Request->Door_.Service_, " at ", Request->Host_, ": ", Why));
+  Tell_(EventId::RequestRefused, Request->Routed_.CallerId_,
+        explain(*Request, Why));
   reply(Request, std::move(Response), Outcome::NotRun);
 }
 
 void RequestRouter::fail(const OpenPtr &Request, unsigned Status,
                          const std::string &Why) {
-  Tell_(
-      EventId::RequestFailed, Request->Routed_.CallerId_,
-      absl::StrCat(Request->Door_.Service_, " at ", Request->Host_, ": ", Why));
+  Tell_(EventId::RequestFailed, Request->Routed_.CallerId_,
+        explain(*Request, Why));
   reply(Request, ownAnswer(Status, Why), Outcome::Unknown);
 }
 
