Count a grant on its way as a hold before keys are given away

Shrunk to three faults and traced: host2 had just got keys and sent their first grant; its upstream fell silent in the same moment; nothing was known to hold these keys, so they were given away at once (table 2, 56 ms later); the grant then acted 0.3 s later, with a hold of 2.5 s.

Ruled out: unanswered grants (they are counted once given up), moves (they waited for grants on their way already).

Change: keys of a silent upstream are not given away while a grant of them has no answer; the same function now serves moves.

--- a/ownership/key_duty.cpp
+++ b/ownership/key_duty.cpp
@@ -119,6 +119,14 @@
   return End;
 }
 
+/// Returns whether a grant of some of these keys has no answer yet; it may
+/// still take effect.
+bool isGrantInFlight(const KeyDuty &State, const KeyRange &Range) {
+  return std::any_of(
+      State.GrantsInFlight_.begin(), State.GrantsInFlight_.end(),
+      [&Range](const KeyRow &Row) { return overlaps(Row.Range_, Range); });
+}
+
 void addShowing(KeyDuty &State, KeyActions &Actions, Instant Now) {
   if (State.Showing_ || Now < State.ShowAt_)
     return;
@@ -222,7 +230,9 @@
     }
     const bool Silent = State.Upstream_.State_ == OwnUpstream::State::Lost &&
                         !State.Upstream_.Proven_;
-    if (Silent && Now < holdsEnd(State, Row.Range_))
+    const bool MayHold =
+        isGrantInFlight(State, Row.Range_) || Now < holdsEnd(State, Row.Range_);
+    if (Silent && MayHold)
       continue;
     const std::vector<KeyPlacement> Placements =
         placeKeys({Row.Range_}, Around, "");
@@ -346,16 +356,7 @@
   for (KeyMove &Move : State.Moves_) {
     if (Move.Phase_ != KeyMove::Phase::Draining)
       continue;
-    const auto Held = State.Held_.find(Move.Range_.First_);
-    if (Held != State.Held_.end() && Held->second.InFlight_)
-      continue;
-    // A grant of a larger range may still be on its way.
-    const bool LargerInFlight =
-        std::any_of(State.GrantsInFlight_.begin(), State.GrantsInFlight_.end(),
-                    [&Move](const KeyRow &Row) {
-                      return overlaps(Row.Range_, Move.Range_);
-                    });
-    if (LargerInFlight)
+    if (isGrantInFlight(State, Move.Range_))
       continue;
     Move.Phase_ = KeyMove::Phase::Releasing;
     KeyAction Action;
--- a/tests/schedule/key_schedule_test.cpp
+++ b/tests/schedule/key_schedule_test.cpp
@@ -163,6 +163,24 @@
   }
 }
 
+/// A host gets keys, and its upstream falls silent while the first grant of
+/// them is on its way: they must not be given away before that grant is over.
+/// Found with seeds 2 and 3 of the schedules.
+BOOST_AUTO_TEST_CASE(GrantOnItsWayCountsAsAHold) {
+  using std::chrono::milliseconds;
+  for (std::uint64_t Seed = 0; Seed < 40; ++Seed) {
+    KeyWorld World(HostCount, Seed);
+    World.run(std::chrono::seconds(5), {});
+    World.run(
+        std::chrono::seconds(22),
+        {{KeyFaultKind::LateGrants, milliseconds(0), milliseconds(1150), 2},
+         {KeyFaultKind::UpstreamCrash, milliseconds(1039), milliseconds(49), 3},
+         {KeyFaultKind::UpstreamSilent, milliseconds(1150), milliseconds(49),
+          2}});
+    BOOST_TEST(wordsOf(World) == "");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RestartedDaemonResumesWithoutMoves) {
   KeyWorld World(HostCount, 7);
   World.run(std::chrono::seconds(5), {});
