--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -55,6 +55,37 @@
   return AttemptLookup::Unknown;
 }
 
+/// Describes how the call of an attempt ended without a response.
+const char *describeLostCall(HttpCallStatus Status) {
+  switch (Status) {
+  case HttpCallStatus::NotSent:
+    return "no connection could be opened";
+  case HttpCallStatus::ConnectionLost:
+    return "the connection broke";
+  case HttpCallStatus::TimedOut:
+  case HttpCallStatus::Completed:
+    break;
+  }
+  return "no response in time";
+}
+
+/// Describes the status look-up after which an attempt is given up.
+const char *describeLookup(AttemptLookup Lookup) {
+  switch (Lookup) {
+  case AttemptLookup::Running:
+    return "the attempt is running";
+  case AttemptLookup::Ended:
+    return "the gateway has finished or rejected the attempt";
+  case AttemptLookup::Unknown:
+    return "the gateway does not know the attempt";
+  case AttemptLookup::TimedOut:
+    return "no response to the status query";
+  case AttemptLookup::Unreachable:
+    return "the status query could not be sent";
+  }
+  return "";
+}
+
 } // namespace
 
 struct RequestRouter::OpenRequest {
@@ -67,6 +98,10 @@
   RequestPlan Plan_;
   std::set<std::string> TriedHosts_;
   std::uint32_t Attempt_ = 0;
+  /// When the current attempt was sent.
+  Instant SentAt_;
+  /// Status queries sent for the current attempt.
+  std::uint32_t StatusQueries_ = 0;
   /// The host that the latest attempt was sent to; empty before the first one.
   std::string Host_;
   std::uint64_t PeerProcess_ = 0;
@@ -227,6 +262,8 @@
   ++Request->Plan_.SentAttempts_;
   Request->Plan_.LookupTimeouts_ = 0;
   const std::uint32_t Attempt = ++Request->Attempt_;
+  Request->SentAt_ = Time_.now();
+  Request->StatusQueries_ = 0;
   Request->Host_ = Host;
   Request->GatewayRequest_.Id_ = {Config_.Process_, Request->Number_, Attempt};
   FleetMember *Member = findMember(Site_.Fleet_, Host);
@@ -278,7 +315,7 @@
     Member->AvoidUntil_ = Time_.now() + AvoidUnreachableFor;
   PeerClient_.closeIdle(Request->PeerAddress_);
   LogEvent_(EventId::LinkSettled, Request->Routed_.CallerRequestId_,
-            Request->Host_);
+            describeAttempt(*Request, describeLostCall(Result.Status_)));
   if (Result.Status_ == HttpCallStatus::NotSent) {
     GatewayResult Unreached;
     Unreached.Outcome_ = Outcome::NotRun;
@@ -300,6 +337,7 @@
   if (!Current || Request->StatusQuery_)
     return;
   const Duration Remaining = Request->GatewayRequest_.Deadline_ - Time_.now();
+  ++Request->StatusQueries_;
   AttemptStatusQuery Query;
   Query.Id_ = Request->GatewayRequest_.Id_;
   Query.Process_ = Request->PeerProcess_;
@@ -323,11 +361,12 @@
   const HttpCallStatus Status = Result.Status_;
   if (Status == HttpCallStatus::Completed)
     Reply = decodeStatusReply(std::move(Result.Response_));
-  if (shouldStopWaiting(Request->Plan_, toAttemptLookup(Status, Reply))) {
+  const AttemptLookup Lookup = toAttemptLookup(Status, Reply);
+  if (shouldStopWaiting(Request->Plan_, Lookup)) {
     PeerClient_.cancel(Request->Call_);
     PeerClient_.closeIdle(Request->PeerAddress_);
     LogEvent_(EventId::LinkSettled, Request->Routed_.CallerRequestId_,
-              Request->Host_);
+              describeAttempt(*Request, describeLookup(Lookup)));
     // Gateways keep no record of idempotent attempts.
     const bool Recorded = Reply.Kind_ == AttemptStatusReply::Kind::Ended &&
                           !Request->GatewayRequest_.Idempotent_;
@@ -465,6 +504,15 @@
   return Response;
 }
 
+/// Describes why the entry daemon stopped waiting for the current attempt.
+std::string RequestRouter::describeAttempt(const OpenRequest &Request,
+                                           const char *Cause) const {
+  return absl::StrCat(Cause, "; attempt ", Request.Attempt_, " to ",
+                      Request.Host_, ", sent ",
+                      toMillis(Time_.now() - Request.SentAt_).count(),
+                      " ms ago, ", Request.StatusQueries_, " status queries");
+}
+
 /// Describes a decision about a request and the state that it is based on.
 std::string RequestRouter::describeDecision(const OpenRequest &Request,
                                             const std::string &Reason) const {
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -110,6 +110,8 @@
             const std::string &Reason);
   void reply(const OpenRequestPtr &Request, HttpResponse Response,
              Outcome FinalOutcome);
+  std::string describeAttempt(const OpenRequest &Request,
+                              const char *Cause) const;
   std::string describeDecision(const OpenRequest &Request,
                                const std::string &Reason) const;
   static HttpResponse errorResponse(unsigned Status, const std::string &Reason);
