Reproduce requests given up while their upstream is at work

Callers saw a 502 for an idempotent request with a key that an upstream was running. Two process tests refuse, or accept and ignore, new connections between daemons while requests run 1.5 s and 3 s over open ones.

The fixture of the process tests moves to files of its own, so that both test programs use it. The relay's listening socket is closed on exec: processes started later kept its address open.

--- a/tests/process/process_test.cpp
+++ b/tests/process/process_test.cpp
@@ -3,11 +3,7 @@
 /// check the recorded histories and that all calls succeed again, not timings.
 
 #define BOOST_TEST_MODULE process
-#include "platform/monotonic_clock.h"
-#include "tests/history/checker.h"
-#include "tests/process/load_generator.h"
-#include "tests/process/run_files.h"
-#include "tests/process/site.h"
+#include "tests/process/site_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -20,89 +16,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr seconds StartTimeout{20};
-
-const MonotonicClock Time;
-
-void sleepFor(milliseconds Span) { std::this_thread::sleep_for(Span); }
-
-/// A site under load from callers that use the daemons of hosts 0 and 1.
-struct SiteFixture {
-  explicit SiteFixture(const SiteOptions &Options = SiteOptions())
-      : Site_(Time, Options) {
-    BOOST_REQUIRE(Site_.waitUntilServing(StartTimeout));
-  }
-
-  /// Starts the load and lets it run for a moment.
-  void startLoad() {
-    LoadGeneratorOptions Options;
-    Options.Addresses_ = {Site_.callersAddress(0), Site_.callersAddress(1)};
-    Load_ = std::make_unique<LoadGenerator>(Time, Options);
-    sleepFor(milliseconds(500));
-  }
-
-  /// Returns a host that owns a key and whose daemon the callers don't use.
-  std::uint32_t findOwner() const {
-    for (int Number = 0; Number < 500; ++Number) {
-      const std::uint32_t Owner =
-          Site_.ownerOf(0, "k" + std::to_string(Number));
-      if (Owner > 1)
-        return Owner;
-    }
-    BOOST_FAIL("hosts 0 and 1 own all keys");
-    return 0;
-  }
-
-  /// Suspends the daemon of an owner for a time under load. All calls must
-  /// succeed again afterwards.
-  void suspendOwner(milliseconds Span) {
-    startLoad();
-    const std::uint32_t Owner = findOwner();
-    Site_.daemon(Owner).signal(SIGSTOP);
-    sleepFor(Span);
-    Site_.daemon(Owner).signal(SIGCONT);
-    sleepFor(seconds(3));
-    finishAndCheck();
-    BOOST_TEST(countRecentlyFailed(milliseconds(500)) == 0U);
-  }
-
-  /// Stops the load and checks the history of calls and executions.
-  void finishAndCheck() {
-    Load_->finish();
-    History Events;
-    Events.Answers_ = Load_->answers();
-    addRuns(Site_.runFiles(), Events);
-    BOOST_TEST_MESSAGE(Events.Answers_.size()
-                       << " answers, " << Events.Runs_.size() << " runs");
-    BOOST_TEST(Events.Answers_.size() > 500U);
-    const Violations Found = checkAll(Events);
-    for (const std::string &Violation : Found)
-      BOOST_ERROR(Violation);
-  }
-
-  /// Returns the number of calls sent between two times whose outcome is not
-  /// Ran.
-  std::size_t countFailed(Instant From, Instant To) const {
-    const std::vector<LoadGenerator::Call> &Calls = Load_->calls();
-    return static_cast<std::size_t>(
-        std::count_if(Calls.begin(), Calls.end(),
-                      [From, To](const LoadGenerator::Call &Call) {
-                        return Call.SentAt_ > From && Call.SentAt_ <= To &&
-                               Call.Outcome_ != Outcome::Ran;
-                      }));
-  }
-
-  /// Returns the number of calls sent in the last part of the load whose
-  /// outcome is not Ran.
-  std::size_t countRecentlyFailed(milliseconds Span) const {
-    const Instant End = Load_->calls().back().AnsweredAt_;
-    return countFailed(End - Span, End);
-  }
-
-  Site Site_;
-  std::unique_ptr<LoadGenerator> Load_;
-};
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(OwnerIsKilled) {
@@ -162,7 +75,7 @@
   const std::uint32_t Owner = Fixture.findOwner();
   Fixture.Site_.setUpstreamMode(Owner, {{"draining", true}});
   sleepFor(seconds(2));
-  const Instant DrainedSince = Time.now();
+  const Instant DrainedSince = Fixture.Time_.now();
   sleepFor(seconds(2));
   Fixture.finishAndCheck();
   const std::string Name = "katalog-h" + std::to_string(Owner) + "-1";
@@ -201,10 +114,7 @@
     sleepFor(milliseconds(700));
   }
   Fixture.finishAndCheck();
-  for (const LoadGenerator::Call &Call : Fixture.Load_->calls())
-    BOOST_TEST((Call.Outcome_ == Outcome::Ran),
-               Call.Target_ << " was answered " << Call.Status_ << " "
-                            << outcomeName(Call.Outcome_));
+  Fixture.checkAllRan();
 }
 
 /// The store is down for less than the lease and then loses two responses. All
@@ -212,13 +122,13 @@
 BOOST_AUTO_TEST_CASE(StoreIsDownWithinTheLease) {
   SiteFixture Fixture;
   Fixture.startLoad();
-  const Instant OutageStart = Time.now();
+  const Instant OutageStart = Fixture.Time_.now();
   Fixture.Site_.setStoreMode({{"down", true}});
   sleepFor(seconds(4));
   Fixture.Site_.setStoreMode({{"down", false}, {"lose_answers", 2}});
   sleepFor(seconds(3));
   Fixture.finishAndCheck();
-  BOOST_TEST(Fixture.countFailed(OutageStart, Time.now()) == 0U);
+  BOOST_TEST(Fixture.countFailed(OutageStart, Fixture.Time_.now()) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(OwnerIsKilledWhileStoreAppendsLate) {
@@ -245,10 +155,7 @@
   BOOST_TEST(Fixture.Site_.daemon(Owner).wait() == 0);
   sleepFor(seconds(2));
   Fixture.finishAndCheck();
-  for (const LoadGenerator::Call &Call : Fixture.Load_->calls())
-    BOOST_TEST((Call.Outcome_ == Outcome::Ran),
-               Call.Target_ << " was answered " << Call.Status_ << " "
-                            << outcomeName(Call.Outcome_));
+  Fixture.checkAllRan();
 }
 
 } // namespace lagoonhitch
--- a/tests/process/tcp_relay.cpp
+++ b/tests/process/tcp_relay.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <fcntl.h>
 #include <thread>
 #include <vector>
 
@@ -116,6 +117,10 @@
           });
           Connection->Delay_ = Delay_;
           Connections_.push_back(Connection);
+          if (IgnoresConnections_) {
+            acceptNext();
+            return;
+          }
           Connection->Server_.async_connect(
               parseEndpoint(Target_), [Connection](error_code ConnectFailure) {
                 if (ConnectFailure) {
@@ -134,10 +139,13 @@
   std::string Target_ = "127.0.0.1:1";
   std::vector<RelayedConnectionPtr> Connections_;
   std::chrono::milliseconds Delay_{0};
+  bool IgnoresConnections_ = false;
   std::thread Thread_;
 };
 
 TcpRelay::TcpRelay() : Impl_(std::make_shared<Impl>()) {
+  // A process that is started later must not keep the address open.
+  fcntl(Impl_->Acceptor_.native_handle(), F_SETFD, FD_CLOEXEC);
   Impl_->acceptNext();
   Impl_->Thread_ = std::thread([this] { Impl_->Context_.run(); });
 }
@@ -177,6 +185,18 @@
   });
 }
 
+void TcpRelay::refuseConnections() {
+  boost::asio::post(Impl_->Context_, [this] {
+    error_code Ignored;
+    Impl_->Acceptor_.close(Ignored);
+  });
+}
+
+void TcpRelay::ignoreConnections() {
+  boost::asio::post(Impl_->Context_,
+                    [this] { Impl_->IgnoresConnections_ = true; });
+}
+
 void TcpRelay::setDelay(std::chrono::milliseconds Delay) {
   boost::asio::post(Impl_->Context_, [this, Delay] {
     Impl_->Delay_ = Delay;
--- a/tests/process/tcp_relay.h
+++ b/tests/process/tcp_relay.h
@@ -36,6 +36,13 @@
   /// Resets the open connections.
   void reset();
 
+  /// Refuses new connections from now on. Open connections keep working.
+  void refuseConnections();
+
+  /// Accepts new connections from now on, but relays nothing on them. Open
+  /// connections keep working.
+  void ignoreConnections();
+
   /// Delays all further traffic, also on new connections.
   void setDelay(std::chrono::milliseconds Delay);
 
