Keep waiting for an attempt when its status queries fail

Callers saw a 502 (LOST after SIGTERM) for an idempotent request with a key that an upstream was running, 0.65 to 0.75 s into the run.

Cause: an entry daemon without a response for 0.5 s queries the attempt's status over a new connection. If that was not open after 250 ms, or three queries had no response, it took this for the end of an idempotent attempt: it closed the attempt's own connection, which worked, so the gateway cancelled the run. It then sent the request again over another new connection, which failed as well, and answered 502.

Hosts with 10 Mbit/s received 1.0 to 1.5 MB/s at the time, so new connections waited for a full link.

A failed look-up says nothing about the attempt, so it no longer ends one, whatever the request. What ends one is the gateway's answer, the attempt's own connection (TCP keep-alive and user timeout notice a lost host after 2.5 to 3 s) or the deadline. A request to a lost host is therefore given up later than before, after about 3 s in place of 0.75 s; no other host could run one with a key until the lease is over.

The tests status_queries failed before (both cases, 4 of 16 requests each) and pass now.

--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -260,7 +260,6 @@
 void RequestRouter::sendToHost(const OpenRequestPtr &Request,
                                const std::string &Host) {
   ++Request->Plan_.SentAttempts_;
-  Request->Plan_.LookupTimeouts_ = 0;
   const std::uint32_t Attempt = ++Request->Attempt_;
   Request->SentAt_ = Time_.now();
   Request->StatusQueries_ = 0;
@@ -362,7 +361,7 @@
   if (Status == HttpCallStatus::Completed)
     Reply = decodeStatusReply(std::move(Result.Response_));
   const AttemptLookup Lookup = toAttemptLookup(Status, Reply);
-  if (shouldStopWaiting(Request->Plan_, Lookup)) {
+  if (shouldStopWaiting(Lookup)) {
     PeerClient_.cancel(Request->Call_);
     PeerClient_.closeIdle(Request->PeerAddress_);
     LogEvent_(EventId::LinkSettled, Request->Routed_.CallerRequestId_,
--- a/routing/request_plan.cpp
+++ b/routing/request_plan.cpp
@@ -13,9 +13,6 @@
 constexpr std::uint32_t MaxSends = 5;
 /// The same limit while a key changes its owner.
 constexpr std::uint32_t MaxOwnerSends = 40;
-/// Consecutive status look-ups without an answer after which the entry daemon
-/// stops waiting for a key's owner.
-constexpr std::uint32_t MaxLookupTimeouts = 3;
 /// Minimum time before the deadline for another attempt to be useful.
 constexpr std::chrono::milliseconds MinTimeToResend{60};
 /// How long a request waits for its key to get an owner, as a fraction of its
@@ -140,20 +137,15 @@
   return afterUnknownOutcome(Plan, Spend, Now);
 }
 
-bool shouldStopWaiting(RequestPlan &Plan, AttemptLookup Lookup) {
+bool shouldStopWaiting(AttemptLookup Lookup) {
   switch (Lookup) {
-  case AttemptLookup::Running:
-    Plan.LookupTimeouts_ = 0;
-    return false;
   case AttemptLookup::Ended:
   case AttemptLookup::Unknown:
     return true;
+  case AttemptLookup::Running:
   case AttemptLookup::TimedOut:
-    ++Plan.LookupTimeouts_;
-    return Plan.Idempotent_ &&
-           (!Plan.Keyed_ || Plan.LookupTimeouts_ >= MaxLookupTimeouts);
   case AttemptLookup::Unreachable:
-    return Plan.Idempotent_;
+    return false;
   }
   return false;
 }
--- a/routing/request_plan.h
+++ b/routing/request_plan.h
@@ -30,8 +30,6 @@
   std::uint32_t SentAttempts_ = 0;
   /// Attempts that have run or may have run.
   std::uint32_t Runs_ = 0;
-  /// Consecutive status look-ups of the current attempt that timed out.
-  std::uint32_t LookupTimeouts_ = 0;
   /// Total time for which its key had no available owner.
   Duration OwnerWait_{};
   /// When it last found no owner available.
@@ -100,9 +98,10 @@
 };
 
 /// Returns whether to stop waiting for the current attempt after a status
-/// look-up. A slow owner of a key gets several look-ups: no other upstream can
-/// run the request, and running work would be lost.
-bool shouldStopWaiting(RequestPlan &Plan, AttemptLookup Lookup);
+/// look-up: only if the gateway has answered that the attempt does not run. A
+/// look-up that fails says nothing about the attempt, whose own connection may
+/// work.
+bool shouldStopWaiting(AttemptLookup Lookup);
 
 /// Returns the next step if no host is available for the request.
 PlanStep onNoHost(RequestPlan &Plan, Instant Now);
