Let a slow reply to a read of the store arrive

Cause: while a host was behind, each digest of a peer that had the new version repeated the read of the operators' topic 150 ms after the last one began. The reply to the read before was dropped, though its bytes still came. A reply that took over 150 ms was therefore never used, and the repeated ones kept the link full, so it stayed so.

Now the time until another read doubles, as long as nothing new has arrived, and the reply to an earlier read is used. The test DeliversARecordThatArrivesSlowlyDespiteHints failed before: nothing delivered in 1.2 s, 6 reads in place of at most 4.

--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -19,7 +19,8 @@
 constexpr std::chrono::milliseconds InitialRetryDelay{100};
 constexpr std::chrono::milliseconds MaxRetryDelay{800};
 /// Time that a pushed record, or the reply to a waiting read, may take to
-/// arrive before a hinted end causes another read.
+/// arrive before a hinted end causes another read. Doubled for each further one
+/// until new records arrive.
 constexpr std::chrono::milliseconds HintDelay{150};
 
 } // namespace
@@ -28,7 +29,7 @@
                              std::string Topic, FollowMode Mode,
                              RecordsCallback OnRecords)
     : Loop_(Loop), Time_(Time), Source_(Source), Topic_(std::move(Topic)),
-      Mode_(Mode), OnRecords_(std::move(OnRecords)) {}
+      Mode_(Mode), OnRecords_(std::move(OnRecords)), RereadDelay_(HintDelay) {}
 
 void TopicFollower::start() { readNewest(); }
 
@@ -47,8 +48,11 @@
       HintTimer_ = Loop_.after(HintDelay, [this] { readIfBehind(); });
     return;
   }
-  if (Time_.now() - ReadStartedAt_ >= HintDelay)
-    readNext();
+  // The reply may only be slow, because it is large or the link is full.
+  if (Time_.now() - ReadStartedAt_ < RereadDelay_)
+    return;
+  RereadDelay_ = std::min<Duration>(RereadDelay_ * 2, LongPollTimeout);
+  readNext();
 }
 
 void TopicFollower::readIfBehind() {
@@ -71,6 +75,8 @@
 /// Advances NextOffset_ to an offset and past the pushed records that follow it
 /// without a gap.
 void TopicFollower::advanceTo(Offset Next) {
+  if (Next > NextOffset_)
+    RereadDelay_ = HintDelay;
   NextOffset_ = std::max(NextOffset_, Next);
   PushedAhead_.erase(PushedAhead_.begin(),
                      PushedAhead_.lower_bound(NextOffset_));
@@ -110,6 +116,8 @@
   Source_.read(Topic_, NextOffset_, Wait, [this, Number](ReadReply Reply) {
     if (Number == ReadNumber_)
       onRead(std::move(Reply));
+    else
+      onEarlierRead(std::move(Reply));
   });
 }
 
@@ -150,6 +158,14 @@
     continueReading();
 }
 
+/// Uses the reply to a read that was repeated before it arrived.
+void TopicFollower::onEarlierRead(ReadReply Reply) {
+  if (Reply.Kind_ != ReadReply::Kind::Done || Reply.End_ <= NextOffset_)
+    return;
+  advanceTo(Reply.End_);
+  deliver(std::move(Reply.Records_), false);
+}
+
 void TopicFollower::deliver(std::vector<StoreRecord> Records, bool Snapshot) {
   std::erase_if(Records, [this](const StoreRecord &Record) {
     const auto Found = LastOffsets_.find(Record.Key_);
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -69,6 +69,7 @@
   void continueReading();
   void onNewest(ReadReply Reply);
   void onRead(ReadReply Reply);
+  void onEarlierRead(ReadReply Reply);
   void advanceTo(Offset Next);
   void deliver(std::vector<StoreRecord> Records, bool Snapshot);
   void schedule(Duration Delay, void (TopicFollower::*Step)());
@@ -86,9 +87,12 @@
   Offset HintedEnd_ = 0;
   bool Reading_ = false;
   bool Loaded_ = false;
-  /// Number of the last read; replies to earlier ones are ignored.
+  /// Number of the last read. Replies to earlier ones are used only for the
+  /// records in them.
   std::uint64_t ReadNumber_ = 0;
   Instant ReadStartedAt_ = Instant::min();
+  /// Age of the last read from which a hint causes another one.
+  Duration RereadDelay_;
   std::uint32_t Failures_ = 0;
   /// Offset of the last delivered record, by key.
   std::map<std::string, Offset> LastOffsets_;
--- a/tests/unit/follower_test.cpp
+++ b/tests/unit/follower_test.cpp
@@ -18,7 +18,7 @@
 
 constexpr const char *Topic = "keyed.t";
 
-/// Replies immediately from a model of the store, or never.
+/// Replies from a model of the store, or never.
 class FakeStore : public Store {
 public:
   explicit FakeStore(IoLoop &Loop) : Loop_(Loop) {}
@@ -43,7 +43,11 @@
     // A long poll without new records never ends in these tests.
     if (Reply.Records_.empty() && Wait.count() > 0)
       return;
-    Loop_.post([Done, Reply] { Done(Reply); });
+    if (ReplyDelay_.count() == 0) {
+      Loop_.post([Done, Reply] { Done(Reply); });
+      return;
+    }
+    Timers_.push_back(Loop_.after(ReplyDelay_, [Done, Reply] { Done(Reply); }));
   }
 
   void readNewest(const std::string &TopicName, ReadDone Done) override {
@@ -56,6 +60,9 @@
   IoLoop &Loop_;
   StoreModel State_;
   std::optional<StoreModel> StaleState_;
+  /// How long the reply to a read takes.
+  milliseconds ReplyDelay_{0};
+  std::vector<std::shared_ptr<void>> Timers_;
   int Reads_ = 0;
 };
 
@@ -165,6 +172,25 @@
   BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
 }
 
+/// A large record takes a second over a full link, and peers that have it
+/// already hint at it ten times a second. Reading it again and again must not
+/// keep the link full, nor the record from being delivered.
+BOOST_AUTO_TEST_CASE(DeliversARecordThatArrivesSlowlyDespiteHints) {
+  FollowerFixture Fixture(FollowMode::LongPoll);
+  Fixture.Follower_.start();
+  Fixture.runFor(milliseconds(20));
+  Fixture.appendRecord("k", "v0");
+  Fixture.runFor(milliseconds(200));
+  Fixture.Source_.ReplyDelay_ = milliseconds(1000);
+  const int ReadsBefore = Fixture.Source_.Reads_;
+  for (int Hint = 0; Hint < 12; ++Hint) {
+    Fixture.Follower_.hintEnd(1);
+    Fixture.runFor(milliseconds(100));
+  }
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+  BOOST_TEST(Fixture.Source_.Reads_ - ReadsBefore <= 4);
+}
+
 BOOST_AUTO_TEST_CASE(EncodesAndDecodesPushedRecords) {
   const std::string Message =
       encodePushedRecord({"keyed.keys.s", {"table", "{\"rows\":[]}", 7}});
