Count a request of a server until its response is written

Callers of a daemon that ended could get the beginning of a large response only: the request no longer counted as open once its response was given to the socket, so a shutdown could end the process while the rest waited for the caller to read.

The test CountsARequestUntilItsResponseIsWritten failed before (0 open requests while 64 MB were unread).

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -75,7 +75,10 @@
     Server_->Sessions_.insert(this);
   }
 
-  ~Session() { Server_->Sessions_.erase(this); }
+  ~Session() {
+    closeExchange();
+    Server_->Sessions_.erase(this);
+  }
 
   void readNext() {
     Parser_.emplace();
@@ -219,6 +222,7 @@
     }
     std::function<void()> Callback = std::move(OnAbandoned_);
     finishExchange();
+    closeExchange();
     close();
     if (Callback)
       Callback();
@@ -227,6 +231,13 @@
   void finishExchange() {
     ResponsePending_ = false;
     OnAbandoned_ = nullptr;
+  }
+
+  /// Ends the exchange once its response is written or can't be written.
+  void closeExchange() {
+    if (!ExchangeOpen_)
+      return;
+    ExchangeOpen_ = false;
     --Server_->OpenExchanges_;
   }
 
@@ -242,6 +253,7 @@
                       [Self = shared_from_this(), KeepAlive](error_code Failure,
                                                              std::size_t) {
                         Self->Response_.reset();
+                        Self->closeExchange();
                         if (Failure || !KeepAlive) {
                           Self->close();
                           return;
@@ -264,6 +276,8 @@
   std::function<void()> OnAbandoned_;
   std::uint64_t RequestNumber_ = 0;
   bool ResponsePending_ = false;
+  /// Whether a request was read whose response is not written completely.
+  bool ExchangeOpen_ = false;
   bool Idle_ = false;
   /// Whether closeIfIdle() cancelled the pending read.
   bool IdleReadCancelled_ = false;
@@ -293,6 +307,7 @@
 void Session::startExchange(HttpRequest Request) {
   ++RequestNumber_;
   ResponsePending_ = true;
+  ExchangeOpen_ = true;
   ++Server_->OpenExchanges_;
   Stream_.expires_never();
   watchForClose();
@@ -352,10 +367,14 @@
 
 void HttpServer::disableKeepAlive() { Impl_->KeepAliveDisabled_ = true; }
 
-void HttpServer::drain() {
-  Impl_->KeepAliveDisabled_ = true;
+void HttpServer::stopAccepting() {
   error_code Ignored;
   Impl_->Acceptor_.close(Ignored);
+}
+
+void HttpServer::drain() {
+  disableKeepAlive();
+  stopAccepting();
   const std::set<Session *> Sessions = Impl_->Sessions_;
   for (Session *Open : Sessions)
     Open->closeIfIdle();
@@ -363,4 +382,8 @@
 
 std::size_t HttpServer::openExchanges() const { return Impl_->OpenExchanges_; }
 
+std::size_t HttpServer::openConnections() const {
+  return Impl_->Sessions_.size();
+}
+
 } // namespace lagoonhitch
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -40,13 +40,19 @@
   /// New connections are still accepted.
   void disableKeepAlive();
 
+  /// Refuses new connections from now on. Requests on open ones are served.
+  void stopAccepting();
+
   /// Stops accepting connections. Closes idle connections immediately and the
   /// others after their current response.
   void drain();
 
-  /// Returns the number of requests without a response so far.
+  /// Returns the number of requests whose response is not written completely.
   std::size_t openExchanges() const;
 
+  /// Returns the number of open connections.
+  std::size_t openConnections() const;
+
   /// State that uses types of Boost.Beast.
   struct Impl;
 
--- a/tests/unit/server_test.cpp
+++ b/tests/unit/server_test.cpp
@@ -29,7 +29,9 @@
                 [this](const HttpRequest &,
                        const std::shared_ptr<HttpExchange> &Exchange) {
                   ++Served_;
-                  Exchange->respond(HttpResponse());
+                  HttpResponse Response;
+                  Response.Body_ = std::string(ResponseBytes_, 'x');
+                  Exchange->respond(std::move(Response));
                 }),
         Client_(Context_) {
     Client_.connect(parseEndpoint(Server_.address()));
@@ -73,6 +75,7 @@
   boost::asio::io_context Context_;
   tcp::socket Client_;
   int Served_ = 0;
+  std::size_t ResponseBytes_ = 0;
 };
 
 } // namespace
@@ -105,4 +108,31 @@
   BOOST_TEST(Fixture.Served_ == 1);
 }
 
+/// The end of a shutdown must not cut off a response that the caller has not
+/// read yet.
+BOOST_AUTO_TEST_CASE(CountsARequestUntilItsResponseIsWritten) {
+  ServerFixture Fixture;
+  // More than the socket buffers hold.
+  Fixture.ResponseBytes_ = 64UL * 1024 * 1024;
+  Fixture.sendRequest();
+  Fixture.runFor(milliseconds(100));
+  BOOST_TEST(Fixture.Served_ == 1);
+  BOOST_TEST(Fixture.Server_.openExchanges() == 1U);
+  Fixture.Client_.close();
+  Fixture.runFor(milliseconds(100));
+  BOOST_TEST(Fixture.Server_.openExchanges() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ServesOpenConnectionsAfterItStopsAccepting) {
+  ServerFixture Fixture;
+  bool Closed = false;
+  Fixture.runFor(milliseconds(30));
+  Fixture.Server_.stopAccepting();
+  Fixture.runFor(milliseconds(30));
+  BOOST_TEST(Fixture.Server_.openConnections() == 1U);
+  Fixture.sendRequest();
+  Fixture.runFor(milliseconds(30));
+  BOOST_TEST(Fixture.read(Closed).starts_with("HTTP/1.1 200"));
+}
+
 } // namespace lagoonhitch
