Answer requests of peers that are under way when a daemon ends

Callers saw requests fail, or hang until their deadline, when the daemon of another host was stopped: a stopping daemon ended as soon as nothing was open, although peers on full links go on sending to it until they learn that it stops. Their requests were lost with the connection. For one that is not idempotent nobody could say whether it had run.

A stopping daemon now refuses new connections of peers when nothing runs any more, so a peer knows that what it wanted to send has not run, and rejects what still arrives on open ones for 0.7 s. The phases are decided by a pure function (daemon/shutdown_plan). The process test StoppingDaemonAnswersLateRequestsOfPeers failed before: 2.6 s after SIGTERM an open connection of a peer was closed without an answer.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -7,6 +7,7 @@
 #include "daemon/peer_service.h"
 #include "daemon/request_router.h"
 #include "daemon/settings_caller_interface.h"
+#include "daemon/shutdown_plan.h"
 #include "daemon/site_state.h"
 #include "daemon/site_watcher.h"
 #include "daemon/upstream_gateway.h"
@@ -34,9 +35,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickInterval{50};
-/// Time from the start of a shutdown until callers send their requests to
-/// other hosts.
-constexpr std::chrono::milliseconds DrainDelay{2300};
 /// Time reserved for the end of a shutdown, before the stop timeout.
 constexpr std::chrono::milliseconds ShutdownMargin{500};
 /// Age of the last load digest from which a peer is not used as a relay to the
@@ -136,7 +134,8 @@
   std::string chooseRelay();
   void tick();
   void startShutdown();
-  void tryFinishShutdown();
+  void continueShutdown();
+  void enterPhase(ShutdownPhase Phase);
   void reloadSettings();
   void logEvent(EventId Id, const std::string &Subject);
 
@@ -175,8 +174,7 @@
 
   std::uint64_t DigestSequence_ = 0;
   std::shared_ptr<void> TickTimer_;
-  std::optional<Instant> StoppingSince_;
-  bool Draining_ = false;
+  std::optional<ShutdownPlan> Shutdown_;
 };
 
 Daemon::Impl::Impl(const Clock &Time, DaemonSettings Settings,
@@ -376,7 +374,7 @@
 
 void Daemon::Impl::handleReadiness(HttpExchange &Exchange) const {
   HttpResponse Response;
-  const bool Ready = Site_.Manifest_ != nullptr && !StoppingSince_;
+  const bool Ready = Site_.Manifest_ != nullptr && !Shutdown_;
   Response.Status_ = Ready ? 200 : 503;
   Exchange.respond(std::move(Response));
 }
@@ -388,7 +386,7 @@
   Digest.Process_ = Process_;
   Digest.Sequence_ = ++DigestSequence_;
   Digest.Accepting_ = Gateway_.isAccepting();
-  Digest.Stopping_ = StoppingSince_.has_value();
+  Digest.Stopping_ = Shutdown_.has_value();
   Digest.RecentlyGainedKeys_ = Ownership_.recentlyGainedKeys();
   const LoadReport Load = Gateway_.load();
   Digest.Running_ = Load.Running_;
@@ -445,17 +443,18 @@
   UpstreamClient_.reapIdle();
   PeerClient_.reapIdle();
   PeerService_.tick();
-  if (StoppingSince_)
-    tryFinishShutdown();
+  if (Shutdown_)
+    continueShutdown();
 }
 
 void Daemon::Impl::startShutdown() {
-  if (StoppingSince_) {
+  if (Shutdown_) {
     Loop_.stop();
     return;
   }
   logEvent(EventId::DaemonStopping, "");
-  StoppingSince_ = Time_.now();
+  Shutdown_ = startShutdownPlan(Time_.now(), Settings_.Bounds_.StopTimeout_ -
+                                                 ShutdownMargin);
   CallerServer_.disableKeepAlive();
   if (InternalServer_)
     InternalServer_->disableKeepAlive();
@@ -463,27 +462,34 @@
   Digests_.sendNow();
 }
 
-void Daemon::Impl::tryFinishShutdown() {
-  const Duration Since = Time_.now() - *StoppingSince_;
-  if (Since < DrainDelay)
+void Daemon::Impl::continueShutdown() {
+  ShutdownLoad Load;
+  Load.OpenRequests_ = CallerServer_.openExchanges() + Router_.openRequests() +
+                       PeerServer_.openExchanges();
+  Load.PeerConnections_ = PeerServer_.openConnections();
+  if (advanceShutdown(*Shutdown_, Load, Time_.now()))
+    enterPhase(Shutdown_->Phase_);
+}
+
+void Daemon::Impl::enterPhase(ShutdownPhase Phase) {
+  switch (Phase) {
+  case ShutdownPhase::Serving:
     return;
-  if (!Draining_) {
-    Draining_ = true;
+  case ShutdownPhase::Draining:
     CallerServer_.drain();
     if (InternalServer_)
       InternalServer_->drain();
+    PeerServer_.disableKeepAlive();
     UpstreamManager_.stopAdmitting();
-    // Requests that have just arrived are not counted yet, so completion is
-    // checked from the next tick on.
     return;
-  }
-  const bool Done = CallerServer_.openExchanges() == 0 &&
-                    Router_.openRequests() == 0 &&
-                    PeerServer_.openExchanges() == 0;
-  if (!Done && Since < Settings_.Bounds_.StopTimeout_ - ShutdownMargin)
+  case ShutdownPhase::Lingering:
+    PeerServer_.stopAccepting();
     return;
-  logEvent(EventId::DaemonStopped, "");
-  Loop_.stop();
+  case ShutdownPhase::Stopped:
+    logEvent(EventId::DaemonStopped, "");
+    Loop_.stop();
+    return;
+  }
 }
 
 void Daemon::Impl::reloadSettings() {
--- /dev/null
+++ b/daemon/shutdown_plan.h
@@ -0,0 +1,54 @@
+#ifndef LAGOONHITCH_DAEMON_SHUTDOWN_PLAN_H
+#define LAGOONHITCH_DAEMON_SHUTDOWN_PLAN_H
+
+/// \file
+/// Decides how a graceful shutdown proceeds.
+
+#include "core/clock.h"
+
+#include <cstddef>
+
+namespace lagoonhitch {
+
+/// The phases of a shutdown, in order.
+enum class ShutdownPhase {
+  /// Requests are served as before, while callers and peers learn of the
+  /// shutdown.
+  Serving,
+  /// New requests of callers are not accepted, those of peers are rejected.
+  Draining,
+  /// Nothing runs any more. New connections of peers are refused. Requests that
+  /// peers sent on open ones may still be on their way, and are rejected.
+  Lingering,
+  /// The process can end.
+  Stopped,
+};
+
+/// Progress of a shutdown.
+struct ShutdownPlan {
+  Instant StartedAt_;
+  /// How long the shutdown may take.
+  Duration Limit_{};
+  ShutdownPhase Phase_ = ShutdownPhase::Serving;
+  /// When the current phase began.
+  Instant PhaseSince_;
+};
+
+/// What is still open during a shutdown.
+struct ShutdownLoad {
+  /// Requests of callers and peers without a complete response.
+  std::size_t OpenRequests_ = 0;
+  /// Connections of peers.
+  std::size_t PeerConnections_ = 0;
+};
+
+/// Starts a shutdown.
+ShutdownPlan startShutdownPlan(Instant Now, Duration Limit);
+
+/// Enters the next phase if it is due. To be called periodically.
+/// \returns whether the phase has changed.
+bool advanceShutdown(ShutdownPlan &Plan, const ShutdownLoad &Load, Instant Now);
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_DAEMON_SHUTDOWN_PLAN_H
--- a/tests/process/process_test.cpp
+++ b/tests/process/process_test.cpp
@@ -3,8 +3,13 @@
 /// check the recorded histories and that all calls succeed again, not timings.
 
 #define BOOST_TEST_MODULE process
+#include "net/address.h"
 #include "tests/process/site_fixture.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
@@ -158,4 +163,25 @@
   Fixture.checkAllRan();
 }
 
+/// A request that a peer sent on an open connection may arrive after the last
+/// other one has been answered. It must not be lost with the connection.
+BOOST_AUTO_TEST_CASE(StoppingDaemonAnswersLateRequestsOfPeers) {
+  SiteOptions Options;
+  Options.UseRelays_ = true;
+  SiteFixture Fixture(Options);
+  constexpr std::uint32_t Host = 2;
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::socket Peer(Context);
+  Peer.connect(parseEndpoint(Fixture.Site_.relay(Host).address()));
+  Fixture.Site_.daemon(Host).signal(SIGTERM);
+  sleepFor(milliseconds(2600));
+  const std::string Request = "GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n";
+  boost::asio::write(Peer, boost::asio::buffer(Request));
+  std::string Response(8, '\0');
+  boost::system::error_code Failure;
+  boost::asio::read(Peer, boost::asio::buffer(Response), Failure);
+  BOOST_TEST(Response == "HTTP/1.1");
+  BOOST_TEST(Fixture.Site_.daemon(Host).wait() == 0);
+}
+
 } // namespace lagoonhitch
--- /dev/null
+++ b/tests/unit/shutdown_test.cpp
@@ -0,0 +1,61 @@
+/// \file
+/// Tests the phases of a graceful shutdown.
+
+#define BOOST_TEST_MODULE shutdown
+#include "daemon/shutdown_plan.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace lagoonhitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds TickInterval{50};
+constexpr milliseconds Limit{5500};
+
+const Instant Start{std::chrono::hours(1)};
+
+/// Runs a shutdown with a constant load and returns how long it took.
+Duration runShutdown(const ShutdownLoad &Load) {
+  ShutdownPlan Plan = startShutdownPlan(Start, Limit);
+  Instant Now = Start;
+  while (Plan.Phase_ != ShutdownPhase::Stopped) {
+    Now += TickInterval;
+    advanceShutdown(Plan, Load, Now);
+  }
+  return Now - Start;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(PhasesFollowEachOther) {
+  ShutdownPlan Plan = startShutdownPlan(Start, Limit);
+  const ShutdownLoad Busy = {1, 3};
+  const ShutdownLoad Idle = {0, 3};
+  BOOST_TEST(!advanceShutdown(Plan, Idle, Start + milliseconds(2250)));
+  BOOST_TEST(advanceShutdown(Plan, Busy, Start + milliseconds(2300)));
+  BOOST_TEST((Plan.Phase_ == ShutdownPhase::Draining));
+  BOOST_TEST(!advanceShutdown(Plan, Busy, Start + milliseconds(2800)));
+  BOOST_TEST(advanceShutdown(Plan, Idle, Start + milliseconds(2850)));
+  BOOST_TEST((Plan.Phase_ == ShutdownPhase::Lingering));
+}
+
+/// A request that a peer has sent on an open connection may arrive hundreds of
+/// milliseconds later. The process must not end before it can be answered.
+BOOST_AUTO_TEST_CASE(WaitsForRequestsOnTheirWayFromPeers) {
+  BOOST_TEST((runShutdown({0, 1}) >= milliseconds(3000)));
+  BOOST_TEST((runShutdown({0, 1}) <= milliseconds(3200)));
+}
+
+BOOST_AUTO_TEST_CASE(EndsSoonWithoutConnectionsOfPeers) {
+  BOOST_TEST((runShutdown({0, 0}) <= milliseconds(2500)));
+}
+
+/// The process is killed some time after the limit.
+BOOST_AUTO_TEST_CASE(EndsAtTheLimitWhateverIsOpen) {
+  BOOST_TEST((runShutdown({2, 2}) == Limit));
+}
+
+} // namespace lagoonhitch
