Close idle connections to a peer whose status query failed

A caller's request that is not idempotent was lost on a dead connection and answered 504 (unknown outcome) at its deadline, though an earlier status query to that host had just failed.

A failed query now closes the idle connections again, so the next request opens a new one and is provably not run if that fails. The attempt's own connection stays open. FailedStatusQueryClosesIdleConnections failed before (unknown after 5 s).

The other status query tests now require that a request of another host was answered by its upstream after the full run time; else they could pass without a remote request.

--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -373,7 +373,12 @@
                     Recorded ? std::move(Reply.Result_) : GatewayResult());
     return;
   }
-  // The attempt is still running, or the gateway is temporarily unreachable.
+  // The attempt is still running, or the gateway is temporarily unreachable. In
+  // that case, idle connections to it may be dead.
+  const bool Failed = Lookup == AttemptLookup::TimedOut ||
+                      Lookup == AttemptLookup::Unreachable;
+  if (Failed)
+    PeerClient_.closeIdle(Request->PeerAddress_);
   Request->Timer_ = Loop_.after(StatusQueryInterval, [this, Request, Attempt] {
     queryStatus(Request, Attempt);
   });
--- a/tests/process/status_query_test.cpp
+++ b/tests/process/status_query_test.cpp
@@ -3,11 +3,14 @@
 /// works while status queries, which need new connections, fail.
 
 #define BOOST_TEST_MODULE status_query
+#include "net/blocking_http.h"
 #include "tests/process/site_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <functional>
+#include <future>
 
 namespace lagoonhitch {
 
@@ -32,6 +35,24 @@
     Fail(Fixture.Site_.relay(Host));
   Fixture.finishAndCheck();
   Fixture.checkAllRan();
+  // Callers send GET requests with a key to host 1, which owns no keys.
+  const std::vector<LoadGenerator::Call> &Calls = Fixture.Load_->calls();
+  BOOST_TEST(std::any_of(Calls.begin(), Calls.end(),
+                         [RunTime](const LoadGenerator::Call &Call) {
+                           return Call.Instance_.starts_with("katalog") &&
+                                  !Call.Target_.ends_with("/orders") &&
+                                  Call.AnsweredAt_ - Call.SentAt_ >= RunTime;
+                         }));
+}
+
+/// Sends a request for a key of `katalog` to host 1.
+HttpResult sendToHost1(const SiteFixture &Fixture, const char *Method,
+                       const std::string &Path) {
+  HttpRequest Request;
+  Request.Method_ = Method;
+  Request.Target_ = "/katalog/" + Path;
+  return callBlocking(Fixture.Time_, Fixture.Site_.callersAddress(1),
+                      std::move(Request), std::chrono::seconds(6));
 }
 
 } // namespace
@@ -46,4 +67,26 @@
                             [](TcpRelay &Relay) { Relay.ignoreConnections(); });
 }
 
+/// Once a status query has failed, other idle connections to that host may be
+/// dead as well. A request that is not idempotent must not be lost on one.
+BOOST_AUTO_TEST_CASE(FailedStatusQueryClosesIdleConnections) {
+  SiteOptions Options;
+  Options.UseRelays_ = true;
+  SiteFixture Fixture(Options);
+  Fixture.startLoad();
+  Fixture.Load_->finish();
+  const std::uint32_t Owner = Fixture.Site_.ownerOf(1, "k1");
+  Fixture.Site_.relay(Owner).dropTraffic();
+  Fixture.Site_.relay(Owner).refuseConnections();
+  const std::future<HttpResult> Lost =
+      std::async(std::launch::async,
+                 [&Fixture] { return sendToHost1(Fixture, "GET", "k1"); });
+  sleepFor(milliseconds(900));
+  const HttpResult Next = sendToHost1(Fixture, "POST", "k1/orders");
+  const std::string *Reported =
+      findHeader(Next.Response_.Headers_, "Lagoonhitch-Outcome");
+  BOOST_REQUIRE(Reported != nullptr);
+  BOOST_TEST(*Reported == outcomeName(Outcome::NotRun));
+}
+
 } // namespace lagoonhitch
