Bound the time between two reads of a changed topic

A daemon could go without a new manifest for more than the 2 s in which it must be in force, if replies of the store were lost: the time until the next read doubled each time, so the fourth came after 2.1 s. It is now at most 0.6 s.

DeliversARecordInTimeAfterLostReplies (three replies lost) failed before.

--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -22,6 +22,9 @@
 /// arrive before a hinted end causes another read. Doubled for each further one
 /// until new records arrive.
 constexpr std::chrono::milliseconds HintDelay{150};
+/// The longest such time: a new manifest must be in force within two seconds,
+/// also if some replies are lost.
+constexpr std::chrono::milliseconds MaxRereadDelay{600};
 
 } // namespace
 
@@ -51,7 +54,7 @@
   // The reply may only be slow, because it is large or the link is full.
   if (Time_.now() - ReadStartedAt_ < RereadDelay_)
     return;
-  RereadDelay_ = std::min<Duration>(RereadDelay_ * 2, LongPollTimeout);
+  RereadDelay_ = std::min<Duration>(RereadDelay_ * 2, MaxRereadDelay);
   readNext();
 }
 
--- a/tests/unit/follower_test.cpp
+++ b/tests/unit/follower_test.cpp
@@ -40,6 +40,10 @@
             ReadDone Done) override {
     ++Reads_;
     const ReadReply Reply = readRecords(State_, TopicName, At);
+    if (LostReplies_ > 0) {
+      --LostReplies_;
+      return;
+    }
     // A long poll without new records never ends in these tests.
     if (Reply.Records_.empty() && Wait.count() > 0)
       return;
@@ -60,6 +64,8 @@
   IoLoop &Loop_;
   StoreModel State_;
   std::optional<StoreModel> StaleState_;
+  /// How many of the next reads get no reply.
+  int LostReplies_ = 0;
   /// How long the reply to a read takes.
   milliseconds ReplyDelay_{0};
   std::vector<std::shared_ptr<void>> Timers_;
@@ -191,6 +197,21 @@
   BOOST_TEST(Fixture.Source_.Reads_ - ReadsBefore <= 4);
 }
 
+/// A new manifest must be in force within two seconds.
+BOOST_AUTO_TEST_CASE(DeliversARecordInTimeAfterLostReplies) {
+  FollowerFixture Fixture(FollowMode::LongPoll);
+  Fixture.Follower_.start();
+  Fixture.runFor(milliseconds(20));
+  Fixture.appendRecord("k", "v0");
+  Fixture.runFor(milliseconds(200));
+  Fixture.Source_.LostReplies_ = 3;
+  for (int Hint = 0; Hint < 18; ++Hint) {
+    Fixture.Follower_.hintEnd(1);
+    Fixture.runFor(milliseconds(100));
+  }
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+}
+
 BOOST_AUTO_TEST_CASE(EncodesAndDecodesPushedRecords) {
   const std::string Message =
       encodePushedRecord({"keyed.keys.s", {"table", "{\"rows\":[]}", 7}});
