Deliver answers that a status reply overtakes

Callers saw a 502, or their idempotent request ran twice, although the upstream's answer was made and on its way.

Cause: gateways keep no record of idempotent attempts, so a status query about one that has just finished gets "settled", as for one never seen. The small reply, on a new connection, overtakes the answer on a full link or while a large answer is transferred. The entry daemon then closed the attempt's connection. The same holds for a request that is not idempotent once its recorded answer is dropped for size: "unknown", then 502.

The entry daemon now keeps waiting on the attempt's own connection after such a reply: for 1 s, at most half of the remaining time, and anew as long as parts of the response arrive. If the request can't run again, giving up gains nothing, so it waits until the connection ends or the deadline. While a response arrives, no status is queried: a reply may repeat the whole answer on the same link. Keeping answers of idempotent attempts at the gateway was rejected: it costs memory, and sends large bodies over the full link once more. A request whose connection is dead but not closed runs again 1 s later than before. The record that a gateway makes for an unknown idempotent attempt stays: attempts that are idempotent don't consult it, so one on its way runs when it arrives.

The relay delays the responses on open connections.

KeepsWaitingWhenStatusLookupsFail expected Unknown to end any attempt; that holds without a connection (StopsWaitingWithoutAConnection), the other new cases bound the wait. They fail if such a reply ends the attempt at once.

--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -39,7 +39,8 @@
 constexpr std::chrono::milliseconds StatusQueryDelay{500};
 
 AttemptLookup toAttemptLookup(HttpCallStatus Status,
-                              const AttemptStatusReply &Reply) {
+                              const AttemptStatusReply &Reply,
+                              bool Idempotent) {
   if (Status == HttpCallStatus::NotSent)
     return AttemptLookup::Unreachable;
   if (Status != HttpCallStatus::Completed)
@@ -48,7 +49,8 @@
   case AttemptStatusReply::Kind::Running:
     return AttemptLookup::Running;
   case AttemptStatusReply::Kind::Ended:
-    return AttemptLookup::Ended;
+    // Gateways keep no record of idempotent attempts.
+    return Idempotent ? AttemptLookup::NotRunning : AttemptLookup::Ended;
   case AttemptStatusReply::Kind::Unknown:
     return AttemptLookup::Unknown;
   }
@@ -76,6 +78,8 @@
     return "the attempt is running";
   case AttemptLookup::Ended:
     return "the gateway has finished or rejected the attempt";
+  case AttemptLookup::NotRunning:
+    return "the gateway does not run the attempt and no answer came";
   case AttemptLookup::Unknown:
     return "the gateway does not know the attempt";
   case AttemptLookup::TimedOut:
@@ -102,6 +106,8 @@
   Instant SentAt_;
   /// Status queries sent for the current attempt.
   std::uint32_t StatusQueries_ = 0;
+  /// Received part of the response to the current attempt, as last checked.
+  std::size_t ReceivedBytes_ = 0;
   /// The host that the latest attempt was sent to; empty before the first one.
   std::string Host_;
   std::uint64_t PeerProcess_ = 0;
@@ -263,6 +269,8 @@
   const std::uint32_t Attempt = ++Request->Attempt_;
   Request->SentAt_ = Time_.now();
   Request->StatusQueries_ = 0;
+  Request->ReceivedBytes_ = 0;
+  Request->Plan_.AnswerWaitEnd_.reset();
   Request->Host_ = Host;
   Request->GatewayRequest_.Id_ = {Config_.Process_, Request->Number_, Attempt};
   FleetMember *Member = findMember(Site_.Fleet_, Host);
@@ -296,9 +304,7 @@
                        });
   // A dead connection may go unnoticed, so query the attempt's status over a
   // new one.
-  Request->Timer_ = Loop_.after(StatusQueryDelay, [this, Request, Attempt] {
-    queryStatus(Request, Attempt);
-  });
+  scheduleStatusQuery(Request, StatusQueryDelay);
 }
 
 void RequestRouter::onPeerResult(const OpenRequestPtr &Request,
@@ -330,11 +336,37 @@
   queryStatus(Request, Attempt);
 }
 
+void RequestRouter::scheduleStatusQuery(const OpenRequestPtr &Request,
+                                        Duration Delay) {
+  Request->Timer_ =
+      Loop_.after(Delay, [this, Request, Attempt = Request->Attempt_] {
+        queryStatus(Request, Attempt);
+      });
+}
+
+/// Returns whether more of the response to the current attempt has arrived
+/// since the last call. If so, a wait for it starts anew.
+bool RequestRouter::noteReceivedBytes(OpenRequest &Request) {
+  if (!Request.Call_)
+    return false;
+  const std::size_t Received = HttpClient::receivedBytes(Request.Call_);
+  if (Received == Request.ReceivedBytes_)
+    return false;
+  Request.ReceivedBytes_ = Received;
+  Request.Plan_.AnswerWaitEnd_.reset();
+  return true;
+}
+
 void RequestRouter::queryStatus(const OpenRequestPtr &Request,
                                 std::uint32_t Attempt) {
   const bool Current = !Request->Done_ && Attempt == Request->Attempt_;
   if (!Current || Request->StatusQuery_)
     return;
+  // A reply may repeat the whole answer and would slow the response down.
+  if (noteReceivedBytes(*Request)) {
+    scheduleStatusQuery(Request, StatusQueryInterval);
+    return;
+  }
   const Duration Remaining = Request->GatewayRequest_.Deadline_ - Time_.now();
   ++Request->StatusQueries_;
   AttemptStatusQuery Query;
@@ -360,23 +392,21 @@
   const HttpCallStatus Status = Result.Status_;
   if (Status == HttpCallStatus::Completed)
     Reply = decodeStatusReply(std::move(Result.Response_));
-  const AttemptLookup Lookup = toAttemptLookup(Status, Reply);
-  if (shouldStopWaiting(Lookup)) {
+  const AttemptLookup Lookup =
+      toAttemptLookup(Status, Reply, Request->GatewayRequest_.Idempotent_);
+  const bool Connected = Request->Call_ != nullptr;
+  noteReceivedBytes(*Request);
+  if (shouldStopWaiting(Request->Plan_, Lookup, Connected, Time_.now())) {
     PeerClient_.cancel(Request->Call_);
     PeerClient_.closeIdle(Request->PeerAddress_);
     LogEvent_(EventId::LinkSettled, Request->Routed_.CallerRequestId_,
               describeAttempt(*Request, describeLookup(Lookup)));
-    // Gateways keep no record of idempotent attempts.
-    const bool Recorded = Reply.Kind_ == AttemptStatusReply::Kind::Ended &&
-                          !Request->GatewayRequest_.Idempotent_;
     onGatewayResult(Request, Attempt,
-                    Recorded ? std::move(Reply.Result_) : GatewayResult());
+                    Lookup == AttemptLookup::Ended ? std::move(Reply.Result_)
+                                                   : GatewayResult());
     return;
   }
-  // The attempt is still running, or the gateway is temporarily unreachable.
-  Request->Timer_ = Loop_.after(StatusQueryInterval, [this, Request, Attempt] {
-    queryStatus(Request, Attempt);
-  });
+  scheduleStatusQuery(Request, StatusQueryInterval);
 }
 
 void RequestRouter::updateMember(FleetMember &Member,
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -91,6 +91,8 @@
   void sendToPeer(const OpenRequestPtr &Request, const FleetMember &Member);
   void onPeerResult(const OpenRequestPtr &Request, std::uint32_t Attempt,
                     HttpResult Result);
+  void scheduleStatusQuery(const OpenRequestPtr &Request, Duration Delay);
+  static bool noteReceivedBytes(OpenRequest &Request);
   void queryStatus(const OpenRequestPtr &Request, std::uint32_t Attempt);
   void onStatusReply(const OpenRequestPtr &Request, std::uint32_t Attempt,
                      HttpResult Result);
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -113,6 +113,12 @@
     closeConnection();
   }
 
+  std::size_t receivedBytes() const {
+    if (!Connection_ || !Parser_)
+      return 0;
+    return Connection_->Buffer_.size() + Parser_->get().body().size();
+  }
+
 private:
   bool reuseIdleConnection() {
     Pool &Target = Client_->pool(Address_);
@@ -305,6 +311,10 @@
     std::static_pointer_cast<Call>(Handle)->cancel();
 }
 
+std::size_t HttpClient::receivedBytes(const std::shared_ptr<void> &Handle) {
+  return Handle ? std::static_pointer_cast<Call>(Handle)->receivedBytes() : 0;
+}
+
 void HttpClient::setMaxConnections(const std::string &Address,
                                    std::size_t Limit) {
   Impl_->pool(Address).Limit_ = Limit;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -8,6 +8,7 @@
 #include "net/http_result.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -67,6 +68,10 @@
   /// Cancels a call and closes its connection. The callback is not called.
   void cancel(const std::shared_ptr<void> &Call);
 
+  /// Returns how much of a call's response has been received, as a number of
+  /// bytes that grows with it. It is zero once the call has ended.
+  static std::size_t receivedBytes(const std::shared_ptr<void> &Call);
+
   /// Overrides the maximum number of connections to one address.
   void setMaxConnections(const std::string &Address, std::size_t Limit);
 
--- a/routing/request_plan.cpp
+++ b/routing/request_plan.cpp
@@ -15,6 +15,13 @@
 constexpr std::uint32_t MaxOwnerSends = 40;
 /// Minimum time before the deadline for another attempt to be useful.
 constexpr std::chrono::milliseconds MinTimeToResend{60};
+/// How long an answer is awaited after the gateway was found not to run the
+/// attempt. The answer may be delayed by a full link, or lost with a connection
+/// that is broken but not closed.
+constexpr std::chrono::milliseconds MaxAnswerWait{1000};
+/// The same limit as a fraction of the time to the deadline, so that time for
+/// another attempt is left.
+constexpr double AnswerWaitFraction = 0.5;
 /// How long a request waits for its key to get an owner, as a fraction of its
 /// latency objective.
 constexpr double OwnerWaitFraction = 0.5;
@@ -55,11 +62,16 @@
          Plan.Deadline_ - Now > MinTimeToResend;
 }
 
+/// Returns whether a request that may have run can be run again.
+/// \param Runs the number of times that it may have run.
+bool canRerun(const RequestPlan &Plan, std::uint32_t Runs, Instant Now) {
+  return Plan.Idempotent_ && Runs < Plan.MaxRuns_ && canSendAgain(Plan, Now);
+}
+
 /// Returns whether a request that may have run can be run again, and takes a
 /// retry from the budget if so.
 bool tryRerun(const RequestPlan &Plan, const SpendRetry &Spend, Instant Now) {
-  return Plan.Idempotent_ && Plan.Runs_ < Plan.MaxRuns_ &&
-         canSendAgain(Plan, Now) && Spend();
+  return canRerun(Plan, Plan.Runs_, Now) && Spend();
 }
 
 PlanStep afterRun(RequestPlan &Plan, const AttemptResult &Result,
@@ -83,6 +95,19 @@
                   "the upstream gave no whole answer");
 }
 
+/// Returns whether to give up the answer to an attempt that the gateway does
+/// not run. The first call for an attempt starts the wait.
+bool isAnswerWaitOver(RequestPlan &Plan, Instant Now) {
+  if (!canRerun(Plan, Plan.Runs_ + 1, Now))
+    return false;
+  if (!Plan.AnswerWaitEnd_) {
+    const Duration Longest = std::chrono::duration_cast<Duration>(
+        (Plan.Deadline_ - Now) * AnswerWaitFraction);
+    Plan.AnswerWaitEnd_ = Now + std::min<Duration>(MaxAnswerWait, Longest);
+  }
+  return Now >= *Plan.AnswerWaitEnd_;
+}
+
 /// Returns whether the limits allow an attempt at the next owner of the key.
 bool canSendToNextOwner(const RequestPlan &Plan, Instant Now) {
   return Plan.SentAttempts_ < MaxOwnerSends &&
@@ -137,12 +162,17 @@
   return afterUnknownOutcome(Plan, Spend, Now);
 }
 
-bool shouldStopWaiting(AttemptLookup Lookup) {
+bool shouldStopWaiting(RequestPlan &Plan, AttemptLookup Lookup, bool Connected,
+                       Instant Now) {
   switch (Lookup) {
   case AttemptLookup::Ended:
-  case AttemptLookup::Unknown:
     return true;
+  case AttemptLookup::NotRunning:
+  case AttemptLookup::Unknown:
+    return !Connected || isAnswerWaitOver(Plan, Now);
   case AttemptLookup::Running:
+    Plan.AnswerWaitEnd_.reset();
+    return false;
   case AttemptLookup::TimedOut:
   case AttemptLookup::Unreachable:
     return false;
--- a/routing/request_plan.h
+++ b/routing/request_plan.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace lagoonhitch {
 
@@ -34,6 +35,9 @@
   Duration OwnerWait_{};
   /// When it last found no owner available.
   Instant LastOwnerLookup_ = Instant::min();
+  /// When to stop waiting for the answer to the current attempt, which the
+  /// gateway does not run; std::nullopt if that is not known.
+  std::optional<Instant> AnswerWaitEnd_;
 };
 
 /// Result of one attempt.
@@ -87,8 +91,11 @@
 enum class AttemptLookup {
   /// The attempt waits or runs.
   Running,
-  /// The attempt has finished, or is rejected and will never run.
+  /// The attempt has ended or will never run, and the reply has its result.
   Ended,
+  /// The attempt has ended or has not arrived: the daemon does not run it and
+  /// keeps no record of it, since it is idempotent.
+  NotRunning,
   /// The daemon has no information about the attempt.
   Unknown,
   /// The daemon was reached but did not answer in time.
@@ -98,10 +105,13 @@
 };
 
 /// Returns whether to stop waiting for the current attempt after a status
-/// look-up: only if the gateway has answered that the attempt does not run. A
-/// look-up that fails says nothing about the attempt, whose own connection may
-/// work.
-bool shouldStopWaiting(AttemptLookup Lookup);
+/// look-up. A look-up that fails says nothing about the attempt, whose own
+/// connection may work. If the gateway does not run the attempt, its answer may
+/// still be on its way: it is awaited for a limited time, or as long as the
+/// connection is open if the request can't be sent again.
+/// \param Connected whether the attempt's own connection is open.
+bool shouldStopWaiting(RequestPlan &Plan, AttemptLookup Lookup, bool Connected,
+                       Instant Now);
 
 /// Returns the next step if no host is available for the request.
 PlanStep onNoHost(RequestPlan &Plan, Instant Now);
--- a/tests/process/load_generator.cpp
+++ b/tests/process/load_generator.cpp
@@ -83,6 +83,8 @@
   const std::string CallName = Request.Method_ + " " + std::to_string(Number);
   Request.Headers_.push_back({"X-Call", CallName});
   Request.Body_ = Request.Method_ == "POST" ? "body " + CallName : "";
+  if (Request.Body_.size() < Options_.MinBodyBytes_)
+    Request.Body_.resize(Options_.MinBodyBytes_, 'x');
   Call Entry;
   Entry.SentAt_ = Time_.now();
   Entry.Target_ = Request.Target_;
--- a/tests/process/load_generator.h
+++ b/tests/process/load_generator.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -31,6 +32,9 @@
   /// Number of the first call. Load generators of the same site need distinct
   /// call numbers.
   std::uint64_t FirstCall_ = 1;
+  /// Minimum size of the request bodies, which upstreams echo. If it is zero,
+  /// GET requests have no body.
+  std::size_t MinBodyBytes_ = 0;
   /// Time between a response and the worker's next request.
   std::chrono::milliseconds ThinkTime_{2};
 };
--- a/tests/process/site_fixture.cpp
+++ b/tests/process/site_fixture.cpp
@@ -7,8 +7,10 @@
 
 #include <algorithm>
 #include <csignal>
+#include <map>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace lagoonhitch {
 
@@ -27,10 +29,9 @@
   BOOST_REQUIRE(Site_.waitUntilServing(StartTimeout));
 }
 
-void SiteFixture::startLoad() {
-  LoadGeneratorOptions Options;
+void SiteFixture::startLoad(LoadGeneratorOptions Options) {
   Options.Addresses_ = {Site_.callersAddress(0), Site_.callersAddress(1)};
-  Load_ = std::make_unique<LoadGenerator>(Time_, Options);
+  Load_ = std::make_unique<LoadGenerator>(Time_, std::move(Options));
   sleepFor(milliseconds(500));
 }
 
@@ -57,13 +58,12 @@
 
 void SiteFixture::finishAndCheck() {
   Load_->finish();
-  History Events;
-  Events.Answers_ = Load_->answers();
-  addRuns(Site_.runFiles(), Events);
-  BOOST_TEST_MESSAGE(Events.Answers_.size()
-                     << " answers, " << Events.Runs_.size() << " runs");
-  BOOST_TEST(Events.Answers_.size() > 500U);
-  const Violations Found = checkAll(Events);
+  Events_.Answers_ = Load_->answers();
+  addRuns(Site_.runFiles(), Events_);
+  BOOST_TEST_MESSAGE(Events_.Answers_.size()
+                     << " answers, " << Events_.Runs_.size() << " runs");
+  BOOST_TEST(Events_.Answers_.size() > 500U);
+  const Violations Found = checkAll(Events_);
   for (const std::string &Violation : Found)
     BOOST_ERROR(Violation);
 }
@@ -75,6 +75,16 @@
                             << outcomeName(Call.Outcome_));
 }
 
+void SiteFixture::checkEachRanOnce() const {
+  std::map<std::string, int> Runs;
+  for (const History::Run &Run : Events_.Runs_)
+    ++Runs[Run.Call_];
+  for (const History::CallAnswer &Answer : Events_.Answers_)
+    BOOST_TEST(Runs[Answer.Call_] == 1, Answer.Call_ << " was executed "
+                                                     << Runs[Answer.Call_]
+                                                     << " times");
+}
+
 std::size_t SiteFixture::countFailed(Instant From, Instant To) const {
   const std::vector<LoadGenerator::Call> &Calls = Load_->calls();
   return static_cast<std::size_t>(std::count_if(
--- a/tests/process/site_fixture.h
+++ b/tests/process/site_fixture.h
@@ -5,6 +5,7 @@
 /// The fixture of tests that put a Site under load.
 
 #include "platform/monotonic_clock.h"
+#include "tests/history/history.h"
 #include "tests/process/load_generator.h"
 #include "tests/process/site.h"
 
@@ -23,7 +24,8 @@
   explicit SiteFixture(const SiteOptions &Options = SiteOptions());
 
   /// Starts the load and lets it run for a moment.
-  void startLoad();
+  /// \param Options the load; its addresses are set by this function.
+  void startLoad(LoadGeneratorOptions Options = LoadGeneratorOptions());
 
   /// Returns a host that owns a key and whose daemon the callers don't use.
   std::uint32_t findOwner() const;
@@ -38,6 +40,10 @@
   /// Checks that the outcome of every finished call is Ran.
   void checkAllRan() const;
 
+  /// Checks that upstreams have executed every call exactly once. Call it only
+  /// after finishAndCheck().
+  void checkEachRanOnce() const;
+
   /// Returns the number of calls sent between two times whose outcome is not
   /// Ran.
   std::size_t countFailed(Instant From, Instant To) const;
@@ -49,6 +55,8 @@
   MonotonicClock Time_;
   Site Site_;
   std::unique_ptr<LoadGenerator> Load_;
+  /// The calls and executions; set by finishAndCheck().
+  History Events_;
 };
 
 } // namespace lagoonhitch
--- a/tests/process/tcp_relay.cpp
+++ b/tests/process/tcp_relay.cpp
@@ -31,6 +31,12 @@
   bool DropsResponses_ = false;
   /// How long each chunk is delayed.
   std::chrono::milliseconds Delay_{0};
+  /// How long each chunk from the target is delayed in addition.
+  std::chrono::milliseconds ResponseDelay_{0};
+
+  std::chrono::milliseconds delayFrom(const tcp::socket &From) const {
+    return &From == &Server_ ? Delay_ + ResponseDelay_ : Delay_;
+  }
 
   bool dropsTrafficFrom(const tcp::socket &From) const {
     return DropsTraffic_ || (DropsResponses_ && &From == &Server_);
@@ -74,7 +80,7 @@
                   tcp::socket &To, const ChunkPtr &Chunk, std::size_t Size) {
   const std::shared_ptr<boost::asio::steady_timer> Timer =
       std::make_shared<boost::asio::steady_timer>(From.get_executor(),
-                                                  Connection->Delay_);
+                                                  Connection->delayFrom(From));
   Timer->async_wait([Timer, Connection, &From, &To, Chunk, Size](error_code) {
     writeChunk(Connection, From, To, Chunk, Size);
   });
@@ -93,7 +99,7 @@
           closeConnection(*Connection);
           return;
         }
-        if (Connection->Delay_.count() > 0)
+        if (Connection->delayFrom(From).count() > 0)
           writeDelayed(Connection, From, To, Chunk, Size);
         else
           writeChunk(Connection, From, To, Chunk, Size);
@@ -197,6 +203,13 @@
                     [this] { Impl_->IgnoresConnections_ = true; });
 }
 
+void TcpRelay::delayResponses(std::chrono::milliseconds Delay) {
+  boost::asio::post(Impl_->Context_, [this, Delay] {
+    for (const RelayedConnectionPtr &Connection : Impl_->Connections_)
+      Connection->ResponseDelay_ = Delay;
+  });
+}
+
 void TcpRelay::setDelay(std::chrono::milliseconds Delay) {
   boost::asio::post(Impl_->Context_, [this, Delay] {
     Impl_->Delay_ = Delay;
--- a/tests/process/tcp_relay.h
+++ b/tests/process/tcp_relay.h
@@ -33,6 +33,10 @@
   /// closing them. Requests still pass, and new connections work.
   void dropResponses();
 
+  /// Delays each chunk of at most 16 KiB that the target sends on the open
+  /// connections. Requests on them and new connections are not delayed.
+  void delayResponses(std::chrono::milliseconds Delay);
+
   /// Resets the open connections.
   void reset();
 
--- a/tests/unit/plan_test.cpp
+++ b/tests/unit/plan_test.cpp
@@ -25,6 +25,16 @@
   return Plan;
 }
 
+/// Returns the plan of a request that was sent once and may run twice if it is
+/// idempotent.
+RequestPlan sentPlan(bool Idempotent) {
+  RequestPlan Plan = keyedPlan();
+  Plan.Idempotent_ = Idempotent;
+  Plan.MaxRuns_ = 2;
+  Plan.SentAttempts_ = 1;
+  return Plan;
+}
+
 AttemptResult rejection(RejectReason Reason) {
   AttemptResult Result;
   Result.Outcome_ = Outcome::NotRun;
@@ -158,11 +168,74 @@
 /// A status look-up that can't be sent, or has no response, says nothing about
 /// an attempt that may run and whose own connection may work.
 BOOST_AUTO_TEST_CASE(KeepsWaitingWhenStatusLookupsFail) {
-  BOOST_TEST(!shouldStopWaiting(AttemptLookup::Running));
-  BOOST_TEST(!shouldStopWaiting(AttemptLookup::TimedOut));
-  BOOST_TEST(!shouldStopWaiting(AttemptLookup::Unreachable));
-  BOOST_TEST(shouldStopWaiting(AttemptLookup::Ended));
-  BOOST_TEST(shouldStopWaiting(AttemptLookup::Unknown));
+  for (const bool Idempotent : {false, true})
+    for (const bool Connected : {false, true}) {
+      RequestPlan Plan = sentPlan(Idempotent);
+      const auto StopsAfter = [&Plan, Connected](AttemptLookup Lookup) {
+        return shouldStopWaiting(Plan, Lookup, Connected, Start);
+      };
+      BOOST_TEST(!StopsAfter(AttemptLookup::Running));
+      BOOST_TEST(!StopsAfter(AttemptLookup::TimedOut));
+      BOOST_TEST(!StopsAfter(AttemptLookup::Unreachable));
+      BOOST_TEST(StopsAfter(AttemptLookup::Ended));
+    }
+}
+
+/// Without its connection, an answer that the look-up does not return is lost.
+BOOST_AUTO_TEST_CASE(StopsWaitingWithoutAConnection) {
+  for (const bool Idempotent : {false, true})
+    for (const AttemptLookup Lookup :
+         {AttemptLookup::NotRunning, AttemptLookup::Unknown}) {
+      RequestPlan Plan = sentPlan(Idempotent);
+      BOOST_TEST(shouldStopWaiting(Plan, Lookup, false, Start));
+    }
+}
+
+/// The reply to a status look-up may overtake the answer on a full link. If
+/// the answer does not come, the request is run again.
+BOOST_AUTO_TEST_CASE(WaitsForAnAnswerOnItsWay) {
+  for (const AttemptLookup Lookup :
+       {AttemptLookup::NotRunning, AttemptLookup::Unknown}) {
+    RequestPlan Plan = sentPlan(true);
+    for (const int Millis : {500, 750, 1000, 1250, 1499})
+      BOOST_TEST(
+          !shouldStopWaiting(Plan, Lookup, true, Start + milliseconds(Millis)));
+    BOOST_TEST(
+        shouldStopWaiting(Plan, Lookup, true, Start + milliseconds(1500)));
+  }
+}
+
+/// An attempt that arrives late runs after a look-up that did not find it.
+BOOST_AUTO_TEST_CASE(WaitsAnewForAnAttemptThatRanMeanwhile) {
+  RequestPlan Plan = sentPlan(true);
+  shouldStopWaiting(Plan, AttemptLookup::NotRunning, true, Start);
+  shouldStopWaiting(Plan, AttemptLookup::Running, true,
+                    Start + milliseconds(900));
+  BOOST_TEST(!shouldStopWaiting(Plan, AttemptLookup::NotRunning, true,
+                                Start + milliseconds(1200)));
+}
+
+/// The other half of the remaining time is left for another attempt.
+BOOST_AUTO_TEST_CASE(WaitsForAnAnswerForHalfTheRemainingTime) {
+  RequestPlan Plan = sentPlan(true);
+  Plan.Deadline_ = Start + milliseconds(1000);
+  BOOST_TEST(!shouldStopWaiting(Plan, AttemptLookup::NotRunning, true,
+                                Start + milliseconds(500)));
+  BOOST_TEST(!shouldStopWaiting(Plan, AttemptLookup::NotRunning, true,
+                                Start + milliseconds(749)));
+  BOOST_TEST(shouldStopWaiting(Plan, AttemptLookup::NotRunning, true,
+                               Start + milliseconds(750)));
+}
+
+/// Nothing is gained by giving up an answer if the request can't run again.
+BOOST_AUTO_TEST_CASE(WaitsForTheOnlyAnswerUntilTheDeadline) {
+  RequestPlan NonIdempotent = sentPlan(false);
+  RequestPlan LastRun = sentPlan(true);
+  LastRun.Runs_ = LastRun.MaxRuns_ - 1;
+  for (RequestPlan *Plan : {&NonIdempotent, &LastRun})
+    for (int Millis = 500; Millis < 4000; Millis += 250)
+      BOOST_TEST(!shouldStopWaiting(*Plan, AttemptLookup::Unknown, true,
+                                    Start + milliseconds(Millis)));
 }
 
 /// A request that may have run must not be reported as not run.
