Report attempts that a restarted gateway holds

Callers saw a 502 with an unknown outcome, or their idempotent request was cancelled and run again, while an upstream was at work on it.

Cause: a status query names the process that the entry daemon believes in. If the gateway's daemon restarted shortly before the attempt was sent, the new process ran the attempt, but answered "unknown" because the numbers differ.

The gateway now reports attempts that run or are recorded whatever process is named. Only for an attempt that it has not received does the process matter: one sent to an earlier process may have run there, so it stays unknown and is neither rejected nor promised as not run. Entry daemons learn the process from digests, several times a second, so no other source of it is added.

The new test peer_service failed before in five checks (running and recorded attempts under the earlier process) and passes now. Its cases about attempts that were never received passed before and after.

--- a/daemon/forward_codec.h
+++ b/daemon/forward_codec.h
@@ -43,7 +43,8 @@
 struct AttemptStatusQuery {
   /// The attempt.
   RequestId Id_;
-  /// The process ID of the daemon that the attempt was sent to.
+  /// The process ID of the daemon that the attempt was sent to, as far as the
+  /// entry daemon knew. Only a query to this process rejects an attempt.
   std::uint64_t Process_ = 0;
   /// How long the attempt may still be admitted.
   std::chrono::milliseconds StartWithin_{0};
--- a/daemon/peer_service.cpp
+++ b/daemon/peer_service.cpp
@@ -70,10 +70,13 @@
     Exchange.respond(plainResponse(404));
     return;
   }
-  AttemptInfo Info;
-  // This process knows nothing of attempts that were sent to another one.
-  if (Query->Process_ == Process_)
-    Info = Gateway_.lookUpStatus(Query->Id_, Query->StartWithin_);
+  // The entry daemon may name an earlier process although this one has received
+  // the attempt. If not, the earlier one may have run it, so this one can't
+  // promise that it never runs.
+  const AttemptInfo Info =
+      Query->Process_ == Process_
+          ? Gateway_.lookUpStatus(Query->Id_, Query->StartWithin_)
+          : Gateway_.findStatus(Query->Id_).value_or(AttemptInfo());
   Exchange.respond(encodeStatusReply(Info));
 }
 
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -341,11 +341,18 @@
   return Load;
 }
 
+std::optional<AttemptInfo>
+UpstreamGateway::findStatus(const RequestId &Id) const {
+  if (NumbersById_.contains(Id))
+    return AttemptInfo{AttemptStatus::Running, nullptr};
+  return findAttempt(Attempts_, Id);
+}
+
 AttemptInfo UpstreamGateway::lookUpStatus(const RequestId &Id,
                                           Duration StartWithin) {
+  if (const std::optional<AttemptInfo> Known = findStatus(Id))
+    return *Known;
   const Instant Now = Time_.now();
-  if (NumbersById_.contains(Id))
-    return {AttemptStatus::Running, nullptr};
   return lookUpAttempt(Attempts_, Id, Now + StartWithin, AttemptTableOptions_,
                        Now);
 }
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lagoonhitch {
@@ -66,8 +67,12 @@
   /// \returns whether the request is guaranteed never to be executed.
   bool cancel(const RequestId &Id);
 
-  /// Returns the status of an attempt that is not idempotent. An attempt that
-  /// has not been received yet is rejected from now on.
+  /// Returns the status of an attempt that runs or is recorded; std::nullopt
+  /// for any other, also for an idempotent one that has ended.
+  std::optional<AttemptInfo> findStatus(const RequestId &Id) const;
+
+  /// Returns the status of an attempt. One that is not idempotent and has not
+  /// been received yet is rejected from now on.
   /// \param StartWithin how long the attempt may still be admitted.
   AttemptInfo lookUpStatus(const RequestId &Id, Duration StartWithin);
 
--- a/recovery/attempt_table.cpp
+++ b/recovery/attempt_table.cpp
@@ -76,12 +76,19 @@
   retain(Table, {DropAt, StartBy, Id, bytesOf(Result)}, Options, Now);
 }
 
+std::optional<AttemptInfo> findAttempt(const AttemptTable &Table,
+                                       const RequestId &Id) {
+  const auto Found = Table.Entries_.find(Id);
+  if (Found == Table.Entries_.end())
+    return std::nullopt;
+  return AttemptInfo{Found->second.Status_, Found->second.Answer_};
+}
+
 AttemptInfo lookUpAttempt(AttemptTable &Table, const RequestId &Id,
                           Instant StartBy, const AttemptTableOptions &Options,
                           Instant Now) {
-  const auto Found = Table.Entries_.find(Id);
-  if (Found != Table.Entries_.end())
-    return {Found->second.Status_, Found->second.Answer_};
+  if (const std::optional<AttemptInfo> Known = findAttempt(Table, Id))
+    return *Known;
   if (mayBeEvicted(Table, StartBy))
     return {AttemptStatus::Evicted, nullptr};
   AttemptTable::Entry Rejected;
--- a/recovery/attempt_table.h
+++ b/recovery/attempt_table.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <unordered_map>
 
 namespace lagoonhitch {
@@ -84,6 +85,10 @@
   AnswerPtr Answer_;
 };
 
+/// Returns the status of an attempt that has an entry, or std::nullopt.
+std::optional<AttemptInfo> findAttempt(const AttemptTable &Table,
+                                       const RequestId &Id);
+
 /// Returns the status of an attempt. An attempt that was never seen is rejected
 /// from now on, so that it can't start after the look-up.
 AttemptInfo lookUpAttempt(AttemptTable &Table, const RequestId &Id,
--- /dev/null
+++ b/tests/unit/peer_service_test.cpp
@@ -0,0 +1,176 @@
+/// \file
+/// Tests how a daemon answers status queries about attempts that were sent to
+/// its gateway.
+
+#define BOOST_TEST_MODULE peer_service
+#include "daemon/forward_codec.h"
+#include "daemon/peer_service.h"
+#include "daemon/upstream_gateway.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/io_loop.h"
+#include "platform/monotonic_clock.h"
+#include "platform/platform_headers.h"
+#include "platform/store_client.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonhitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *Service = "s";
+constexpr std::uint64_t Process = 2;
+/// The process that ran before the daemon was restarted.
+constexpr std::uint64_t EarlierProcess = 1;
+const RequestId Attempt{7, 1, 1};
+
+/// An exchange that keeps the response.
+class RecordedExchange : public HttpExchange {
+public:
+  void respond(HttpResponse Response) override {
+    Response_ = std::move(Response);
+  }
+  void onAbandoned(std::function<void()>) override {}
+
+  std::optional<HttpResponse> Response_;
+};
+
+/// A peer service whose upstream responds when the test tells it to.
+struct PeerServiceFixture {
+  PeerServiceFixture()
+      : Upstream_(Loop_, serverOptions(),
+                  [this](const HttpRequest &,
+                         const std::shared_ptr<HttpExchange> &Exchange) {
+                    Running_.push_back(Exchange);
+                  }),
+        Client_(Loop_, Time_, HttpClientOptions()),
+        Store_(Client_, Client_, "127.0.0.1:1", [] { return std::string(); }),
+        Gateway_(Loop_, Time_, Client_, platformHeaders(), Service,
+                 Upstream_.address(), KeyHooks(), {[] {}}),
+        Peers_(Time_, Gateway_, Store_, Process) {
+    Gateway_.resetForIncarnation("u", 1);
+    Gateway_.setAccepting(true);
+  }
+
+  static HttpServerOptions serverOptions() {
+    HttpServerOptions Options;
+    Options.Address_ = "127.0.0.1:0";
+    return Options;
+  }
+
+  void runFor(milliseconds Span) {
+    const std::shared_ptr<void> End =
+        Loop_.after(Span, [this] { Loop_.stop(); });
+    Loop_.restart();
+    Loop_.run();
+  }
+
+  /// Forwards the attempt to the gateway and lets the upstream receive it.
+  std::shared_ptr<RecordedExchange> forward(bool Idempotent) {
+    GatewayRequest Request;
+    Request.Id_ = Attempt;
+    Request.Service_ = Service;
+    Request.Idempotent_ = Idempotent;
+    Request.Objective_ = milliseconds(1000);
+    Request.ObjectiveAt_ = Time_.now() + Request.Objective_;
+    Request.Deadline_ = Time_.now() + milliseconds(4000);
+    Request.HttpRequest_.Method_ = "POST";
+    Request.HttpRequest_.Target_ = "/";
+    std::shared_ptr<RecordedExchange> Exchange =
+        std::make_shared<RecordedExchange>();
+    Peers_.handle(encodeForwardedRequest(Request, Time_.now()), Exchange);
+    runFor(milliseconds(50));
+    return Exchange;
+  }
+
+  void finishRun() {
+    HttpResponse Response;
+    Response.Body_ = "done";
+    Running_.back()->respond(Response);
+    runFor(milliseconds(50));
+  }
+
+  /// Queries the status of the attempt, which was sent to the named process as
+  /// far as the entry daemon knows.
+  AttemptStatusReply queryStatus(std::uint64_t NamedProcess) {
+    AttemptStatusQuery Query;
+    Query.Id_ = Attempt;
+    Query.Process_ = NamedProcess;
+    Query.StartWithin_ = milliseconds(3500);
+    const std::shared_ptr<RecordedExchange> Exchange =
+        std::make_shared<RecordedExchange>();
+    Peers_.handle(encodeStatusQuery(Query), Exchange);
+    BOOST_REQUIRE(Exchange->Response_.has_value());
+    return decodeStatusReply(*Exchange->Response_);
+  }
+
+  MonotonicClock Time_;
+  IoLoop Loop_;
+  std::vector<std::shared_ptr<HttpExchange>> Running_;
+  HttpServer Upstream_;
+  HttpClient Client_;
+  StoreClient Store_;
+  UpstreamGateway Gateway_;
+  PeerService Peers_;
+};
+
+} // namespace
+
+/// The entry daemon may not know yet that the daemon was restarted before the
+/// attempt was sent.
+BOOST_AUTO_TEST_CASE(ReportsRunningAttemptsWhateverProcessIsNamed) {
+  for (const bool Idempotent : {false, true}) {
+    PeerServiceFixture Fixture;
+    Fixture.forward(Idempotent);
+    BOOST_REQUIRE(Fixture.Running_.size() == 1U);
+    for (const std::uint64_t Named : {Process, EarlierProcess})
+      BOOST_TEST((Fixture.queryStatus(Named).Kind_ ==
+                  AttemptStatusReply::Kind::Running));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReturnsRecordedAnswersWhateverProcessIsNamed) {
+  PeerServiceFixture Fixture;
+  Fixture.forward(false);
+  BOOST_REQUIRE(Fixture.Running_.size() == 1U);
+  Fixture.finishRun();
+  for (const std::uint64_t Named : {Process, EarlierProcess}) {
+    const AttemptStatusReply Reply = Fixture.queryStatus(Named);
+    BOOST_TEST((Reply.Kind_ == AttemptStatusReply::Kind::Ended));
+    BOOST_TEST((Reply.Result_.Outcome_ == Outcome::Ran));
+    BOOST_TEST(Reply.Result_.Response_.Body_ == "done");
+  }
+}
+
+/// An attempt that was sent to the earlier process may have run there, and one
+/// that is on its way to this process may still run here.
+BOOST_AUTO_TEST_CASE(PromisesNothingAboutAttemptsSentToAnEarlierProcess) {
+  PeerServiceFixture Fixture;
+  for (int Query = 0; Query < 2; ++Query)
+    BOOST_TEST((Fixture.queryStatus(EarlierProcess).Kind_ ==
+                AttemptStatusReply::Kind::Unknown));
+  Fixture.forward(false);
+  BOOST_TEST(Fixture.Running_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RejectsAttemptsThatItHasNotReceived) {
+  PeerServiceFixture Fixture;
+  const AttemptStatusReply Reply = Fixture.queryStatus(Process);
+  BOOST_TEST((Reply.Kind_ == AttemptStatusReply::Kind::Ended));
+  BOOST_TEST((Reply.Result_.Outcome_ == Outcome::NotRun));
+  const std::shared_ptr<RecordedExchange> Exchange = Fixture.forward(false);
+  BOOST_TEST(Fixture.Running_.empty());
+  BOOST_REQUIRE(Exchange->Response_.has_value());
+  BOOST_TEST(
+      (decodeGatewayResult(*Exchange->Response_).Outcome_ == Outcome::NotRun));
+}
+
+} // namespace lagoonhitch
