Send whole responses before a shutdown ends

Cause: a server counted an exchange as closed once its handler had responded, not once the response was sent. A daemon that shuts down stops its loop when no exchange is open, so it could cut off a response larger than the socket buffer: to a caller, or to an entry daemon, which then reran the request or answered 502. Found by reading; no caller is known to have seen it.

An exchange is now open until its response is written. A client that does not read delays the end of the shutdown up to the stop timeout, as a running request does.

CountsExchangesUntilTheResponseIsSent failed before (0 open exchanges while 32 MiB were being sent) and passes now.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -104,7 +104,7 @@
   void respond(std::uint64_t Number, HttpResponse Response) {
     if (Number != RequestNumber_ || !ResponsePending_)
       return;
-    finishExchange();
+    stopWatching();
     error_code Ignored;
     Stream_.socket().cancel(Ignored);
     write(std::move(Response), KeepAlive_ && !Server_->KeepAliveDisabled_);
@@ -218,16 +218,25 @@
       return;
     }
     std::function<void()> Callback = std::move(OnAbandoned_);
+    stopWatching();
     finishExchange();
     close();
     if (Callback)
       Callback();
   }
 
-  void finishExchange() {
+  /// Ends the wait for the handler's response.
+  void stopWatching() {
     ResponsePending_ = false;
     OnAbandoned_ = nullptr;
-    --Server_->OpenExchanges_;
+  }
+
+  /// Ends the current exchange, if there is one: its response has been sent, or
+  /// its client is gone.
+  void finishExchange() {
+    if (ExchangeOpen_)
+      --Server_->OpenExchanges_;
+    ExchangeOpen_ = false;
   }
 
   void write(HttpResponse Source, bool KeepAlive) {
@@ -242,6 +251,7 @@
                       [Self = shared_from_this(), KeepAlive](error_code Failure,
                                                              std::size_t) {
                         Self->Response_.reset();
+                        Self->finishExchange();
                         if (Failure || !KeepAlive) {
                           Self->close();
                           return;
@@ -264,6 +274,8 @@
   std::function<void()> OnAbandoned_;
   std::uint64_t RequestNumber_ = 0;
   bool ResponsePending_ = false;
+  /// Whether the exchange is counted in Impl::OpenExchanges_.
+  bool ExchangeOpen_ = false;
   bool Idle_ = false;
   /// Whether closeIfIdle() cancelled the pending read.
   bool IdleReadCancelled_ = false;
@@ -293,6 +305,7 @@
 void Session::startExchange(HttpRequest Request) {
   ++RequestNumber_;
   ResponsePending_ = true;
+  ExchangeOpen_ = true;
   ++Server_->OpenExchanges_;
   Stream_.expires_never();
   watchForClose();
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -44,7 +44,7 @@
   /// others after their current response.
   void drain();
 
-  /// Returns the number of requests without a response so far.
+  /// Returns the number of requests whose response is not sent completely.
   std::size_t openExchanges() const;
 
   /// State that uses types of Boost.Beast.
--- a/tests/unit/server_test.cpp
+++ b/tests/unit/server_test.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Tests how an HTTP server handles requests while it drains.
+/// Tests how an HTTP server drains and counts open exchanges.
 
 #define BOOST_TEST_MODULE server
 #include "net/address.h"
@@ -11,7 +11,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cstddef>
 #include <string>
+#include <utility>
 
 using boost::asio::ip::tcp;
 
@@ -29,7 +31,9 @@
                 [this](const HttpRequest &,
                        const std::shared_ptr<HttpExchange> &Exchange) {
                   ++Served_;
-                  Exchange->respond(HttpResponse());
+                  HttpResponse Response;
+                  Response.Body_.resize(ResponseBytes_);
+                  Exchange->respond(std::move(Response));
                 }),
         Client_(Context_) {
     Client_.connect(parseEndpoint(Server_.address()));
@@ -68,11 +72,22 @@
     return Text;
   }
 
+  /// Reads all bytes that have arrived and returns their number.
+  std::size_t readPending() {
+    std::string Text(65536, '\0');
+    boost::system::error_code Failure;
+    std::size_t Total = 0;
+    while (!Failure)
+      Total += Client_.read_some(boost::asio::buffer(Text), Failure);
+    return Total;
+  }
+
   IoLoop Loop_;
   HttpServer Server_;
   boost::asio::io_context Context_;
   tcp::socket Client_;
   int Served_ = 0;
+  std::size_t ResponseBytes_ = 0;
 };
 
 } // namespace
@@ -92,6 +107,24 @@
   BOOST_TEST(Closed);
 }
 
+/// A daemon that stops while it sends a response would cut that off.
+BOOST_AUTO_TEST_CASE(CountsExchangesUntilTheResponseIsSent) {
+  ServerFixture Fixture;
+  Fixture.ResponseBytes_ = std::size_t{32} * 1024 * 1024;
+  Fixture.sendRequest();
+  Fixture.runFor(milliseconds(100));
+  BOOST_TEST(Fixture.Served_ == 1);
+  BOOST_TEST(Fixture.Server_.openExchanges() == 1U);
+  std::size_t Received = 0;
+  for (int Round = 0; Round < 1000 && Received < Fixture.ResponseBytes_;
+       ++Round) {
+    Received += Fixture.readPending();
+    Fixture.runFor(milliseconds(5));
+  }
+  BOOST_TEST(Received > Fixture.ResponseBytes_);
+  BOOST_TEST(Fixture.Server_.openExchanges() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ClosesIdleConnectionsWhileDraining) {
   ServerFixture Fixture;
   bool Closed = false;
