--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -75,10 +75,7 @@
     Server_->Sessions_.insert(this);
   }
 
-  ~Session() {
-    closeExchange();
-    Server_->Sessions_.erase(this);
-  }
+  ~Session() { Server_->Sessions_.erase(this); }
 
   void readNext() {
     Parser_.emplace();
@@ -107,7 +104,7 @@
   void respond(std::uint64_t Number, HttpResponse Response) {
     if (Number != RequestNumber_ || !ResponsePending_)
       return;
-    finishExchange();
+    stopWatching();
     error_code Ignored;
     Stream_.socket().cancel(Ignored);
     write(std::move(Response), KeepAlive_ && !Server_->KeepAliveDisabled_);
@@ -221,24 +218,25 @@
       return;
     }
     std::function<void()> Callback = std::move(OnAbandoned_);
+    stopWatching();
     finishExchange();
-    closeExchange();
     close();
     if (Callback)
       Callback();
   }
 
-  void finishExchange() {
+  /// Ends the wait for the handler's response.
+  void stopWatching() {
     ResponsePending_ = false;
     OnAbandoned_ = nullptr;
   }
 
-  /// Ends the exchange once its response is written or can't be written.
-  void closeExchange() {
-    if (!ExchangeOpen_)
-      return;
+  /// Ends the current exchange, if there is one: its response has been sent, or
+  /// its client is gone.
+  void finishExchange() {
+    if (ExchangeOpen_)
+      --Server_->OpenExchanges_;
     ExchangeOpen_ = false;
-    --Server_->OpenExchanges_;
   }
 
   void write(HttpResponse Source, bool KeepAlive) {
@@ -253,7 +251,7 @@
                       [Self = shared_from_this(), KeepAlive](error_code Failure,
                                                              std::size_t) {
                         Self->Response_.reset();
-                        Self->closeExchange();
+                        Self->finishExchange();
                         if (Failure || !KeepAlive) {
                           Self->close();
                           return;
@@ -276,7 +274,7 @@
   std::function<void()> OnAbandoned_;
   std::uint64_t RequestNumber_ = 0;
   bool ResponsePending_ = false;
-  /// Whether a request was read whose response is not written completely.
+  /// Whether the exchange is counted in Impl::OpenExchanges_.
   bool ExchangeOpen_ = false;
   bool Idle_ = false;
   /// Whether closeIfIdle() cancelled the pending read.
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -47,7 +47,7 @@
   /// others after their current response.
   void drain();
 
-  /// Returns the number of requests whose response is not written completely.
+  /// Returns the number of requests whose response is not sent completely.
   std::size_t openExchanges() const;
 
   /// Returns the number of open connections.
--- a/tests/process/status_query_test.cpp
+++ b/tests/process/status_query_test.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Tests that an entry daemon keeps waiting for an attempt whose own connection
-/// works while status queries, which need new connections, fail.
+/// works, whatever status queries on new connections find meanwhile.
 
 #define BOOST_TEST_MODULE status_query
 #include "net/blocking_http.h"
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <future>
 
@@ -55,6 +56,25 @@
                       std::move(Request), std::chrono::seconds(6));
 }
 
+/// Makes the responses on open connections between daemons slower than those to
+/// status queries, and checks that all calls are answered by their first run.
+void delayAnswers(milliseconds Delay, const LoadGeneratorOptions &Load) {
+  SiteOptions Options;
+  Options.UseRelays_ = true;
+  SiteFixture Fixture(Options);
+  Fixture.startLoad(Load);
+  sleepFor(milliseconds(1000));
+  // Later rounds delay the connections that status queries have opened.
+  for (int Round = 0; Round < 3; ++Round) {
+    for (std::uint32_t Host = 0; Host < Options.Hosts_; ++Host)
+      Fixture.Site_.relay(Host).delayResponses(Delay);
+    sleepFor(milliseconds(1000));
+  }
+  Fixture.finishAndCheck();
+  Fixture.checkAllRan();
+  Fixture.checkEachRanOnce();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(RunningRequestsOutlastStatusQueriesThatCannotBeSent) {
@@ -89,4 +109,15 @@
   BOOST_TEST(*Reported == outcomeName(Outcome::NotRun));
 }
 
+BOOST_AUTO_TEST_CASE(AnswersThatStatusRepliesOvertakeAreDelivered) {
+  delayAnswers(milliseconds(700), LoadGeneratorOptions());
+}
+
+/// Each answer arrives in about five parts, the last of them after two seconds.
+BOOST_AUTO_TEST_CASE(AnswersThatArriveSlowlyAreDelivered) {
+  LoadGeneratorOptions Load;
+  Load.MinBodyBytes_ = std::size_t{64} * 1024;
+  delayAnswers(milliseconds(400), Load);
+}
+
 } // namespace lagoonhitch
