Count long queues as equally long when choosing a host

Cause: under sustained overload the host with the shortest queue gets nearly all urgent requests.

Change: loads above 8 times the slots count as equal in the cost.

Tests: fleet_test, SpreadsRequestsOverLongQueues; fails on the version before (222 choices of 1000 instead of more than 400).

--- a/routing/host_choice.cpp
+++ b/routing/host_choice.cpp
@@ -15,6 +15,11 @@
 /// load and, in addition, for the load above LightLoad.
 constexpr double LightLoadWeight = 0.2;
 constexpr double OverloadWeight = 3;
+/// Load from which on upstreams count as equally loaded, as a fraction of their
+/// slots. Requests wait by rank, so the length of a long queue does not tell
+/// how long they wait: the shortest queue may be the one with the most urgent
+/// ones.
+constexpr double MaxLoad = 8;
 
 const FleetMember *cheaperOf(const FleetMember *Left, const FleetMember *Right,
                              const HostChoice &Choice,
@@ -76,7 +81,8 @@
       Digest.Running_ + Digest.Queued_ + Member.SentSinceLoadUpdate_;
   // Unanswered requests of this daemon reveal a slow upstream before its next
   // load report does.
-  const double Load = std::max<double>(Reported, Member.InFlight_) + 1.0;
+  const double Load = std::min(
+      std::max<double>(Reported, Member.InFlight_) + 1.0, MaxLoad * Slots);
   const double Overload = std::max(0.0, Load - LightLoad * Slots);
   const double Factor =
       1 + (LightLoadWeight * Load + OverloadWeight * Overload) / Slots;
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -119,6 +119,18 @@
   BOOST_TEST(countChoices(State, Choice)["other"] > 700);
 }
 
+/// Under overload, the queue of a host that gets all urgent requests is the
+/// shortest, because they leave no room for others. It must not attract more.
+BOOST_AUTO_TEST_CASE(SpreadsRequestsOverLongQueues) {
+  Fleet State;
+  addHost(State, "urgent", "z2", 300);
+  addHost(State, "mixed", "z3", 530);
+  HostChoice Choice;
+  Choice.OwnZone_ = "z1";
+  BOOST_TEST(countChoices(State, Choice)["mixed"] > 400);
+  BOOST_TEST(countChoices(State, Choice)["urgent"] > 400);
+}
+
 BOOST_AUTO_TEST_CASE(ExcludesEvacuatedZonesAndTriedHosts) {
   Fleet State;
   addHost(State, "a", "z1", 3);
