Compare different hosts when choosing one

Cause: the two random candidates could be the same host, and the best one of the own zone too. With four hosts, each the only one in its zone, an entry daemon beside a slow upstream therefore sent it one request in 16, however slow.

Change: the random candidates differ from each other and from the best in the zone.

Tried before, not kept: the entry daemon's oldest request without an answer raises the cost of its host (from 2 times the reported processing time on).

--- a/routing/host_choice.cpp
+++ b/routing/host_choice.cpp
@@ -57,6 +57,18 @@
   return Candidates;
 }
 
+/// Removes a random candidate and returns it; nullptr if there is none.
+const FleetMember *takeRandom(std::vector<const FleetMember *> &Candidates,
+                              std::uint64_t Random) {
+  if (Candidates.empty())
+    return nullptr;
+  const auto Index = static_cast<std::ptrdiff_t>(Random % Candidates.size());
+  const auto Taken = Candidates.begin() + Index;
+  const FleetMember *Member = *Taken;
+  Candidates.erase(Taken);
+  return Member;
+}
+
 /// Returns the processing time that is used for the cost: the geometric mean of
 /// the upstream's own and the typical one. With its own alone, a fast upstream
 /// would be filled up while others are idle.
@@ -112,8 +124,10 @@
   for (const FleetMember *Member : Candidates)
     if (Member->Record_.Zone_ == Choice.OwnZone_)
       BestInZone = cheaperOf(BestInZone, Member, Choice, Options, Now);
-  const FleetMember *First = Candidates[Random % Candidates.size()];
-  const FleetMember *Second = Candidates[(Random >> 20U) % Candidates.size()];
+  // Three different hosts, so that a slow one is never compared with itself.
+  std::erase(Candidates, BestInZone);
+  const FleetMember *First = takeRandom(Candidates, Random);
+  const FleetMember *Second = takeRandom(Candidates, Random >> 20U);
   const FleetMember *Chosen = cheaperOf(First, Second, Choice, Options, Now);
   Chosen = cheaperOf(BestInZone, Chosen, Choice, Options, Now);
   return Chosen->Record_.Host_;
--- a/routing/host_choice.h
+++ b/routing/host_choice.h
@@ -39,7 +39,7 @@
 Duration costOf(const FleetMember &Member, const HostChoice &Choice,
                 const HostChoiceOptions &Options, Instant Now);
 
-/// Returns the cheapest of the best host in the own zone and two random ones.
+/// Returns the cheapest of the best host in the own zone and two random others.
 /// Hosts that currently reject requests, were unreachable a moment ago or have
 /// no recent load information are considered only if there is no other.
 /// \param Random a uniformly distributed random number.
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -131,6 +131,19 @@
   BOOST_TEST(countChoices(State, Choice)["urgent"] > 400);
 }
 
+/// A slow upstream in the own zone must not be chosen because both random
+/// candidates are that upstream too. With four hosts that was one choice in 16.
+BOOST_AUTO_TEST_CASE(ComparesDifferentHosts) {
+  Fleet State;
+  addHost(State, "slow", "z1", 18);
+  addHost(State, "b", "z2", 9);
+  addHost(State, "c", "z3", 9);
+  addHost(State, "d", "z4", 9);
+  HostChoice Choice;
+  Choice.OwnZone_ = "z1";
+  BOOST_TEST(countChoices(State, Choice)["slow"] == 0);
+}
+
 BOOST_AUTO_TEST_CASE(ExcludesEvacuatedZonesAndTriedHosts) {
   Fleet State;
   addHost(State, "a", "z1", 3);
