--- a/routing/host_choice.cpp
+++ b/routing/host_choice.cpp
@@ -15,6 +15,14 @@
 /// load and, in addition, for the load above LightLoad.
 constexpr double LightLoadWeight = 0.2;
 constexpr double OverloadWeight = 3;
+/// Weight of an upstream's own processing time, from 0 to 1, in the geometric
+/// mean with the typical one.
+constexpr double SpeedWeight = 0.2;
+/// Load from which on upstreams count as equally loaded, as a fraction of their
+/// slots. Requests wait by rank, so the length of a long queue does not tell
+/// how long they wait: the shortest queue may be the one with the most urgent
+/// ones.
+constexpr double MaxLoad = 8;
 
 const FleetMember *cheaperOf(const FleetMember *Left, const FleetMember *Right,
                              const HostChoice &Choice,
@@ -52,9 +60,21 @@
   return Candidates;
 }
 
-/// Returns the processing time that is used for the cost: the geometric mean of
-/// the upstream's own and the typical one. With its own alone, a fast upstream
-/// would be filled up while others are idle.
+/// Removes a random candidate and returns it; nullptr if there is none.
+const FleetMember *takeRandom(std::vector<const FleetMember *> &Candidates,
+                              std::uint64_t Random) {
+  if (Candidates.empty())
+    return nullptr;
+  const auto Index = static_cast<std::ptrdiff_t>(Random % Candidates.size());
+  const auto Taken = Candidates.begin() + Index;
+  const FleetMember *Member = *Taken;
+  Candidates.erase(Taken);
+  return Member;
+}
+
+/// Returns the processing time that is used for the cost: a weighted geometric
+/// mean of the upstream's own and the typical one. With its own alone, a fast
+/// upstream would be filled up while others are idle.
 std::chrono::duration<double>
 processingTimeFor(const LoadDigest &Digest, const HostChoiceOptions &Options) {
   const std::chrono::duration<double> Typical = Options.InitialProcessingTime_;
@@ -62,8 +82,7 @@
     return Typical;
   const std::chrono::duration<double> Own =
       std::chrono::milliseconds(Digest.ProcessingMillis_);
-  return std::chrono::duration<double>(
-      std::sqrt(Own.count() * Typical.count()));
+  return Typical * std::pow(Own / Typical, SpeedWeight);
 }
 
 } // namespace
@@ -76,7 +95,8 @@
       Digest.Running_ + Digest.Queued_ + Member.SentSinceLoadUpdate_;
   // Unanswered requests of this daemon reveal a slow upstream before its next
   // load report does.
-  const double Load = std::max<double>(Reported, Member.InFlight_) + 1.0;
+  const double Load = std::min(
+      std::max<double>(Reported, Member.InFlight_) + 1.0, MaxLoad * Slots);
   const double Overload = std::max(0.0, Load - LightLoad * Slots);
   const double Factor =
       1 + (LightLoadWeight * Load + OverloadWeight * Overload) / Slots;
@@ -106,8 +126,10 @@
   for (const FleetMember *Member : Candidates)
     if (Member->Record_.Zone_ == Choice.OwnZone_)
       BestInZone = cheaperOf(BestInZone, Member, Choice, Options, Now);
-  const FleetMember *First = Candidates[Random % Candidates.size()];
-  const FleetMember *Second = Candidates[(Random >> 20U) % Candidates.size()];
+  // Three different hosts, so that a slow one is never compared with itself.
+  std::erase(Candidates, BestInZone);
+  const FleetMember *First = takeRandom(Candidates, Random);
+  const FleetMember *Second = takeRandom(Candidates, Random >> 20U);
   const FleetMember *Chosen = cheaperOf(First, Second, Choice, Options, Now);
   Chosen = cheaperOf(BestInZone, Chosen, Choice, Options, Now);
   return Chosen->Record_.Host_;
