Let status look-ups fail in random request schedules

No schedule could show it: in the simulation look-ups never failed, and none was made for an attempt whose connection worked.

The simulated entry daemon now looks up a status as the daemon does: 0.5 s after sending an attempt and at intervals of 250 ms, whatever the state of the attempt's connection, and shouldStopWaiting() decides on the reply. New faults: look-ups that can't be sent or have no response (half of these reach the gateway), runs of 0.5 to 2.8 s, answers that take up to 1 s on their way, and requests with keys. A restart breaks the connections of a gateway at once; before, its callers learned of it when the run would have ended. As in the daemon, nothing more is expected of an attempt that has ended while its request waits.

New check: an attempt that is running, or one that is not idempotent and whose answer is under way, over a connection that works, is not given up before the deadline.

--- a/tests/schedule/request_schedule_test.cpp
+++ b/tests/schedule/request_schedule_test.cpp
@@ -24,19 +24,55 @@
   Faults.RejectionPercent_ = arbitraryPercent(60);
   Faults.RestartPercent_ = arbitraryPercent(30);
   Faults.IdempotentPercent_ = arbitraryPercent(100);
+  Faults.KeyedPercent_ = arbitraryPercent(100);
+  Faults.LongRunPercent_ = arbitraryPercent(100);
+  Faults.SlowAnswerPercent_ = arbitraryPercent(100);
+  Faults.UnreachableLookupPercent_ = arbitraryPercent(100);
+  Faults.LostLookupPercent_ = arbitraryPercent(100);
   return Faults;
 }
 
+std::uint64_t arbitrarySeed() {
+  return *rc::gen::resize(rc::kNominalSize,
+                          rc::gen::arbitrary<std::uint64_t>());
+}
+
+/// Faults under which all runs are long and all requests idempotent.
+RequestFaults longIdempotentRuns(int KeyedPercent) {
+  RequestFaults Faults;
+  Faults.IdempotentPercent_ = 100;
+  Faults.KeyedPercent_ = KeyedPercent;
+  Faults.LongRunPercent_ = 100;
+  return Faults;
+}
+
+/// Checks that each call runs exactly once and is answered so.
+void checkAllRunOnce(const RequestFaults &Faults) {
+  RequestSimulation Simulation(3, Faults);
+  Simulation.run(CallCount);
+  BOOST_TEST(Simulation.countOutcome(Outcome::Ran) ==
+             static_cast<std::size_t>(CallCount));
+  BOOST_TEST(Simulation.countRuns() == static_cast<std::size_t>(CallCount));
+  BOOST_TEST(Simulation.violations().empty());
+}
+
 } // namespace
 
 RC_BOOST_PROP(GuaranteesHoldUnderAnyFaults, ()) {
-  const std::uint64_t Seed =
-      *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>());
+  const std::uint64_t Seed = arbitrarySeed();
   RequestSimulation Simulation(Seed, arbitraryFaults());
   Simulation.run(CallCount);
   RC_ASSERT(Simulation.violations() == std::vector<std::string>());
 }
 
+/// An answer that is under way over a connection that works is awaited.
+RC_BOOST_PROP(AnswersUnderWayAreAwaited, ()) {
+  const std::uint64_t Seed = arbitrarySeed();
+  RequestSimulation Simulation(Seed, arbitraryFaults());
+  Simulation.run(CallCount);
+  RC_ASSERT(Simulation.countAnswersGivenUp() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(AllCallsRunWithoutFaults) {
   RequestSimulation Simulation(3, RequestFaults());
   Simulation.run(CallCount);
@@ -56,4 +92,21 @@
   BOOST_TEST(Simulation.violations().empty());
 }
 
+/// Status look-ups that fail say nothing about an attempt that is running.
+BOOST_AUTO_TEST_CASE(LongRunsOutlastLookupsThatCannotBeSent) {
+  for (const int KeyedPercent : {0, 100}) {
+    RequestFaults Faults = longIdempotentRuns(KeyedPercent);
+    Faults.UnreachableLookupPercent_ = 100;
+    checkAllRunOnce(Faults);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LongRunsOutlastLookupsWithoutResponse) {
+  for (const int KeyedPercent : {0, 100}) {
+    RequestFaults Faults = longIdempotentRuns(KeyedPercent);
+    Faults.LostLookupPercent_ = 100;
+    checkAllRunOnce(Faults);
+  }
+}
+
 } // namespace lagoonhitch
--- a/tests/schedule/request_simulation.h
+++ b/tests/schedule/request_simulation.h
@@ -3,7 +3,9 @@
 
 /// \file
 /// A deterministic simulation of an entry daemon and several upstream gateways
-/// with unreliable connections between them.
+/// with unreliable connections between them. As in the daemon, the status of an
+/// attempt is looked up over a connection of its own, which may fail while the
+/// attempt's connection works.
 
 #include "core/request_id.h"
 #include "recovery/attempt_table.h"
@@ -13,6 +15,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace lagoonhitch {
@@ -29,6 +32,16 @@
   int RestartPercent_ = 0;
   /// Idempotent requests, which may run more than once.
   int IdempotentPercent_ = 0;
+  /// Requests with a key, all attempts of which go to the same gateway.
+  int KeyedPercent_ = 0;
+  /// Runs that take up to seconds, so that status look-ups happen meanwhile.
+  int LongRunPercent_ = 0;
+  /// Answers that take longer on their way than a status look-up.
+  int SlowAnswerPercent_ = 0;
+  /// Status look-ups that can't be sent.
+  int UnreachableLookupPercent_ = 0;
+  /// Status look-ups without a response, half of which reach the gateway.
+  int LostLookupPercent_ = 0;
 };
 
 /// Runs requests through the decisions of an entry daemon and the attempt
@@ -41,9 +54,17 @@
   /// Sends calls and runs the simulation until no events are left.
   void run(int Calls);
 
-  /// Returns a description of each violation.
+  /// Returns a description of each violation. Answers to idempotent requests
+  /// that were not awaited are counted by countAnswersGivenUp() instead.
   std::vector<std::string> violations() const;
 
+  /// Returns how many idempotent attempts the entry daemon gave up before the
+  /// deadline while their answer was under way over a connection that worked.
+  std::size_t countAnswersGivenUp() const { return AnswersGivenUp_; }
+
+  /// Returns how often all calls have run in total.
+  std::size_t countRuns() const;
+
   /// Returns how many calls ended with an outcome.
   std::size_t countOutcome(Outcome Result) const;
 
@@ -51,37 +72,77 @@
   struct Gateway {
     std::uint64_t ProcessId_ = 0;
     AttemptTable Attempts_;
+    /// The attempts that are running, which the table records only for requests
+    /// that are not idempotent.
+    std::unordered_set<RequestId, RequestIdHash> Running_;
   };
-  struct Call {
-    RequestPlan Plan_;
-    std::uint32_t Attempt_ = 0;
+  /// Progress of an attempt as seen by an observer of all processes.
+  enum class Phase { Sent, Running, AnswerUnderWay, Ended };
+  /// The latest attempt of a call.
+  struct CurrentAttempt {
+    std::uint32_t Number_ = 0;
     std::size_t Gateway_ = 0;
     std::uint64_t ProcessId_ = 0;
+    Phase Phase_ = Phase::Sent;
+    bool ConnectionLost_ = false;
+    bool LookupInFlight_ = false;
+    /// Whether the entry daemon waits no longer for it.
+    bool Ended_ = false;
+    /// Number of the latest look-up timer; earlier ones have no effect.
+    std::uint32_t LookupTimer_ = 0;
+  };
+  struct Call {
+    RequestPlan Plan_;
+    CurrentAttempt Attempt_;
+    /// How often the call has run, in all attempts.
     std::size_t Runs_ = 0;
     bool Done_ = false;
     Outcome Outcome_ = Outcome::Unknown;
   };
+  /// A status look-up and what it says about the attempt's result.
+  struct LookupResult {
+    AttemptLookup Lookup_ = AttemptLookup::Unknown;
+    AttemptResult Recorded_;
+  };
 
   bool chance(int Percent);
   Duration randomDelay(int Low, int High);
+  Duration randomProcessingTime();
   void scheduleAfter(Duration Delay, std::function<void()> Callback);
   RequestId idOf(std::size_t CallIndex, std::uint32_t Attempt) const;
+  bool isAwaited(std::size_t CallIndex, std::uint32_t Attempt) const;
+  void setPhase(std::size_t CallIndex, std::uint32_t Attempt, Phase Reached);
+
+  // The entry daemon.
+  void startCall(std::size_t CallIndex);
   void sendAttempt(std::size_t CallIndex);
-  void receiveAttempt(std::size_t CallIndex, std::uint32_t Attempt,
-                      std::size_t GatewayIndex, std::uint64_t ProcessId,
-                      bool Lost);
   void handleConnectionLoss(std::size_t CallIndex, std::uint32_t Attempt);
-  void execute(std::size_t CallIndex, std::uint32_t Attempt,
-               std::size_t GatewayIndex, bool Lost);
+  void startLookupTimer(std::size_t CallIndex, std::uint32_t Attempt,
+                        Duration Delay);
+  void lookUpStatus(std::size_t CallIndex, std::uint32_t Attempt);
+  void handleLookup(std::size_t CallIndex, std::uint32_t Attempt,
+                    const LookupResult &Result);
   void handleResult(std::size_t CallIndex, std::uint32_t Attempt,
                     const AttemptResult &Result);
-  void lookUpStatus(std::size_t CallIndex, std::uint32_t Attempt);
-  void handleStatus(std::size_t CallIndex, std::uint32_t Attempt,
-                    const AttemptInfo &Info);
   void performStep(std::size_t CallIndex, const PlanStep &Step);
   void finishCall(Call &Current, Outcome Result);
+  void checkGivenUp(const Call &Current);
+
+  // The gateways.
+  void receiveAttempt(std::size_t CallIndex, std::uint32_t Attempt,
+                      std::size_t GatewayIndex, std::uint64_t ProcessId,
+                      bool Lost);
+  void execute(std::size_t CallIndex, std::uint32_t Attempt,
+               std::size_t GatewayIndex, bool Lost);
+  void finishRun(std::size_t CallIndex, std::uint32_t Attempt,
+                 std::size_t GatewayIndex, bool Lost);
   void recordResult(std::size_t CallIndex, std::uint32_t Attempt,
                     std::size_t GatewayIndex, Outcome Result);
+  void respond(std::size_t CallIndex, std::uint32_t Attempt,
+               const AttemptResult &Result, bool Lost);
+  LookupResult receiveLookup(std::size_t CallIndex, std::uint32_t Attempt,
+                             std::size_t GatewayIndex, std::uint64_t ProcessId);
+  void restartGateway(std::size_t GatewayIndex);
 
   std::mt19937_64 Random_;
   RequestFaults Faults_;
@@ -91,6 +152,8 @@
   std::vector<Call> Calls_;
   std::uint64_t NextProcessId_ = 1;
   AttemptTableOptions Options_;
+  std::vector<std::string> Violations_;
+  std::size_t AnswersGivenUp_ = 0;
 };
 
 } // namespace lagoonhitch
