Slow runs and failing new connections in the soak test

In half of the rounds upstreams now take 0.6 to 2 s a request for 3 to 5 s, and the relays of up to three hosts refuse (or accept and ignore) new connections for 0.5 to 3 s meanwhile. Rounds with planned operations have slow runs and refused connections only. These faults are drawn from random numbers of their own, so the rest of each plan is as before. The relay keeps its address while it refuses connections, and can accept them again. A stop of a daemon still blocks the events of a round until the process has ended.

Checks of rounds with planned operations: - new: no request runs more than once; - as before, every call runs, but those waiting or sent during slow runs or refused connections, or up to 2 s later, may also be rejected as not run. Other failures (502, 504, lost connections) stay violations.

--- a/tests/process/tcp_relay.cpp
+++ b/tests/process/tcp_relay.cpp
@@ -103,7 +103,39 @@
 } // namespace
 
 struct TcpRelay::Impl {
-  Impl() : Acceptor_(Context_, parseEndpoint("127.0.0.1:0")) {}
+  Impl() : Acceptor_(Context_, parseEndpoint("127.0.0.1:0")) {
+    Address_ = formatEndpoint(Acceptor_.local_endpoint());
+    closeOnExec();
+  }
+
+  /// A process that is started later must not keep the address open.
+  void closeOnExec() { fcntl(Acceptor_.native_handle(), F_SETFD, FD_CLOEXEC); }
+
+  /// Replaces the listening socket by one that only reserves the address.
+  void stopListening() {
+    if (RefusesConnections_)
+      return;
+    RefusesConnections_ = true;
+    Acceptor_.close();
+    Acceptor_.open(tcp::v4());
+    closeOnExec();
+    Acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    Acceptor_.bind(parseEndpoint(Address_));
+  }
+
+  void startListening() {
+    if (!RefusesConnections_)
+      return;
+    RefusesConnections_ = false;
+    Acceptor_.listen();
+    acceptNext();
+  }
+
+  void closeIgnored() {
+    for (const RelayedConnectionPtr &Connection : Connections_)
+      if (!Connection->Server_.is_open())
+        closeConnection(*Connection);
+  }
 
   void acceptNext() {
     const RelayedConnectionPtr Connection =
@@ -136,16 +168,16 @@
 
   boost::asio::io_context Context_{1};
   tcp::acceptor Acceptor_;
+  std::string Address_;
   std::string Target_ = "127.0.0.1:1";
   std::vector<RelayedConnectionPtr> Connections_;
   std::chrono::milliseconds Delay_{0};
+  bool RefusesConnections_ = false;
   bool IgnoresConnections_ = false;
   std::thread Thread_;
 };
 
 TcpRelay::TcpRelay() : Impl_(std::make_shared<Impl>()) {
-  // A process that is started later must not keep the address open.
-  fcntl(Impl_->Acceptor_.native_handle(), F_SETFD, FD_CLOEXEC);
   Impl_->acceptNext();
   Impl_->Thread_ = std::thread([this] { Impl_->Context_.run(); });
 }
@@ -155,9 +187,7 @@
   Impl_->Thread_.join();
 }
 
-std::string TcpRelay::address() const {
-  return formatEndpoint(Impl_->Acceptor_.local_endpoint());
-}
+const std::string &TcpRelay::address() const { return Impl_->Address_; }
 
 void TcpRelay::setTarget(const std::string &Address) {
   boost::asio::post(Impl_->Context_,
@@ -186,10 +216,7 @@
 }
 
 void TcpRelay::refuseConnections() {
-  boost::asio::post(Impl_->Context_, [this] {
-    error_code Ignored;
-    Impl_->Acceptor_.close(Ignored);
-  });
+  boost::asio::post(Impl_->Context_, [this] { Impl_->stopListening(); });
 }
 
 void TcpRelay::ignoreConnections() {
@@ -197,6 +224,14 @@
                     [this] { Impl_->IgnoresConnections_ = true; });
 }
 
+void TcpRelay::acceptConnections() {
+  boost::asio::post(Impl_->Context_, [this] {
+    Impl_->IgnoresConnections_ = false;
+    Impl_->closeIgnored();
+    Impl_->startListening();
+  });
+}
+
 void TcpRelay::setDelay(std::chrono::milliseconds Delay) {
   boost::asio::post(Impl_->Context_, [this, Delay] {
     Impl_->Delay_ = Delay;
--- a/tests/process/tcp_relay.h
+++ b/tests/process/tcp_relay.h
@@ -20,7 +20,7 @@
   TcpRelay &operator=(const TcpRelay &) = delete;
 
   /// Returns the `ip:port` that the relay listens on.
-  std::string address() const;
+  const std::string &address() const;
 
   /// Sets the `ip:port` that new connections are relayed to.
   void setTarget(const std::string &Address);
@@ -36,13 +36,17 @@
   /// Resets the open connections.
   void reset();
 
-  /// Refuses new connections from now on. Open connections keep working.
+  /// Refuses new connections until acceptConnections(). Open connections keep
+  /// working.
   void refuseConnections();
 
-  /// Accepts new connections from now on, but relays nothing on them. Open
-  /// connections keep working.
+  /// Accepts new connections, but relays nothing on them, until
+  /// acceptConnections(). Open connections keep working.
   void ignoreConnections();
 
+  /// Accepts and relays new connections again, and closes the ignored ones.
+  void acceptConnections();
+
   /// Delays all further traffic, also on new connections.
   void setDelay(std::chrono::milliseconds Delay);
 
--- a/tests/soak/fault.h
+++ b/tests/soak/fault.h
@@ -25,6 +25,9 @@
     DropResponses,
     ResetConnections,
     DelayConnections,
+    RefuseConnections,
+    IgnoreConnections,
+    SlowRuns,
     StoreDown,
     StoreRejects,
     StoreSlow,
@@ -37,6 +40,8 @@
   /// Start, relative to the start of the round.
   std::chrono::milliseconds Start_{0};
   std::chrono::milliseconds Duration_{0};
+  /// Time that the upstream takes for a request; for SlowRuns only.
+  std::chrono::milliseconds RunTime_{0};
 };
 
 /// Returns the name of a kind of fault for output.
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -20,7 +20,11 @@
   milliseconds MaxDuration_;
 };
 
+constexpr milliseconds MinSlowRunTime{600};
 constexpr std::size_t PlannedKindCount = 3;
+/// Kinds of which the first part of a plan is drawn; the others are added to
+/// it.
+constexpr std::size_t DrawnKindCount = 16;
 constexpr FaultKindInfo FaultKinds[] = {
     {"stop daemon", Fault::Kind::StopDaemon, Target::Daemon, milliseconds(6500),
      milliseconds(7500)},
@@ -54,6 +58,12 @@
      milliseconds(300), milliseconds(2000)},
     {"store applies late", Fault::Kind::StoreAppliesLate, Target::Store,
      milliseconds(300), milliseconds(3000)},
+    {"refuse connections", Fault::Kind::RefuseConnections, Target::Connections,
+     milliseconds(500), milliseconds(3000)},
+    {"ignore connections", Fault::Kind::IgnoreConnections, Target::Connections,
+     milliseconds(500), milliseconds(3000)},
+    {"slow runs", Fault::Kind::SlowRuns, Target::Upstream, milliseconds(3000),
+     milliseconds(5000)},
 };
 
 const FaultKindInfo &infoOf(Fault::Kind Kind) {
@@ -92,6 +102,51 @@
   std::mt19937_64 Random_;
 };
 
+/// Adds a fault unless it affects the same target as another one at the same
+/// time.
+void addFault(FaultPlan &Plan, const Fault &Candidate) {
+  const bool Conflicts =
+      std::any_of(Plan.Faults_.begin(), Plan.Faults_.end(),
+                  [&Candidate](const Fault &Other) {
+                    return haveSameTarget(Candidate, Other) &&
+                           overlapInTime(Candidate, Other);
+                  });
+  if (!Conflicts)
+    Plan.Faults_.push_back(Candidate);
+}
+
+/// Adds a phase in which requests outlast status queries: the upstreams take
+/// long, each another time, and new connections to some hosts fail meanwhile.
+void addSlowRuns(FaultPlan &Plan, SeededRandom &Random, std::uint32_t Hosts,
+                 milliseconds MaxStart) {
+  const FaultKindInfo &Info = infoOf(Fault::Kind::SlowRuns);
+  Fault Slow;
+  Slow.Kind_ = Info.Kind_;
+  Slow.Start_ = Random.between(milliseconds(0), MaxStart);
+  Slow.Duration_ = Random.between(Info.MinDuration_, Info.MaxDuration_);
+  for (std::uint32_t Host = 0; Host < Hosts; ++Host) {
+    Slow.Host_ = Host;
+    Slow.RunTime_ = Random.between(MinSlowRunTime, MaxSlowRunTime);
+    addFault(Plan, Slow);
+  }
+  const std::uint64_t Count = Random.below(4);
+  for (std::uint64_t Index = 0; Index < Count; ++Index) {
+    // Requests that are sent over ignored connections may fail.
+    const bool Refuses = Plan.PlannedOnly_ || Random.below(2) == 0;
+    const FaultKindInfo &Failure =
+        infoOf(Refuses ? Fault::Kind::RefuseConnections
+                       : Fault::Kind::IgnoreConnections);
+    Fault Candidate;
+    Candidate.Kind_ = Failure.Kind_;
+    Candidate.Host_ = static_cast<std::uint32_t>(Random.below(Hosts));
+    Candidate.Start_ =
+        Slow.Start_ + Random.between(milliseconds(200), Info.MinDuration_);
+    Candidate.Duration_ =
+        Random.between(Failure.MinDuration_, Failure.MaxDuration_);
+    addFault(Plan, Candidate);
+  }
+}
+
 } // namespace
 
 const char *faultName(Fault::Kind Kind) { return infoOf(Kind).Name_; }
@@ -105,7 +160,7 @@
   Plan.PlannedOnly_ = Random.below(4) == 0;
   const std::size_t Count = 1 + Random.below(Plan.PlannedOnly_ ? 2 : 6);
   const std::size_t KindCount =
-      Plan.PlannedOnly_ ? PlannedKindCount : std::size(FaultKinds);
+      Plan.PlannedOnly_ ? PlannedKindCount : DrawnKindCount;
   for (std::size_t Index = 0; Index < Count; ++Index) {
     const FaultKindInfo &Info = FaultKinds[Random.below(KindCount)];
     Fault Candidate;
@@ -113,15 +168,12 @@
     Candidate.Host_ = static_cast<std::uint32_t>(Random.below(Hosts));
     Candidate.Start_ = Random.between(milliseconds(0), MaxStart);
     Candidate.Duration_ = Random.between(Info.MinDuration_, Info.MaxDuration_);
-    const bool Conflicts =
-        std::any_of(Plan.Faults_.begin(), Plan.Faults_.end(),
-                    [&Candidate](const Fault &Other) {
-                      return haveSameTarget(Candidate, Other) &&
-                             overlapInTime(Candidate, Other);
-                    });
-    if (!Conflicts)
-      Plan.Faults_.push_back(Candidate);
+    addFault(Plan, Candidate);
   }
+  // Numbers of their own keep the plans of earlier seeds but for this addition.
+  SeededRandom SlowRandom(~(Seed * RoundSeedStep + Round));
+  if (SlowRandom.below(2) == 0)
+    addSlowRuns(Plan, SlowRandom, Hosts, MaxStart);
   std::sort(Plan.Faults_.begin(), Plan.Faults_.end(),
             [](const Fault &Left, const Fault &Right) {
               return Left.Start_ < Right.Start_;
@@ -135,7 +187,12 @@
     Text += "  " + std::to_string(Planned.Start_.count()) +
             " ms: " + faultName(Planned.Kind_) + " on host " +
             std::to_string(Planned.Host_) + " for " +
-            std::to_string(Planned.Duration_.count()) + " ms\n";
+            std::to_string(Planned.Duration_.count()) + " ms" +
+            (Planned.Kind_ == Fault::Kind::SlowRuns
+                 ? " (" + std::to_string(Planned.RunTime_.count()) +
+                       " ms a request)"
+                 : "") +
+            "\n";
   return Text;
 }
 
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -6,15 +6,20 @@
 
 #include "tests/soak/fault.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace lagoonhitch {
 
+/// The longest time that an upstream takes for a request.
+inline constexpr std::chrono::milliseconds MaxSlowRunTime{2000};
+
 /// The faults of one round.
 struct FaultPlan {
-  /// Whether the round has planned operations only.
+  /// Whether the round has planned operations only, and possibly slow runs and
+  /// refused connections.
   bool PlannedOnly_ = false;
   /// Sorted by start time.
   std::vector<Fault> Faults_;
--- a/tests/soak/soak_round.cpp
+++ b/tests/soak/soak_round.cpp
@@ -4,12 +4,14 @@
 
 #include <algorithm>
 #include <csignal>
+#include <map>
 #include <thread>
 
 namespace lagoonhitch {
 
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -22,6 +24,8 @@
 /// The last part of a round, in which every call must run.
 constexpr seconds RecoveredPhase{1};
 constexpr milliseconds ConnectionDelay{120};
+/// Time that an upstream takes for a request without SlowRuns.
+constexpr microseconds NormalRunTime{SiteOptions().ServiceTimeMicros_};
 
 std::string describe(const LoadGenerator::Call &Finished) {
   return Finished.Target_ + " via " + Finished.Address_ + " was answered " +
@@ -42,12 +46,12 @@
   Load_ = std::make_unique<LoadGenerator>(Time_, Options);
 }
 
-std::vector<SoakRound::FaultEvent> SoakRound::faultEvents(Instant Start) const {
+std::vector<SoakRound::FaultEvent> SoakRound::faultEvents() const {
   std::vector<FaultEvent> Events;
   for (const Fault &Current : Plan_.Faults_) {
-    Events.push_back({Start + Current.Start_, true, Current});
+    Events.push_back({StartedAt_ + Current.Start_, true, Current});
     Events.push_back(
-        {Start + Current.Start_ + Current.Duration_, false, Current});
+        {StartedAt_ + Current.Start_ + Current.Duration_, false, Current});
   }
   std::sort(Events.begin(), Events.end(),
             [](const FaultEvent &Left, const FaultEvent &Right) {
@@ -57,8 +61,8 @@
 }
 
 Violations SoakRound::run() {
-  const Instant Start = Time_.now();
-  for (const FaultEvent &Next : faultEvents(Start)) {
+  StartedAt_ = Time_.now();
+  for (const FaultEvent &Next : faultEvents()) {
     std::this_thread::sleep_for(Next.At_ - Time_.now());
     if (Next.Starts_)
       startFault(Next.Fault_);
@@ -79,12 +83,22 @@
   checkRecovery();
   if (Plan_.PlannedOnly_) {
     checkPlannedOperations();
-    checkDrains(Start);
+    checkSingleRuns();
+    checkDrains();
   }
   return Violations_;
 }
 
+/// Returns whether requests may wait during a fault that occurs together with
+/// planned operations.
+bool SoakRound::delaysRequests(const Fault &Current) {
+  return Current.Kind_ == Fault::Kind::SlowRuns ||
+         Current.Kind_ == Fault::Kind::RefuseConnections;
+}
+
 void SoakRound::startFault(const Fault &Current) {
+  if (delaysRequests(Current))
+    DelaysFrom_ = std::min(DelaysFrom_, Time_.now());
   switch (Current.Kind_) {
   case Fault::Kind::StopDaemon:
     stopDaemon(Current);
@@ -117,6 +131,15 @@
   case Fault::Kind::DelayConnections:
     Site_.relay(Current.Host_).setDelay(ConnectionDelay);
     return;
+  case Fault::Kind::RefuseConnections:
+    Site_.relay(Current.Host_).refuseConnections();
+    return;
+  case Fault::Kind::IgnoreConnections:
+    Site_.relay(Current.Host_).ignoreConnections();
+    return;
+  case Fault::Kind::SlowRuns:
+    setRunTime(Current.Host_, Current.RunTime_);
+    return;
   case Fault::Kind::KillUpstream:
     // restartUpstream() kills it at the end of the fault.
     return;
@@ -126,6 +149,8 @@
 }
 
 void SoakRound::endFault(const Fault &Current) {
+  if (delaysRequests(Current))
+    DelaysTo_ = Time_.now();
   switch (Current.Kind_) {
   case Fault::Kind::StopDaemon:
   case Fault::Kind::KillDaemon:
@@ -144,6 +169,13 @@
   case Fault::Kind::DelayConnections:
     Site_.relay(Current.Host_).setDelay(milliseconds(0));
     return;
+  case Fault::Kind::RefuseConnections:
+  case Fault::Kind::IgnoreConnections:
+    Site_.relay(Current.Host_).acceptConnections();
+    return;
+  case Fault::Kind::SlowRuns:
+    setRunTime(Current.Host_, NormalRunTime);
+    return;
   case Fault::Kind::ReloadDaemon:
   case Fault::Kind::DropTraffic:
   case Fault::Kind::DropResponses:
@@ -154,6 +186,10 @@
   }
 }
 
+void SoakRound::setRunTime(std::uint32_t Host, microseconds RunTime) {
+  Site_.setUpstreamMode(Host, {{"service_us", RunTime.count()}});
+}
+
 void SoakRound::startStoreFault(Fault::Kind Kind) {
   switch (Kind) {
   case Fault::Kind::StoreDown:
@@ -213,24 +249,55 @@
       if (Finished.Address_ == Stopped.CallersAddress_ &&
           Finished.SentAt_ < Stopped.EndedAt_ &&
           Finished.AnsweredAt_ > Stopped.StopRequestedAt_ &&
-          Finished.Outcome_ != Outcome::Ran && !Finished.NotSent_)
+          isDisrupted(Finished))
         Violations_.push_back("a planned stop cut off a request: " +
                               describe(Finished));
 }
 
+/// Returns whether a call was sent or waiting while runs were slow or new
+/// connections refused, or soon after. Requests may then be rejected: a key
+/// that changes its owner waits for runs to end, and an owner may be
+/// unreachable.
+bool SoakRound::mayBeRejected(const LoadGenerator::Call &Finished) const {
+  return Finished.AnsweredAt_ > DelaysFrom_ &&
+         Finished.SentAt_ < DelaysTo_ + MaxSlowRunTime;
+}
+
+/// Returns whether a call failed although planned operations must not affect
+/// it.
+bool SoakRound::isDisrupted(const LoadGenerator::Call &Finished) const {
+  if (Finished.Outcome_ == Outcome::Ran || Finished.NotSent_)
+    return false;
+  return Finished.Outcome_ == Outcome::Unknown || !mayBeRejected(Finished);
+}
+
 void SoakRound::checkPlannedOperations() {
   for (const LoadGenerator::Call &Finished : Load_->calls())
-    if (Finished.Outcome_ != Outcome::Ran && !Finished.NotSent_)
+    if (isDisrupted(Finished))
       Violations_.push_back("a planned operation disrupted a request: " +
                             describe(Finished));
 }
 
-void SoakRound::checkDrains(Instant Start) {
+/// Checks that no request runs again, because an attempt that was running was
+/// given up.
+void SoakRound::checkSingleRuns() {
+  std::map<std::string, std::size_t> RunsByCall;
+  for (const History::Run &Run : History_.Runs_)
+    ++RunsByCall[Run.Call_];
+  for (const History::CallAnswer &Answered : Load_->answers()) {
+    const std::size_t Runs = RunsByCall[Answered.Call_];
+    if (Runs > 1)
+      Violations_.push_back("a planned operation made a request run " +
+                            std::to_string(Runs) + " times: " + Answered.Call_);
+  }
+}
+
+void SoakRound::checkDrains() {
   for (const Fault &Current : Plan_.Faults_) {
     if (Current.Kind_ != Fault::Kind::DrainUpstream)
       continue;
-    const Instant From = Start + Current.Start_ + DrainLimit;
-    const Instant To = Start + Current.Start_ + Current.Duration_;
+    const Instant From = StartedAt_ + Current.Start_ + DrainLimit;
+    const Instant To = StartedAt_ + Current.Start_ + Current.Duration_;
     const std::string Name = "-h" + std::to_string(Current.Host_) + "-";
     for (const LoadGenerator::Call &Finished : Load_->calls())
       if (Finished.SentAt_ > From && Finished.AnsweredAt_ < To &&
--- a/tests/soak/soak_round.h
+++ b/tests/soak/soak_round.h
@@ -10,6 +10,7 @@
 #include "tests/process/site.h"
 #include "tests/soak/fault_plan.h"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <vector>
@@ -48,22 +49,31 @@
     Fault Fault_;
   };
 
-  std::vector<FaultEvent> faultEvents(Instant Start) const;
+  std::vector<FaultEvent> faultEvents() const;
+  static bool delaysRequests(const Fault &Current);
   void startFault(const Fault &Current);
   void endFault(const Fault &Current);
+  void setRunTime(std::uint32_t Host, std::chrono::microseconds RunTime);
   void startStoreFault(Fault::Kind Kind);
   void endStoreFaults();
   void stopDaemon(const Fault &Current);
   void checkPlannedStops();
-  void checkDrains(Instant Start);
+  void checkDrains();
   void checkRecovery();
+  bool mayBeRejected(const LoadGenerator::Call &Finished) const;
+  bool isDisrupted(const LoadGenerator::Call &Finished) const;
   void checkPlannedOperations();
+  void checkSingleRuns();
 
   const Clock &Time_;
   Site &Site_;
   FaultPlan Plan_;
   History &History_;
   std::unique_ptr<LoadGenerator> Load_;
+  Instant StartedAt_;
+  /// When runs were slow or new connections refused; empty if never.
+  Instant DelaysFrom_ = Instant::max();
+  Instant DelaysTo_ = Instant::min();
   std::vector<PlannedStop> Stops_;
   Violations Violations_;
 };
