Serve connections not yet accepted when a server drains

While it stops, a daemon closes each connection after its response, so callers open a new one for each request. drain() then closed the acceptor, which resets the connections that wait to be accepted, together with their requests; a connection whose accept had completed in the same moment was dropped too. drain() now accepts them first.

A connection that reaches the backlog after its last accept and before the close, both in one call of drain(), is still reset.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -300,19 +300,35 @@
                                            shared_from_this(), RequestNumber_));
 }
 
+void startSession(const std::shared_ptr<HttpServer::Impl> &Server,
+                  tcp::socket Socket) {
+  configureSocket(Socket);
+  std::make_shared<Session>(std::move(Socket), Server)->readNext();
+}
+
 void acceptNext(const std::shared_ptr<HttpServer::Impl> &Server) {
   Server->Acceptor_.async_accept(
       [Server](error_code Failure, tcp::socket Socket) {
-        if (!Server->Acceptor_.is_open())
-          return;
-        if (!Failure) {
-          configureSocket(Socket);
-          std::make_shared<Session>(std::move(Socket), Server)->readNext();
-        }
-        acceptNext(Server);
+        if (!Failure)
+          startSession(Server, std::move(Socket));
+        if (Server->Acceptor_.is_open())
+          acceptNext(Server);
       });
 }
 
+/// Accepts the connections that clients have opened but the server has not
+/// accepted yet. Closing the acceptor would reset them and lose their requests.
+void acceptPending(const std::shared_ptr<HttpServer::Impl> &Server) {
+  error_code Failure;
+  Server->Acceptor_.non_blocking(true, Failure);
+  while (!Failure) {
+    tcp::socket Socket(Server->Acceptor_.get_executor());
+    Server->Acceptor_.accept(Socket, Failure);
+    if (!Failure)
+      startSession(Server, std::move(Socket));
+  }
+}
+
 } // namespace
 
 HttpServer::HttpServer(IoLoop &Loop, HttpServerOptions Options, Handler Handle)
@@ -354,11 +370,12 @@
 
 void HttpServer::drain() {
   Impl_->KeepAliveDisabled_ = true;
-  error_code Ignored;
-  Impl_->Acceptor_.close(Ignored);
   const std::set<Session *> Sessions = Impl_->Sessions_;
   for (Session *Open : Sessions)
     Open->closeIfIdle();
+  acceptPending(Impl_);
+  error_code Ignored;
+  Impl_->Acceptor_.close(Ignored);
 }
 
 std::size_t HttpServer::openExchanges() const { return Impl_->OpenExchanges_; }
--- a/tests/unit/server_test.cpp
+++ b/tests/unit/server_test.cpp
@@ -92,6 +92,19 @@
   BOOST_TEST(Closed);
 }
 
+/// A caller can't tell a connection that the server has not accepted yet from
+/// an accepted one.
+BOOST_AUTO_TEST_CASE(AnswersRequestsOnConnectionsNotYetAccepted) {
+  ServerFixture Fixture;
+  bool Closed = false;
+  Fixture.sendRequest();
+  Fixture.Server_.drain();
+  Fixture.runFor(milliseconds(30));
+  BOOST_TEST(Fixture.Served_ == 1);
+  BOOST_TEST(Fixture.read(Closed).starts_with("HTTP/1.1 200"));
+  BOOST_TEST(Closed);
+}
+
 BOOST_AUTO_TEST_CASE(ClosesIdleConnectionsWhileDraining) {
   ServerFixture Fixture;
   bool Closed = false;
