Enforce the body limit of responses that announce their length

Seen: a response whose header announced a body over the limit, with the first bytes of the body in the same read, was not rejected. The daemon buffered the body without limit until the call's timeout; for a length that can't be reserved, it ended with an uncaught std::bad_alloc (std::length_error), so one such response of an upstream terminated the daemon.

Cause: http::async_read makes the parser eager. basic_parser::put() (Boost 1.74) then goes on after finish_header() has reported body_limit, the error is overwritten, string_body reserves the announced length, and parse_body() does not check the limit again.

Fix: HttpClient reads and parses by itself with a parser that is not eager: put() returns after each part, so the error is seen before memory is reserved. Reads are 8 KB like in HttpServer (before: 512 bytes, as the buffer stayed at its first capacity). The buffer belongs to the call, so idle connections hold none.

Test: client_test (new) plays responses without end from a TCP server on loopback.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -10,7 +10,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <map>
@@ -29,7 +28,6 @@
   explicit Connection(boost::asio::io_context &Context) : Stream_(Context) {}
 
   boost::beast::tcp_stream Stream_;
-  boost::beast::flat_buffer Buffer_;
   Instant OpenedAt_;
   Instant IdleSince_;
 };
@@ -114,6 +112,8 @@
   }
 
 private:
+  static constexpr std::size_t ReadChunkBytes = 8192;
+
   bool reuseIdleConnection() {
     Pool &Target = Client_->pool(Address_);
     const Instant Now = Client_->Time_.now();
@@ -185,23 +185,49 @@
     if (Message_.method() == http::verb::head)
       Parser_->skip(true);
     Parser_->body_limit(Client_->Options_.MaxBodyBytes_);
-    http::async_read(
-        Connection_->Stream_, Connection_->Buffer_, *Parser_,
-        [Self = shared_from_this()](error_code Failure, std::size_t) {
-          if (!Self->Connection_)
-            return;
-          if (Failure) {
-            // Part of the request may have been sent already.
-            Self->finishFailed(Failure, 1);
-            return;
-          }
-          Self->finishCompleted();
+    readSome();
+  }
+
+  void readSome() {
+    Connection_->Stream_.async_read_some(
+        Buffer_.prepare(ReadChunkBytes),
+        [Self = shared_from_this()](error_code Failure, std::size_t Size) {
+          if (Self->Connection_)
+            Self->onReceived(Failure, Size);
         });
   }
 
+  void onReceived(error_code Failure, std::size_t Size) {
+    Buffer_.commit(Size);
+    if (!Failure)
+      parse(Failure);
+    else if (Failure == boost::asio::error::eof && Parser_->got_some())
+      Parser_->put_eof(Failure);
+    if (Failure) {
+      // Part of the request may have been sent already.
+      finishFailed(Failure, 1);
+      return;
+    }
+    if (Parser_->is_done()) {
+      finishCompleted();
+      return;
+    }
+    readSome();
+  }
+
+  /// Parses the received bytes. The parser is not eager, so it returns after
+  /// each part of the response: an eager one discards the error of a header
+  /// that announces a body over the limit, and reserves memory for that body.
+  void parse(error_code &Failure) {
+    while (!Failure && Buffer_.size() > 0 && !Parser_->is_done())
+      Buffer_.consume(Parser_->put(Buffer_.data(), Failure));
+    if (Failure == http::error::need_more)
+      Failure = {};
+  }
+
   void finishCompleted() {
-    const bool Reusable = Parser_->keep_alive() && RequestWritten_ &&
-                          Connection_->Buffer_.size() == 0;
+    const bool Reusable =
+        Parser_->keep_alive() && RequestWritten_ && Buffer_.size() == 0;
     HttpResult Result;
     Result.Status_ = HttpCallStatus::Completed;
     Result.Response_ = responseFromBeast(Parser_->release());
@@ -264,7 +290,7 @@
     if (!Connection_)
       return;
     Connection_->Stream_.close();
-    // Aborted operations still refer to the connection's buffer.
+    // Aborted operations still refer to the connection.
     ClosedConnection_ = std::move(Connection_);
     --Client_->pool(Address_).Open_;
   }
@@ -275,6 +301,8 @@
   HttpClient::Callback Done_;
   http::request<http::string_body> Message_;
   std::optional<http::response_parser<http::string_body>> Parser_;
+  /// Received bytes that are not parsed yet.
+  boost::beast::flat_buffer Buffer_;
   std::unique_ptr<Connection> Connection_;
   std::unique_ptr<Connection> ClosedConnection_;
   /// The value that the echoed header must have; empty if it is not checked.
--- /dev/null
+++ b/tests/unit/client_test.cpp
@@ -0,0 +1,206 @@
+/// \file
+/// Tests that an HTTP client bounds the memory and time that a server can take
+/// with bytes without end.
+
+#define BOOST_TEST_MODULE client
+#include "net/http_client.h"
+#include "net/io_loop.h"
+#include "platform/monotonic_clock.h"
+#include "tests/unit/endless_server.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <ostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lagoonhitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t Kilobyte = 1024;
+constexpr std::size_t Megabyte = 1024 * Kilobyte;
+constexpr std::size_t BodyLimit = 2 * Megabyte;
+constexpr milliseconds CallTimeout{3000};
+/// Time in which a call must end that is over before its timeout.
+constexpr milliseconds PromptTime{1500};
+/// What the sockets of both sides may hold in addition to the limits.
+constexpr std::size_t SocketBytes = 8 * Megabyte;
+
+const std::string Ok = "HTTP/1.1 200 OK\r\n";
+const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+
+/// One way to send bytes without end.
+struct EndlessCase {
+  const char *Name_;
+  ServerScript Script_;
+};
+
+std::ostream &operator<<(std::ostream &Stream, const EndlessCase &Case) {
+  return Stream << Case.Name_;
+}
+
+/// Returns a complete header line.
+std::string headerLine() {
+  return "X-Filler: " + std::string(52, 'a') + "\r\n";
+}
+
+std::vector<EndlessCase> fastCases() {
+  return {
+      {"bytes that are not HTTP", {"", "no answer "}},
+      {"status line", {"HTTP/1.1 200 ", "a"}},
+      {"header line", {Ok + "X-Filler: ", "a"}},
+      {"headers", {Ok, headerLine()}},
+      {"body without length", {Ok + "\r\n", "a"}},
+      {"chunks", {Chunked, "4\r\nabcd\r\n"}},
+      {"one chunk", {Chunked + "7fffffffffffffff\r\n", "a"}},
+      {"body of a length over the limit",
+       {Ok + "Content-Length: 2000000000\r\n\r\nabcd", "a"}},
+      {"body of a length over the memory",
+       {Ok + "Content-Length: 9000000000000000000\r\n\r\nabcd", "a"}},
+  };
+}
+
+std::vector<EndlessCase> slowCases() {
+  constexpr std::chrono::microseconds Pause{1000};
+  return {
+      {"headers", {Ok, headerLine(), Pause}},
+  };
+}
+
+/// A server that sends bytes without end, and a client.
+struct ClientFixture {
+  explicit ClientFixture(ServerScript Script,
+                         HttpClientOptions Options = clientOptions())
+      : Server_(std::move(Script)), Client_(Loop_, Time_, Options) {}
+
+  static HttpClientOptions clientOptions() {
+    HttpClientOptions Options;
+    Options.MaxBodyBytes_ = BodyLimit;
+    return Options;
+  }
+
+  void send(const std::string &EchoHeader = "") {
+    HttpRequest Request;
+    Request.Headers_.push_back({"X-Request-Id", "1"});
+    HttpCallOptions Call;
+    Call.Timeout_ = CallTimeout;
+    Call.EchoHeader_ = EchoHeader;
+    Call.NotRunHeader_ = "X-Not-Executed";
+    Client_.send(
+        Server_.address(), std::move(Request), Call,
+        [this](HttpResult Result) { Results_.push_back(std::move(Result)); });
+  }
+
+  /// Runs the loop until a number of calls have ended.
+  void runUntilEnded(std::size_t Calls) {
+    const Instant Limit = Time_.now() + CallTimeout + milliseconds(1000);
+    while (Results_.size() < Calls && Time_.now() < Limit)
+      runFor(milliseconds(10));
+  }
+
+  void runFor(milliseconds Span) {
+    const std::shared_ptr<void> End =
+        Loop_.after(Span, [this] { Loop_.stop(); });
+    Loop_.restart();
+    Loop_.run();
+  }
+
+  /// Sends one request and checks that its call fails promptly, that the
+  /// connection is closed, and that few bytes were accepted.
+  void checkFailsPromptly() {
+    const Instant Start = Time_.now();
+    send();
+    runUntilEnded(1);
+    BOOST_REQUIRE(Results_.size() == 1U);
+    BOOST_TEST((Results_[0].Status_ == HttpCallStatus::ConnectionLost));
+    BOOST_TEST(toMillis(Time_.now() - Start).count() < PromptTime.count());
+    BOOST_TEST(Client_.openConnections(Server_.address()) == 0U);
+    BOOST_TEST(Server_.waitUntilClosed(milliseconds(500)));
+    BOOST_TEST(Server_.sentBytes() < 3 * BodyLimit + SocketBytes);
+  }
+
+  EndlessServer Server_;
+  MonotonicClock Time_;
+  IoLoop Loop_;
+  HttpClient Client_;
+  std::vector<HttpResult> Results_;
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(EndlessResponseFails,
+                     boost::unit_test::data::make(fastCases()), Case) {
+  ClientFixture Fixture(Case.Script_);
+  Fixture.checkFailsPromptly();
+}
+
+BOOST_DATA_TEST_CASE(SlowEndlessResponseFails,
+                     boost::unit_test::data::make(slowCases()), Case) {
+  ClientFixture Fixture(Case.Script_);
+  Fixture.checkFailsPromptly();
+}
+
+/// A body whose length is within the limit, but which never gets complete,
+/// fails at the timeout.
+BOOST_AUTO_TEST_CASE(SlowBodyTimesOut) {
+  ClientFixture Fixture({Ok + "Content-Length: 100000\r\n\r\n", "abc",
+                         std::chrono::milliseconds(100)});
+  Fixture.send();
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::TimedOut));
+  BOOST_TEST(Fixture.Client_.openConnections(Fixture.Server_.address()) == 0U);
+}
+
+/// Complete responses up to the limits are accepted: with a length, in chunks
+/// and until the connection closes.
+BOOST_AUTO_TEST_CASE(LargeResponsesAreAccepted) {
+  const std::string Body(BodyLimit, 'b');
+  std::string InChunks;
+  constexpr std::size_t ChunkBytes = 16;
+  for (std::size_t At = 0; At < BodyLimit; At += ChunkBytes)
+    InChunks.append("10\r\n").append(Body, At, ChunkBytes).append("\r\n");
+  std::string Headers;
+  for (int Line = 0; Line < 100; ++Line)
+    Headers += headerLine();
+  ServerScript UntilClose{Ok + Headers + "Connection: close\r\n\r\n" + Body,
+                          ""};
+  UntilClose.CloseAtEnd_ = true;
+  for (const ServerScript &Script :
+       {ServerScript{Ok + Headers + "Content-Length: " +
+                         std::to_string(BodyLimit) + "\r\n\r\n" + Body,
+                     ""},
+        ServerScript{Chunked + InChunks + "0\r\nX-Trailer: a\r\n\r\n", ""},
+        UntilClose}) {
+    ClientFixture Fixture(Script);
+    Fixture.send();
+    Fixture.runUntilEnded(1);
+    BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+    BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::Completed));
+    BOOST_TEST((Fixture.Results_[0].Response_.Body_ == Body));
+  }
+}
+
+/// A response that ends early is not complete.
+BOOST_AUTO_TEST_CASE(TruncatedResponsesFail) {
+  for (const std::string &Text :
+       {std::string("HTTP/1.1 20"), Ok + "X-A: b\r\n",
+        Ok + "Content-Length: 10\r\n\r\nabc", Chunked + "4\r\nab",
+        Chunked + "4\r\nabcd\r\n", Chunked + "4\r\nabcd\r\n0\r\nX-A: b\r\n"}) {
+    ServerScript Script{Text, ""};
+    Script.CloseAtEnd_ = true;
+    ClientFixture Fixture(Script);
+    Fixture.send();
+    Fixture.runUntilEnded(1);
+    BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+    BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::ConnectionLost));
+  }
+}
+
+} // namespace lagoonhitch
