Limit the headers, chunk headers and trailers of responses

Seen: chunk sizes, chunk extensions and trailers without end were buffered without limit until the call's timeout.

Cause: the parser of Boost.Beast limits only the status line and the headers. It keeps an incomplete chunk header or trailer in its buffer, which had no limit, and counts no bytes of complete chunk headers.

Fix: a new option MaxHeaderBytes_ (16 KB) limits the header, the bytes that wait to be parsed, and, with twice the body limit, all bytes of a response. A call that exceeds them fails as ConnectionLost, and its connection is closed. The limit of the header was 8 KB, for responses of peers too, so a response with a header just below the limit failed between daemons, where headers are added. Peers now may send MaxPeerHeaderBytes, as for requests.

Test: client_test has 7 new cases (chunk size, extension, extensions, trailer, trailers; slowly: trailers, extension). Now all pass.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -44,7 +44,8 @@
 constexpr std::chrono::milliseconds MaxDigestAge{1500};
 constexpr std::size_t MaxAuditEntries = 256;
 constexpr std::size_t MaxBodyBytes = 64U * 1024U * 1024U;
-/// Larger than the limit for callers: a forwarded request has one more header.
+/// Larger than the limits for callers and upstreams: forwarded requests and
+/// their responses have additional headers.
 constexpr std::size_t MaxPeerHeaderBytes = 128U * 1024U;
 
 HttpClientOptions clientOptions(std::chrono::milliseconds MaxIdleTime,
@@ -56,6 +57,13 @@
   return Options;
 }
 
+HttpClientOptions peerClientOptions() {
+  HttpClientOptions Options = clientOptions(std::chrono::milliseconds(8000),
+                                            std::chrono::milliseconds(250));
+  Options.MaxHeaderBytes_ = MaxPeerHeaderBytes;
+  return Options;
+}
+
 HttpServerOptions serverOptions(const std::string &Address) {
   HttpServerOptions Options;
   Options.Address_ = Address;
@@ -189,9 +197,7 @@
       UpstreamClient_(Loop_, Time,
                       clientOptions(std::chrono::milliseconds(4000),
                                     std::chrono::milliseconds(250))),
-      PeerClient_(Loop_, Time,
-                  clientOptions(std::chrono::milliseconds(8000),
-                                std::chrono::milliseconds(250))),
+      PeerClient_(Loop_, Time, peerClientOptions()),
       StoreCallClient_(Loop_, Time,
                        clientOptions(std::chrono::milliseconds(4000),
                                      std::chrono::milliseconds(500))),
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -113,6 +113,9 @@
 
 private:
   static constexpr std::size_t ReadChunkBytes = 8192;
+  /// Bytes received for each byte of a body; more than one because of chunk
+  /// headers.
+  static constexpr std::size_t MaxBytesPerBodyByte = 2;
 
   bool reuseIdleConnection() {
     Pool &Target = Client_->pool(Address_);
@@ -184,6 +187,8 @@
     Parser_.emplace();
     if (Message_.method() == http::verb::head)
       Parser_->skip(true);
+    Parser_->header_limit(
+        static_cast<std::uint32_t>(Client_->Options_.MaxHeaderBytes_));
     Parser_->body_limit(Client_->Options_.MaxBodyBytes_);
     readSome();
   }
@@ -199,6 +204,7 @@
 
   void onReceived(error_code Failure, std::size_t Size) {
     Buffer_.commit(Size);
+    ReceivedBytes_ += Size;
     if (!Failure)
       parse(Failure);
     else if (Failure == boost::asio::error::eof && Parser_->got_some())
@@ -212,9 +218,24 @@
       finishCompleted();
       return;
     }
+    if (exceedsLimits()) {
+      finish(HttpCallStatus::ConnectionLost);
+      return;
+    }
     readSome();
   }
 
+  /// Returns whether more bytes were received than the incomplete response may
+  /// have. The parser limits neither chunk headers nor trailers.
+  bool exceedsLimits() const {
+    const HttpClientOptions &Limits = Client_->Options_;
+    const bool HeaderTooLarge =
+        !Parser_->is_header_done() && ReceivedBytes_ > Limits.MaxHeaderBytes_;
+    return HeaderTooLarge || Buffer_.size() > Limits.MaxHeaderBytes_ ||
+           ReceivedBytes_ > Limits.MaxHeaderBytes_ +
+                                MaxBytesPerBodyByte * Limits.MaxBodyBytes_;
+  }
+
   /// Parses the received bytes. The parser is not eager, so it returns after
   /// each part of the response: an eager one discards the error of a header
   /// that announces a body over the limit, and reserves memory for that body.
@@ -303,6 +324,7 @@
   std::optional<http::response_parser<http::string_body>> Parser_;
   /// Received bytes that are not parsed yet.
   boost::beast::flat_buffer Buffer_;
+  std::size_t ReceivedBytes_ = 0;
   std::unique_ptr<Connection> Connection_;
   std::unique_ptr<Connection> ClosedConnection_;
   /// The value that the echoed header must have; empty if it is not checked.
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -26,6 +26,9 @@
   std::chrono::milliseconds MaxIdleTime_{10000};
   /// Connections of this age are closed instead of reused.
   std::chrono::milliseconds MaxConnectionAge_{300000};
+  /// Maximum size of the status line and headers of a response. Also limits
+  /// each chunk header and the trailers.
+  std::size_t MaxHeaderBytes_ = 16 * 1024;
   /// Maximum size of a response body.
   std::size_t MaxBodyBytes_ = 1024 * 1024;
 };
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -59,6 +59,12 @@
       {"body without length", {Ok + "\r\n", "a"}},
       {"chunks", {Chunked, "4\r\nabcd\r\n"}},
       {"one chunk", {Chunked + "7fffffffffffffff\r\n", "a"}},
+      {"chunk size", {Chunked, "0"}},
+      {"chunk extension", {Chunked + "4;", "a"}},
+      {"chunk extensions",
+       {Chunked, "1;" + std::string(4000, 'a') + "\r\nb\r\n"}},
+      {"trailer", {Chunked + "0\r\nX-Filler: ", "a"}},
+      {"trailers", {Chunked + "0\r\n", headerLine()}},
       {"body of a length over the limit",
        {Ok + "Content-Length: 2000000000\r\n\r\nabcd", "a"}},
       {"body of a length over the memory",
@@ -70,6 +76,8 @@
   constexpr std::chrono::microseconds Pause{1000};
   return {
       {"headers", {Ok, headerLine(), Pause}},
+      {"trailers", {Chunked + "0\r\n", headerLine(), Pause}},
+      {"chunk extension", {Chunked + "4;", std::string(64, 'a'), Pause}},
   };
 }
 
