Skip interim responses, and accept no change of protocol

Seen: an interim response (100, 103) that repeated the request's id was passed on to the caller as the final one. One without an id ended the call as ConnectionLost, so a request that was running got an unknown outcome. Health checks took an interim response for an answer.

Cause: the parser returns an interim response as a complete one, and HttpClient did not look at the status.

Fix: the response after an interim one is read. Interim responses count towards the limit of the header, so they can't come without end. 101 is never requested; a response with it is not the request's.

Test: client_test has 4 new cases.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -24,6 +24,8 @@
 
 namespace {
 
+constexpr unsigned SwitchingProtocols = 101;
+
 struct Connection {
   explicit Connection(boost::asio::io_context &Context) : Stream_(Context) {}
 
@@ -70,6 +72,13 @@
   return Failure == boost::asio::error::would_block;
 }
 
+/// Returns whether a final response follows this one.
+bool isInterim(const http::response<http::string_body> &Response) {
+  return http::to_status_class(Response.result_int()) ==
+             http::status_class::informational &&
+         Response.result_int() != SwitchingProtocols;
+}
+
 /// One call in progress. Keeps itself alive while an operation is pending.
 class Call : public std::enable_shared_from_this<Call> {
 public:
@@ -179,18 +188,19 @@
           Self->RequestWritten_ = true;
         });
     // The response may arrive before the request is written completely.
-    if (Connection_)
-      read();
+    if (Connection_) {
+      startResponse();
+      readSome();
+    }
   }
 
-  void read() {
+  void startResponse() {
     Parser_.emplace();
     if (Message_.method() == http::verb::head)
       Parser_->skip(true);
     Parser_->header_limit(
         static_cast<std::uint32_t>(Client_->Options_.MaxHeaderBytes_));
     Parser_->body_limit(Client_->Options_.MaxBodyBytes_);
-    readSome();
   }
 
   void readSome() {
@@ -240,8 +250,11 @@
   /// each part of the response: an eager one discards the error of a header
   /// that announces a body over the limit, and reserves memory for that body.
   void parse(error_code &Failure) {
-    while (!Failure && Buffer_.size() > 0 && !Parser_->is_done())
+    while (!Failure && Buffer_.size() > 0 && !Parser_->is_done()) {
       Buffer_.consume(Parser_->put(Buffer_.data(), Failure));
+      if (Parser_->is_done() && isInterim(Parser_->get()))
+        startResponse();
+    }
     if (Failure == http::error::need_more)
       Failure = {};
   }
@@ -266,8 +279,11 @@
   }
 
   /// Returns whether the response belongs to this request. A late or duplicate
-  /// response on a reused connection belongs to an earlier one.
+  /// response on a reused connection belongs to an earlier one. A change of
+  /// protocol is never requested.
   bool matchesRequest(const HttpResponse &Response) const {
+    if (Response.Status_ == SwitchingProtocols)
+      return false;
     if (ExpectedEcho_.empty())
       return true;
     const std::string *Echo =
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -56,6 +56,7 @@
       {"status line", {"HTTP/1.1 200 ", "a"}},
       {"header line", {Ok + "X-Filler: ", "a"}},
       {"headers", {Ok, headerLine()}},
+      {"interim responses", {"", "HTTP/1.1 100 Continue\r\n\r\n"}},
       {"body without length", {Ok + "\r\n", "a"}},
       {"chunks", {Chunked, "4\r\nabcd\r\n"}},
       {"one chunk", {Chunked + "7fffffffffffffff\r\n", "a"}},
@@ -78,6 +79,9 @@
       {"headers", {Ok, headerLine(), Pause}},
       {"trailers", {Chunked + "0\r\n", headerLine(), Pause}},
       {"chunk extension", {Chunked + "4;", std::string(64, 'a'), Pause}},
+      {"interim responses",
+       {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n",
+        Pause}},
   };
 }
 
@@ -166,6 +170,32 @@
   BOOST_TEST(Fixture.Client_.openConnections(Fixture.Server_.address()) == 0U);
 }
 
+/// Interim responses are skipped, even if they repeat the request's id.
+BOOST_AUTO_TEST_CASE(InterimResponsesAreSkipped) {
+  const std::string Id = "X-Request-Id: 1\r\n";
+  ClientFixture Fixture({"HTTP/1.1 100 Continue\r\n" + Id +
+                             "\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + Ok + Id +
+                             "Content-Length: 4\r\n\r\nbody",
+                         ""});
+  Fixture.send("X-Request-Id");
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::Completed));
+  BOOST_TEST(Fixture.Results_[0].Response_.Status_ == 200U);
+  BOOST_TEST(Fixture.Results_[0].Response_.Body_ == "body");
+}
+
+/// A change of protocol is never requested, so it is no response.
+BOOST_AUTO_TEST_CASE(SwitchingProtocolsFails) {
+  ClientFixture Fixture({"HTTP/1.1 101 Switching Protocols\r\n"
+                         "X-Request-Id: 1\r\n\r\n",
+                         ""});
+  Fixture.send("X-Request-Id");
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::ConnectionLost));
+}
+
 /// Complete responses up to the limits are accepted: with a length, in chunks
 /// and until the connection closes.
 BOOST_AUTO_TEST_CASE(LargeResponsesAreAccepted) {
