Fail a call at the first bytes that are no response

Seen: an upstream that sent a few bytes at a time that are not HTTP kept the request and its slot until the deadline, so there was no time left to run an idempotent request on another host.

Cause: the parser parses an incomplete status line once, and then waits for the end of the header or its limit.

Fix: HttpClient compares the unparsed start of a response with "HTTP/1.".

Test: client_test, new case "bytes that are not HTTP", 5 bytes every 100 ms.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace http = boost::beast::http;
@@ -72,6 +73,12 @@
   return Failure == boost::asio::error::would_block;
 }
 
+/// Returns whether bytes can be the start of a response.
+bool canStartResponse(std::string_view Bytes) {
+  constexpr std::string_view Version = "HTTP/1.";
+  return Bytes.substr(0, Version.size()) == Version.substr(0, Bytes.size());
+}
+
 /// Returns whether a final response follows this one.
 bool isInterim(const http::response<http::string_body> &Response) {
   return http::to_status_class(Response.result_int()) ==
@@ -194,7 +201,12 @@
     }
   }
 
+  std::string_view unparsed() const {
+    return {static_cast<const char *>(Buffer_.data().data()), Buffer_.size()};
+  }
+
   void startResponse() {
+    StartParsed_ = false;
     Parser_.emplace();
     if (Message_.method() == http::verb::head)
       Parser_->skip(true);
@@ -249,9 +261,18 @@
   /// Parses the received bytes. The parser is not eager, so it returns after
   /// each part of the response: an eager one discards the error of a header
   /// that announces a body over the limit, and reserves memory for that body.
+  ///
+  /// The parser does not look at an incomplete status line again before the
+  /// header is complete, so bytes that are no response are recognised here.
   void parse(error_code &Failure) {
     while (!Failure && Buffer_.size() > 0 && !Parser_->is_done()) {
-      Buffer_.consume(Parser_->put(Buffer_.data(), Failure));
+      if (!StartParsed_ && !canStartResponse(unparsed())) {
+        Failure = http::error::bad_version;
+        return;
+      }
+      const std::size_t Parsed = Parser_->put(Buffer_.data(), Failure);
+      StartParsed_ = StartParsed_ || Parsed > 0;
+      Buffer_.consume(Parsed);
       if (Parser_->is_done() && isInterim(Parser_->get()))
         startResponse();
     }
@@ -341,6 +362,8 @@
   /// Received bytes that are not parsed yet.
   boost::beast::flat_buffer Buffer_;
   std::size_t ReceivedBytes_ = 0;
+  /// Whether the status line of the response is parsed.
+  bool StartParsed_ = false;
   std::unique_ptr<Connection> Connection_;
   std::unique_ptr<Connection> ClosedConnection_;
   /// The value that the echoed header must have; empty if it is not checked.
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -82,6 +82,7 @@
       {"interim responses",
        {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n",
         Pause}},
+      {"bytes that are not HTTP", {"", "noise", milliseconds(100)}},
   };
 }
 
