Close idle connections on which unexpected bytes arrive

Seen: bytes that an upstream sent on an idle connection stayed unread, and the connection open, until its maximum idle time (4 s; 8 s for peers) or until the next request, although received bytes count towards the process's memory.

Cause: only a connection that was about to be reused was checked.

Fix: reapIdle(), which the daemon calls every 50 ms, checks each idle connection every 500 ms, with one system call. Connections that the peer has closed are closed then too. Not done: a wait for readability, which takes a system call for each request.

Test: client_test has 2 new cases. On the version before, BytesOnAnIdleConnectionEndIt failed: the connection was still open after 1 s. BytesAfterTheResponseEndTheConnection passed before and after. Now both pass.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -26,6 +26,9 @@
 namespace {
 
 constexpr unsigned SwitchingProtocols = 101;
+/// Time between two checks of an idle connection for unexpected data. Each
+/// check is a system call.
+constexpr std::chrono::milliseconds IdleCheckInterval{500};
 
 struct Connection {
   explicit Connection(boost::asio::io_context &Context) : Stream_(Context) {}
@@ -33,6 +36,8 @@
   boost::beast::tcp_stream Stream_;
   Instant OpenedAt_;
   Instant IdleSince_;
+  /// When the idle connection was last checked for unexpected data.
+  Instant CheckedAt_;
 };
 
 struct Pool {
@@ -73,6 +78,15 @@
   return Failure == boost::asio::error::would_block;
 }
 
+/// Checks an idle connection if its last check was some time ago. Returns
+/// whether it can be kept.
+bool passesIdleCheck(Connection &Idle, Instant Now) {
+  if (Now - Idle.CheckedAt_ < IdleCheckInterval)
+    return true;
+  Idle.CheckedAt_ = Now;
+  return isOpenAndQuiet(Idle);
+}
+
 /// Returns whether bytes can be the start of a response.
 bool canStartResponse(std::string_view Bytes) {
   constexpr std::string_view Version = "HTTP/1.";
@@ -293,6 +307,7 @@
     if (Reusable) {
       Connection_->Stream_.expires_never();
       Connection_->IdleSince_ = Client_->Time_.now();
+      Connection_->CheckedAt_ = Connection_->IdleSince_;
       Client_->pool(Address_).Idle_.push_back(std::move(Connection_));
     }
     closeConnection();
@@ -404,7 +419,8 @@
   for (auto &[Address, Target] : Impl_->Pools_)
     Target.Open_ -= std::erase_if(
         Target.Idle_, [&](const std::unique_ptr<Connection> &Idle) {
-          return Now - Idle->IdleSince_ >= Impl_->Options_.MaxIdleTime_;
+          return Now - Idle->IdleSince_ >= Impl_->Options_.MaxIdleTime_ ||
+                 !passesIdleCheck(*Idle, Now);
         });
 }
 
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -73,7 +73,8 @@
   /// Overrides the maximum number of connections to one address.
   void setMaxConnections(const std::string &Address, std::size_t Limit);
 
-  /// Closes connections that exceeded the maximum idle time.
+  /// Closes idle connections that exceeded the maximum idle time, that the peer
+  /// has closed, or on which it has sent unexpected data.
   void reapIdle();
 
   /// Closes all idle connections to an address.
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -124,6 +124,15 @@
     Loop_.run();
   }
 
+  /// Runs the loop and closes unusable idle connections at intervals.
+  void reapFor(milliseconds Span) {
+    constexpr milliseconds Tick{50};
+    for (milliseconds Passed{0}; Passed < Span; Passed += Tick) {
+      runFor(Tick);
+      Client_.reapIdle();
+    }
+  }
+
   /// Sends one request and checks that its call fails promptly, that the
   /// connection is closed, and that few bytes were accepted.
   void checkFailsPromptly() {
@@ -171,6 +180,33 @@
   BOOST_TEST(Fixture.Client_.openConnections(Fixture.Server_.address()) == 0U);
 }
 
+/// Bytes after a complete response don't change it, but end the connection.
+BOOST_AUTO_TEST_CASE(BytesAfterTheResponseEndTheConnection) {
+  ClientFixture Fixture({Ok + "Content-Length: 4\r\n\r\nbody", "more"});
+  Fixture.send();
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::Completed));
+  BOOST_TEST(Fixture.Results_[0].Response_.Body_ == "body");
+  Fixture.reapFor(milliseconds(1000));
+  BOOST_TEST(Fixture.Client_.openConnections(Fixture.Server_.address()) == 0U);
+  BOOST_TEST(Fixture.Server_.waitUntilClosed(milliseconds(500)));
+}
+
+/// A connection on which bytes arrive while it is idle is closed long before
+/// its maximum idle time.
+BOOST_AUTO_TEST_CASE(BytesOnAnIdleConnectionEndIt) {
+  ServerScript Script{Ok + "Content-Length: 4\r\n\r\nbody", "more"};
+  Script.PauseAfterHead_ = milliseconds(100);
+  ClientFixture Fixture(Script);
+  Fixture.send();
+  Fixture.runUntilEnded(1);
+  BOOST_TEST(Fixture.Client_.openConnections(Fixture.Server_.address()) == 1U);
+  Fixture.reapFor(milliseconds(1000));
+  BOOST_TEST(Fixture.Client_.openConnections(Fixture.Server_.address()) == 0U);
+  BOOST_TEST(Fixture.Server_.waitUntilClosed(milliseconds(500)));
+}
+
 /// Interim responses are skipped, even if they repeat the request's id.
 BOOST_AUTO_TEST_CASE(InterimResponsesAreSkipped) {
   const std::string Id = "X-Request-Id: 1\r\n";
