Limit the memory of all responses that a client receives at once

Seen: each of the concurrent responses of an upstream could grow to 64 MB, so three bodies without end exceed the memory of most hosts (160 to 512 MB).

Cause: the only limit was that of a single body.

Fix: the daemon's clients accept bodies up to 8 MB, and a client's incomplete responses together have at most 24 MB. A call whose response exceeds that fails as ConnectionLost unless it has less than 64 KB, so that ordinary responses arrive while others fill the memory. An incomplete response is freed when its call ends; before, it was kept as long as the call's handle. Complete responses that callers read slowly are not counted.

Test: client_test has 2 new cases. Without the rule, ManyResponsesShareALimit failed: 12 responses of 2 MB completed with 20,164,608 bytes at the peak, limit 4 MB. Without the exception for small ones, SmallResponsesAreAcceptedAtTheLimit failed. Now both pass.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -43,7 +43,11 @@
 /// store.
 constexpr std::chrono::milliseconds MaxDigestAge{1500};
 constexpr std::size_t MaxAuditEntries = 256;
-constexpr std::size_t MaxBodyBytes = 64U * 1024U * 1024U;
+constexpr std::size_t MaxForwardedBodyBytes = 64U * 1024U * 1024U;
+constexpr std::size_t MaxResponseBytes = 8U * 1024U * 1024U;
+/// Limit of all responses that a client is receiving. Hosts have as little as
+/// 160 MB.
+constexpr std::size_t MaxReceivingBytes = 24U * 1024U * 1024U;
 /// Larger than the limits for callers and upstreams: forwarded requests and
 /// their responses have additional headers.
 constexpr std::size_t MaxPeerHeaderBytes = 128U * 1024U;
@@ -53,7 +57,8 @@
   HttpClientOptions Options;
   Options.MaxIdleTime_ = MaxIdleTime;
   Options.ConnectTimeout_ = ConnectTimeout;
-  Options.MaxBodyBytes_ = MaxBodyBytes;
+  Options.MaxBodyBytes_ = MaxResponseBytes;
+  Options.MaxReceivingBytes_ = MaxReceivingBytes;
   return Options;
 }
 
@@ -73,7 +78,7 @@
 HttpServerOptions peerServerOptions(const std::string &Address) {
   HttpServerOptions Options = serverOptions(Address);
   Options.MaxHeaderBytes_ = MaxPeerHeaderBytes;
-  Options.MaxBodyBytes_ = MaxBodyBytes;
+  Options.MaxBodyBytes_ = MaxForwardedBodyBytes;
   return Options;
 }
 
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -63,6 +63,8 @@
   const Clock &Time_;
   HttpClientOptions Options_;
   std::map<std::string, Pool> Pools_;
+  /// Size of all responses that are being received.
+  std::size_t ReceivingBytes_ = 0;
 };
 
 namespace {
@@ -121,7 +123,10 @@
     Message_.prepare_payload();
   }
 
-  ~Call() { closeConnection(); }
+  ~Call() {
+    closeConnection();
+    setReceivingBytes(0);
+  }
 
   void start() {
     if (!Options_.RequireNewConnection_ && reuseIdleConnection()) {
@@ -139,6 +144,7 @@
   void cancel() {
     Done_ = nullptr;
     closeConnection();
+    discardResponse();
   }
 
 private:
@@ -254,7 +260,8 @@
       finishCompleted();
       return;
     }
-    if (exceedsLimits()) {
+    setReceivingBytes(Parser_->get().body().size() + Buffer_.size());
+    if (exceedsLimits() || exceedsSharedLimit()) {
       finish(HttpCallStatus::ConnectionLost);
       return;
     }
@@ -272,6 +279,27 @@
                                 MaxBytesPerBodyByte * Limits.MaxBodyBytes_;
   }
 
+  /// Returns whether all responses together are too large, and this one is not
+  /// small.
+  bool exceedsSharedLimit() const {
+    const HttpClientOptions &Limits = Client_->Options_;
+    return Client_->ReceivingBytes_ > Limits.MaxReceivingBytes_ &&
+           ReceivingBytes_ > Limits.SmallResponseBytes_;
+  }
+
+  void setReceivingBytes(std::size_t Bytes) {
+    Client_->ReceivingBytes_ -= ReceivingBytes_;
+    Client_->ReceivingBytes_ += Bytes;
+    ReceivingBytes_ = Bytes;
+  }
+
+  /// Frees the memory of an incomplete response. The buffer stays, since an
+  /// aborted operation may refer to it.
+  void discardResponse() {
+    Parser_.reset();
+    setReceivingBytes(0);
+  }
+
   /// Parses the received bytes. The parser is not eager, so it returns after
   /// each part of the response: an eager one discards the error of a header
   /// that announces a body over the limit, and reserves memory for that body.
@@ -300,6 +328,7 @@
     HttpResult Result;
     Result.Status_ = HttpCallStatus::Completed;
     Result.Response_ = responseFromBeast(Parser_->release());
+    setReceivingBytes(0);
     if (!matchesRequest(Result.Response_)) {
       finish(HttpCallStatus::ConnectionLost);
       return;
@@ -340,6 +369,7 @@
 
   void finish(HttpCallStatus Status) {
     closeConnection();
+    discardResponse();
     HttpResult Result;
     Result.Status_ = Status;
     Result.ConnectionRefused_ = ConnectionRefused_;
@@ -377,6 +407,8 @@
   /// Received bytes that are not parsed yet.
   boost::beast::flat_buffer Buffer_;
   std::size_t ReceivedBytes_ = 0;
+  /// Size of the incomplete response.
+  std::size_t ReceivingBytes_ = 0;
   /// Whether the status line of the response is parsed.
   bool StartParsed_ = false;
   std::unique_ptr<Connection> Connection_;
@@ -436,4 +468,8 @@
   return Found == Impl_->Pools_.end() ? 0 : Found->second.Open_;
 }
 
+std::size_t HttpClient::receivingBytes() const {
+  return Impl_->ReceivingBytes_;
+}
+
 } // namespace lagoonhitch
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -31,6 +31,11 @@
   std::size_t MaxHeaderBytes_ = 16 * 1024;
   /// Maximum size of a response body.
   std::size_t MaxBodyBytes_ = 1024 * 1024;
+  /// Maximum size of all responses that are being received. A call whose
+  /// response exceeds it fails, unless that response is small.
+  std::size_t MaxReceivingBytes_ = 24 * 1024 * 1024;
+  /// Maximum size of a small response.
+  std::size_t SmallResponseBytes_ = 64 * 1024;
 };
 
 /// Options of a single call.
@@ -83,6 +88,9 @@
   /// Returns the number of open connections to an address.
   std::size_t openConnections(const std::string &Address) const;
 
+  /// Returns the size of all responses that are being received.
+  std::size_t receivingBytes() const;
+
   /// State that uses types of Boost.Beast.
   struct Impl;
 
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -11,7 +11,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <optional>
+#include <algorithm>
 #include <ostream>
 #include <string>
 #include <utility>
@@ -180,6 +180,59 @@
   BOOST_TEST(Fixture.Client_.openConnections(Fixture.Server_.address()) == 0U);
 }
 
+/// Responses that are each within the limit of a body don't exceed the limit of
+/// all responses.
+BOOST_AUTO_TEST_CASE(ManyResponsesShareALimit) {
+  constexpr std::size_t Calls = 12;
+  constexpr std::size_t SharedLimit = 4 * Megabyte;
+  HttpClientOptions Options = ClientFixture::clientOptions();
+  Options.MaxReceivingBytes_ = SharedLimit;
+  ClientFixture Fixture({Ok + "Content-Length: 2000000\r\n\r\n",
+                         std::string(10 * Kilobyte, 'a'),
+                         std::chrono::milliseconds(5)},
+                        Options);
+  for (std::size_t Call = 0; Call < Calls; ++Call)
+    Fixture.send();
+  std::size_t Highest = 0;
+  const Instant Limit = Fixture.Time_.now() + CallTimeout;
+  while (Fixture.Results_.size() < Calls && Fixture.Time_.now() < Limit) {
+    Fixture.runFor(milliseconds(1));
+    Highest = std::max(Highest, Fixture.Client_.receivingBytes());
+  }
+  BOOST_REQUIRE(Fixture.Results_.size() == Calls);
+  std::size_t Completed = 0;
+  for (const HttpResult &Result : Fixture.Results_)
+    Completed += Result.Status_ == HttpCallStatus::Completed ? 1U : 0U;
+  BOOST_TEST(Completed >= 1U);
+  BOOST_TEST(Completed < Calls);
+  BOOST_TEST(Highest <= SharedLimit);
+  BOOST_TEST(Fixture.Client_.receivingBytes() == 0U);
+}
+
+/// A small response is accepted while others are as large as the limit allows.
+BOOST_AUTO_TEST_CASE(SmallResponsesAreAcceptedAtTheLimit) {
+  HttpClientOptions Options = ClientFixture::clientOptions();
+  Options.MaxReceivingBytes_ = 100 * Kilobyte;
+  const std::size_t LargeBytes = 99 * Kilobyte;
+  ClientFixture Large(
+      {Ok + "Content-Length: 102400\r\n\r\n" + std::string(LargeBytes, 'a'),
+       ""},
+      Options);
+  Large.send();
+  Large.runFor(milliseconds(200));
+  BOOST_REQUIRE(Large.Client_.receivingBytes() == LargeBytes);
+  const std::string Body(10 * Kilobyte, 'b');
+  EndlessServer Small({Ok + "Content-Length: 10240\r\n\r\n" + Body, ""});
+  Large.Client_.send(Small.address(), HttpRequest(), HttpCallOptions(),
+                     [&Large](HttpResult Result) {
+                       Large.Results_.push_back(std::move(Result));
+                     });
+  Large.runUntilEnded(1);
+  BOOST_REQUIRE(Large.Results_.size() == 1U);
+  BOOST_TEST((Large.Results_[0].Status_ == HttpCallStatus::Completed));
+  BOOST_TEST((Large.Results_[0].Response_.Body_ == Body));
+}
+
 /// Bytes after a complete response don't change it, but end the connection.
 BOOST_AUTO_TEST_CASE(BytesAfterTheResponseEndTheConnection) {
   ClientFixture Fixture({Ok + "Content-Length: 4\r\n\r\nbody", "more"});
