Move the parsing of responses out of HttpClient's calls

ResponseReader parses one response within its limits and does no I/O; a call keeps the connection, the timeout and the limit shared by all responses. client_test and gateway_test pass unchanged.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -4,17 +4,15 @@
 #include "net/address.h"
 #include "net/beast_convert.h"
 #include "net/io_loop_impl.h"
+#include "net/response_reader.h"
 #include "net/socket_options.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <map>
 #include <optional>
-#include <string_view>
 #include <utility>
 
 namespace http = boost::beast::http;
@@ -89,19 +87,6 @@
   return isOpenAndQuiet(Idle);
 }
 
-/// Returns whether bytes can be the start of a response.
-bool canStartResponse(std::string_view Bytes) {
-  constexpr std::string_view Version = "HTTP/1.";
-  return Bytes.substr(0, Version.size()) == Version.substr(0, Bytes.size());
-}
-
-/// Returns whether a final response follows this one.
-bool isInterim(const http::response<http::string_body> &Response) {
-  return http::to_status_class(Response.result_int()) ==
-             http::status_class::informational &&
-         Response.result_int() != SwitchingProtocols;
-}
-
 /// One call in progress. Keeps itself alive while an operation is pending.
 class Call : public std::enable_shared_from_this<Call> {
 public:
@@ -148,11 +133,6 @@
   }
 
 private:
-  static constexpr std::size_t ReadChunkBytes = 8192;
-  /// Bytes received for each byte of a body; more than one because of chunk
-  /// headers.
-  static constexpr std::size_t MaxBytesPerBodyByte = 2;
-
   bool reuseIdleConnection() {
     Pool &Target = Client_->pool(Address_);
     const Instant Now = Client_->Time_.now();
@@ -216,28 +196,16 @@
         });
     // The response may arrive before the request is written completely.
     if (Connection_) {
-      startResponse();
+      Reader_.emplace(ResponseLimits{Client_->Options_.MaxHeaderBytes_,
+                                     Client_->Options_.MaxBodyBytes_},
+                      Message_.method() == http::verb::head);
       readSome();
     }
   }
 
-  std::string_view unparsed() const {
-    return {static_cast<const char *>(Buffer_.data().data()), Buffer_.size()};
-  }
-
-  void startResponse() {
-    StartParsed_ = false;
-    Parser_.emplace();
-    if (Message_.method() == http::verb::head)
-      Parser_->skip(true);
-    Parser_->header_limit(
-        static_cast<std::uint32_t>(Client_->Options_.MaxHeaderBytes_));
-    Parser_->body_limit(Client_->Options_.MaxBodyBytes_);
-  }
-
   void readSome() {
     Connection_->Stream_.async_read_some(
-        Buffer_.prepare(ReadChunkBytes),
+        Reader_->prepare(),
         [Self = shared_from_this()](error_code Failure, std::size_t Size) {
           if (Self->Connection_)
             Self->onReceived(Failure, Size);
@@ -245,40 +213,30 @@
   }
 
   void onReceived(error_code Failure, std::size_t Size) {
-    Buffer_.commit(Size);
-    ReceivedBytes_ += Size;
-    if (!Failure)
-      parse(Failure);
-    else if (Failure == boost::asio::error::eof && Parser_->got_some())
-      Parser_->put_eof(Failure);
-    if (Failure) {
+    const bool Ended = Failure == boost::asio::error::eof;
+    if (Failure && !Ended) {
       // Part of the request may have been sent already.
       finishFailed(Failure, 1);
       return;
     }
-    if (Parser_->is_done()) {
+    switch (Ended ? Reader_->onEndOfStream() : Reader_->onReceived(Size)) {
+    case ResponseReader::Progress::Complete:
       finishCompleted();
       return;
+    case ResponseReader::Progress::Failed:
+      finish(HttpCallStatus::ConnectionLost);
+      return;
+    case ResponseReader::Progress::Incomplete:
+      break;
     }
-    setReceivingBytes(Parser_->get().body().size() + Buffer_.size());
-    if (exceedsLimits() || exceedsSharedLimit()) {
+    setReceivingBytes(Reader_->bytes());
+    if (exceedsSharedLimit()) {
       finish(HttpCallStatus::ConnectionLost);
       return;
     }
     readSome();
   }
 
-  /// Returns whether more bytes were received than the incomplete response may
-  /// have. The parser limits neither chunk headers nor trailers.
-  bool exceedsLimits() const {
-    const HttpClientOptions &Limits = Client_->Options_;
-    const bool HeaderTooLarge =
-        !Parser_->is_header_done() && ReceivedBytes_ > Limits.MaxHeaderBytes_;
-    return HeaderTooLarge || Buffer_.size() > Limits.MaxHeaderBytes_ ||
-           ReceivedBytes_ > Limits.MaxHeaderBytes_ +
-                                MaxBytesPerBodyByte * Limits.MaxBodyBytes_;
-  }
-
   /// Returns whether all responses together are too large, and this one is not
   /// small.
   bool exceedsSharedLimit() const {
@@ -293,41 +251,17 @@
     ReceivingBytes_ = Bytes;
   }
 
-  /// Frees the memory of an incomplete response. The buffer stays, since an
-  /// aborted operation may refer to it.
   void discardResponse() {
-    Parser_.reset();
+    if (Reader_)
+      Reader_->discard();
     setReceivingBytes(0);
   }
 
-  /// Parses the received bytes. The parser is not eager, so it returns after
-  /// each part of the response: an eager one discards the error of a header
-  /// that announces a body over the limit, and reserves memory for that body.
-  ///
-  /// The parser does not look at an incomplete status line again before the
-  /// header is complete, so bytes that are no response are recognised here.
-  void parse(error_code &Failure) {
-    while (!Failure && Buffer_.size() > 0 && !Parser_->is_done()) {
-      if (!StartParsed_ && !canStartResponse(unparsed())) {
-        Failure = http::error::bad_version;
-        return;
-      }
-      const std::size_t Parsed = Parser_->put(Buffer_.data(), Failure);
-      StartParsed_ = StartParsed_ || Parsed > 0;
-      Buffer_.consume(Parsed);
-      if (Parser_->is_done() && isInterim(Parser_->get()))
-        startResponse();
-    }
-    if (Failure == http::error::need_more)
-      Failure = {};
-  }
-
   void finishCompleted() {
-    const bool Reusable =
-        Parser_->keep_alive() && RequestWritten_ && Buffer_.size() == 0;
+    const bool Reusable = Reader_->allowsReuse() && RequestWritten_;
     HttpResult Result;
     Result.Status_ = HttpCallStatus::Completed;
-    Result.Response_ = responseFromBeast(Parser_->release());
+    Result.Response_ = Reader_->release();
     setReceivingBytes(0);
     if (!matchesRequest(Result.Response_)) {
       finish(HttpCallStatus::ConnectionLost);
@@ -403,14 +337,10 @@
   HttpCallOptions Options_;
   HttpClient::Callback Done_;
   http::request<http::string_body> Message_;
-  std::optional<http::response_parser<http::string_body>> Parser_;
-  /// Received bytes that are not parsed yet.
-  boost::beast::flat_buffer Buffer_;
-  std::size_t ReceivedBytes_ = 0;
+  /// Set once sending has started. An aborted operation refers to its buffer.
+  std::optional<ResponseReader> Reader_;
   /// Size of the incomplete response.
   std::size_t ReceivingBytes_ = 0;
-  /// Whether the status line of the response is parsed.
-  bool StartParsed_ = false;
   std::unique_ptr<Connection> Connection_;
   std::unique_ptr<Connection> ClosedConnection_;
   /// The value that the echoed header must have; empty if it is not checked.
--- /dev/null
+++ b/net/response_reader.cpp
@@ -0,0 +1,101 @@
+#include "net/response_reader.h"
+
+#include "net/beast_convert.h"
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+
+namespace lagoonhitch {
+
+namespace {
+
+/// Returns whether bytes can be the start of a response.
+bool canStartResponse(std::string_view Bytes) {
+  constexpr std::string_view Version = "HTTP/1.";
+  return Bytes.substr(0, Version.size()) == Version.substr(0, Bytes.size());
+}
+
+/// Returns whether a final response follows this one.
+bool isInterim(const http::response<http::string_body> &Response) {
+  return http::to_status_class(Response.result_int()) ==
+             http::status_class::informational &&
+         Response.result() != http::status::switching_protocols;
+}
+
+} // namespace
+
+ResponseReader::ResponseReader(ResponseLimits Limits, bool ToHead)
+    : Limits_(Limits), ToHead_(ToHead) {
+  startResponse();
+}
+
+void ResponseReader::startResponse() {
+  StartParsed_ = false;
+  Parser_.emplace();
+  Parser_->skip(ToHead_);
+  Parser_->header_limit(static_cast<std::uint32_t>(Limits_.MaxHeaderBytes_));
+  Parser_->body_limit(Limits_.MaxBodyBytes_);
+}
+
+std::string_view ResponseReader::unparsed() const {
+  return {static_cast<const char *>(Buffer_.data().data()), Buffer_.size()};
+}
+
+ResponseReader::Progress ResponseReader::onReceived(std::size_t Size) {
+  Buffer_.commit(Size);
+  ReceivedBytes_ += Size;
+  if (!parse())
+    return Progress::Failed;
+  if (Parser_->is_done())
+    return Progress::Complete;
+  return exceedsLimits() ? Progress::Failed : Progress::Incomplete;
+}
+
+ResponseReader::Progress ResponseReader::onEndOfStream() {
+  if (!Parser_->got_some())
+    return Progress::Failed;
+  error_code Failure;
+  Parser_->put_eof(Failure);
+  return Failure ? Progress::Failed : Progress::Complete;
+}
+
+/// Parses the received bytes. Returns false if they are no response.
+///
+/// The parser is not eager, so it returns after each part of the response: an
+/// eager one discards the error of a header that announces a body over the
+/// limit, and reserves memory for that body. It does not look at an incomplete
+/// status line again before the header is complete, so bytes that are no
+/// response are recognised here.
+bool ResponseReader::parse() {
+  error_code Failure;
+  while (!Failure && Buffer_.size() > 0 && !Parser_->is_done()) {
+    if (!StartParsed_ && !canStartResponse(unparsed()))
+      return false;
+    const std::size_t Parsed = Parser_->put(Buffer_.data(), Failure);
+    StartParsed_ = StartParsed_ || Parsed > 0;
+    Buffer_.consume(Parsed);
+    if (Parser_->is_done() && isInterim(Parser_->get()))
+      startResponse();
+  }
+  return !Failure || Failure == http::error::need_more;
+}
+
+/// Returns whether more bytes were received than the incomplete response may
+/// have. The parser limits neither chunk headers nor trailers.
+bool ResponseReader::exceedsLimits() const {
+  const bool HeaderTooLarge =
+      !Parser_->is_header_done() && ReceivedBytes_ > Limits_.MaxHeaderBytes_;
+  return HeaderTooLarge || Buffer_.size() > Limits_.MaxHeaderBytes_ ||
+         ReceivedBytes_ > Limits_.MaxHeaderBytes_ +
+                              MaxBytesPerBodyByte * Limits_.MaxBodyBytes_;
+}
+
+std::size_t ResponseReader::bytes() const {
+  return Parser_->get().body().size() + Buffer_.size();
+}
+
+HttpResponse ResponseReader::release() {
+  return responseFromBeast(Parser_->release());
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/net/response_reader.h
@@ -0,0 +1,98 @@
+#ifndef LAGOONHITCH_NET_RESPONSE_READER_H
+#define LAGOONHITCH_NET_RESPONSE_READER_H
+
+/// \file
+/// Reads one HTTP response from a connection, within limits. Included only by
+/// the implementation files of net.
+
+#include "net/http_message.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace lagoonhitch {
+
+/// Limits of one response.
+struct ResponseLimits {
+  /// Maximum size of the status line and headers. Also limits each chunk header
+  /// and the trailers.
+  std::size_t MaxHeaderBytes_ = 0;
+  /// Maximum size of the body.
+  std::size_t MaxBodyBytes_ = 0;
+};
+
+/// Parses the bytes of a connection up to the end of the final response to one
+/// request. Interim responses are skipped. Does no I/O itself.
+class ResponseReader {
+public:
+  enum class Progress {
+    Incomplete,
+    Complete,
+    /// The bytes are no response, or exceed a limit.
+    Failed,
+  };
+
+  /// \param ToHead whether the request's method is HEAD, so that the response
+  /// has no body.
+  ResponseReader(ResponseLimits Limits, bool ToHead);
+
+  /// Returns where the next received bytes are to be stored.
+  boost::asio::mutable_buffer prepare() {
+    return Buffer_.prepare(ReadChunkBytes);
+  }
+
+  /// Parses bytes that were stored in the prepared buffer.
+  Progress onReceived(std::size_t Size);
+
+  /// Handles the end of the connection's bytes. It completes only a response
+  /// that has neither a length nor chunks.
+  Progress onEndOfStream();
+
+  /// Returns the size of the incomplete response in memory.
+  std::size_t bytes() const;
+
+  /// Returns whether the connection of a complete response can be reused. Bytes
+  /// after the response belong to no request.
+  bool allowsReuse() const {
+    return Parser_->keep_alive() && Buffer_.size() == 0;
+  }
+
+  /// Returns the complete response.
+  HttpResponse release();
+
+  /// Frees the memory of an incomplete response. The prepared buffer stays
+  /// valid.
+  void discard() { Parser_.reset(); }
+
+private:
+  static constexpr std::size_t ReadChunkBytes = 8192;
+  /// Bytes received for each byte of a body; more than one because of chunk
+  /// headers.
+  static constexpr std::size_t MaxBytesPerBodyByte = 2;
+
+  void startResponse();
+  std::string_view unparsed() const;
+  bool parse();
+  bool exceedsLimits() const;
+
+  ResponseLimits Limits_;
+  bool ToHead_;
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::string_body>>
+      Parser_;
+  /// Received bytes that are not parsed yet.
+  boost::beast::flat_buffer Buffer_;
+  std::size_t ReceivedBytes_ = 0;
+  /// Whether the status line of the response is parsed.
+  bool StartParsed_ = false;
+};
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_NET_RESPONSE_READER_H
