--- a/tests/unit/endless_server.cpp
+++ b/tests/unit/endless_server.cpp
@@ -1,5 +1,7 @@
 #include "tests/unit/endless_server.h"
 
+#include "net/address.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -23,10 +25,8 @@
 
 } // namespace
 
-EndlessServer::EndlessServer(ServerScript Script)
-    : Script_(std::move(Script)),
-      Acceptor_(Context_,
-                tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+EndlessServer::EndlessServer(ServerScript Script, const std::string &Address)
+    : Script_(std::move(Script)), Acceptor_(Context_, parseEndpoint(Address)),
       Accepting_([this] { acceptAll(); }) {}
 
 EndlessServer::~EndlessServer() {
@@ -41,7 +41,7 @@
 }
 
 std::string EndlessServer::address() const {
-  return "127.0.0.1:" + std::to_string(Acceptor_.local_endpoint().port());
+  return formatEndpoint(Acceptor_.local_endpoint());
 }
 
 bool EndlessServer::waitUntilClosed(std::chrono::milliseconds Limit) const {
--- a/tests/unit/endless_server.h
+++ b/tests/unit/endless_server.h
@@ -35,7 +35,10 @@
 /// limit of bytes and time that keeps a failing test short.
 class EndlessServer {
 public:
-  explicit EndlessServer(ServerScript Script);
+  /// \param Address the listening address as `ip:port`; port 0 lets the system
+  /// choose a port.
+  explicit EndlessServer(ServerScript Script,
+                         const std::string &Address = "127.0.0.1:0");
   ~EndlessServer();
   EndlessServer(const EndlessServer &) = delete;
   EndlessServer &operator=(const EndlessServer &) = delete;
