--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -41,8 +41,13 @@
 /// store.
 constexpr std::chrono::milliseconds MaxDigestAge{1500};
 constexpr std::size_t MaxAuditEntries = 256;
-constexpr std::size_t MaxBodyBytes = 64U * 1024U * 1024U;
-/// Larger than the limit for callers: a forwarded request has one more header.
+constexpr std::size_t MaxForwardedBodyBytes = 64U * 1024U * 1024U;
+constexpr std::size_t MaxResponseBytes = 8U * 1024U * 1024U;
+/// Limit of all responses that a client is receiving. Hosts have as little as
+/// 160 MB.
+constexpr std::size_t MaxReceivingBytes = 24U * 1024U * 1024U;
+/// Larger than the limits for callers and upstreams: forwarded requests and
+/// their responses have additional headers.
 constexpr std::size_t MaxPeerHeaderBytes = 128U * 1024U;
 
 HttpClientOptions clientOptions(std::chrono::milliseconds MaxIdleTime,
@@ -50,7 +55,15 @@
   HttpClientOptions Options;
   Options.MaxIdleTime_ = MaxIdleTime;
   Options.ConnectTimeout_ = ConnectTimeout;
-  Options.MaxBodyBytes_ = MaxBodyBytes;
+  Options.MaxBodyBytes_ = MaxResponseBytes;
+  Options.MaxReceivingBytes_ = MaxReceivingBytes;
+  return Options;
+}
+
+HttpClientOptions peerClientOptions() {
+  HttpClientOptions Options = clientOptions(std::chrono::milliseconds(8000),
+                                            std::chrono::milliseconds(250));
+  Options.MaxHeaderBytes_ = MaxPeerHeaderBytes;
   return Options;
 }
 
@@ -63,7 +76,7 @@
 HttpServerOptions peerServerOptions(const std::string &Address) {
   HttpServerOptions Options = serverOptions(Address);
   Options.MaxHeaderBytes_ = MaxPeerHeaderBytes;
-  Options.MaxBodyBytes_ = MaxBodyBytes;
+  Options.MaxBodyBytes_ = MaxForwardedBodyBytes;
   return Options;
 }
 
@@ -187,9 +200,7 @@
       UpstreamClient_(Loop_, Time,
                       clientOptions(std::chrono::milliseconds(4000),
                                     std::chrono::milliseconds(250))),
-      PeerClient_(Loop_, Time,
-                  clientOptions(std::chrono::milliseconds(8000),
-                                std::chrono::milliseconds(250))),
+      PeerClient_(Loop_, Time, peerClientOptions()),
       StoreCallClient_(Loop_, Time,
                        clientOptions(std::chrono::milliseconds(4000),
                                      std::chrono::milliseconds(500))),
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -4,13 +4,11 @@
 #include "net/address.h"
 #include "net/beast_convert.h"
 #include "net/io_loop_impl.h"
+#include "net/response_reader.h"
 #include "net/socket_options.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <map>
@@ -25,13 +23,19 @@
 
 namespace {
 
+constexpr unsigned SwitchingProtocols = 101;
+/// Time between two checks of an idle connection for unexpected data. Each
+/// check is a system call.
+constexpr std::chrono::milliseconds IdleCheckInterval{500};
+
 struct Connection {
   explicit Connection(boost::asio::io_context &Context) : Stream_(Context) {}
 
   boost::beast::tcp_stream Stream_;
-  boost::beast::flat_buffer Buffer_;
   Instant OpenedAt_;
   Instant IdleSince_;
+  /// When the idle connection was last checked for unexpected data.
+  Instant CheckedAt_;
 };
 
 struct Pool {
@@ -57,6 +61,8 @@
   const Clock &Time_;
   HttpClientOptions Options_;
   std::map<std::string, Pool> Pools_;
+  /// Size of all responses that are being received.
+  std::size_t ReceivingBytes_ = 0;
 };
 
 namespace {
@@ -72,6 +78,15 @@
   return Failure == boost::asio::error::would_block;
 }
 
+/// Checks an idle connection if its last check was some time ago. Returns
+/// whether it can be kept.
+bool passesIdleCheck(Connection &Idle, Instant Now) {
+  if (Now - Idle.CheckedAt_ < IdleCheckInterval)
+    return true;
+  Idle.CheckedAt_ = Now;
+  return isOpenAndQuiet(Idle);
+}
+
 /// One call in progress. Keeps itself alive while an operation is pending.
 class Call : public std::enable_shared_from_this<Call> {
 public:
@@ -93,7 +108,10 @@
     Message_.prepare_payload();
   }
 
-  ~Call() { closeConnection(); }
+  ~Call() {
+    closeConnection();
+    setReceivingBytes(0);
+  }
 
   void start() {
     if (!Options_.RequireNewConnection_ && reuseIdleConnection()) {
@@ -111,12 +129,11 @@
   void cancel() {
     Done_ = nullptr;
     closeConnection();
+    discardResponse();
   }
 
   std::size_t receivedBytes() const {
-    if (!Connection_ || !Parser_)
-      return 0;
-    return Connection_->Buffer_.size() + Parser_->get().body().size();
+    return Connection_ && Reader_ ? Reader_->bytes() : 0;
   }
 
 private:
@@ -182,35 +199,74 @@
           Self->RequestWritten_ = true;
         });
     // The response may arrive before the request is written completely.
-    if (Connection_)
-      read();
+    if (Connection_) {
+      Reader_.emplace(ResponseLimits{Client_->Options_.MaxHeaderBytes_,
+                                     Client_->Options_.MaxBodyBytes_},
+                      Message_.method() == http::verb::head);
+      readSome();
+    }
   }
 
-  void read() {
-    Parser_.emplace();
-    if (Message_.method() == http::verb::head)
-      Parser_->skip(true);
-    Parser_->body_limit(Client_->Options_.MaxBodyBytes_);
-    http::async_read(
-        Connection_->Stream_, Connection_->Buffer_, *Parser_,
-        [Self = shared_from_this()](error_code Failure, std::size_t) {
-          if (!Self->Connection_)
-            return;
-          if (Failure) {
-            // Part of the request may have been sent already.
-            Self->finishFailed(Failure, 1);
-            return;
-          }
-          Self->finishCompleted();
+  void readSome() {
+    Connection_->Stream_.async_read_some(
+        Reader_->prepare(),
+        [Self = shared_from_this()](error_code Failure, std::size_t Size) {
+          if (Self->Connection_)
+            Self->onReceived(Failure, Size);
         });
   }
 
+  void onReceived(error_code Failure, std::size_t Size) {
+    const bool Ended = Failure == boost::asio::error::eof;
+    if (Failure && !Ended) {
+      // Part of the request may have been sent already.
+      finishFailed(Failure, 1);
+      return;
+    }
+    switch (Ended ? Reader_->onEndOfStream() : Reader_->onReceived(Size)) {
+    case ResponseReader::Progress::Complete:
+      finishCompleted();
+      return;
+    case ResponseReader::Progress::Failed:
+      finish(HttpCallStatus::ConnectionLost);
+      return;
+    case ResponseReader::Progress::Incomplete:
+      break;
+    }
+    setReceivingBytes(Reader_->bytes());
+    if (exceedsSharedLimit()) {
+      finish(HttpCallStatus::ConnectionLost);
+      return;
+    }
+    readSome();
+  }
+
+  /// Returns whether all responses together are too large, and this one is not
+  /// small.
+  bool exceedsSharedLimit() const {
+    const HttpClientOptions &Limits = Client_->Options_;
+    return Client_->ReceivingBytes_ > Limits.MaxReceivingBytes_ &&
+           ReceivingBytes_ > Limits.SmallResponseBytes_;
+  }
+
+  void setReceivingBytes(std::size_t Bytes) {
+    Client_->ReceivingBytes_ -= ReceivingBytes_;
+    Client_->ReceivingBytes_ += Bytes;
+    ReceivingBytes_ = Bytes;
+  }
+
+  void discardResponse() {
+    if (Reader_)
+      Reader_->discard();
+    setReceivingBytes(0);
+  }
+
   void finishCompleted() {
-    const bool Reusable = Parser_->keep_alive() && RequestWritten_ &&
-                          Connection_->Buffer_.size() == 0;
+    const bool Reusable = Reader_->allowsReuse() && RequestWritten_;
     HttpResult Result;
     Result.Status_ = HttpCallStatus::Completed;
-    Result.Response_ = responseFromBeast(Parser_->release());
+    Result.Response_ = Reader_->release();
+    setReceivingBytes(0);
     if (!matchesRequest(Result.Response_)) {
       finish(HttpCallStatus::ConnectionLost);
       return;
@@ -218,6 +274,7 @@
     if (Reusable) {
       Connection_->Stream_.expires_never();
       Connection_->IdleSince_ = Client_->Time_.now();
+      Connection_->CheckedAt_ = Connection_->IdleSince_;
       Client_->pool(Address_).Idle_.push_back(std::move(Connection_));
     }
     closeConnection();
@@ -225,8 +282,11 @@
   }
 
   /// Returns whether the response belongs to this request. A late or duplicate
-  /// response on a reused connection belongs to an earlier one.
+  /// response on a reused connection belongs to an earlier one. A change of
+  /// protocol is never requested.
   bool matchesRequest(const HttpResponse &Response) const {
+    if (Response.Status_ == SwitchingProtocols)
+      return false;
     if (ExpectedEcho_.empty())
       return true;
     const std::string *Echo =
@@ -247,6 +307,7 @@
 
   void finish(HttpCallStatus Status) {
     closeConnection();
+    discardResponse();
     HttpResult Result;
     Result.Status_ = Status;
     Result.ConnectionRefused_ = ConnectionRefused_;
@@ -270,7 +331,7 @@
     if (!Connection_)
       return;
     Connection_->Stream_.close();
-    // Aborted operations still refer to the connection's buffer.
+    // Aborted operations still refer to the connection.
     ClosedConnection_ = std::move(Connection_);
     --Client_->pool(Address_).Open_;
   }
@@ -280,7 +341,10 @@
   HttpCallOptions Options_;
   HttpClient::Callback Done_;
   http::request<http::string_body> Message_;
-  std::optional<http::response_parser<http::string_body>> Parser_;
+  /// Set once sending has started. An aborted operation refers to its buffer.
+  std::optional<ResponseReader> Reader_;
+  /// Size of the incomplete response.
+  std::size_t ReceivingBytes_ = 0;
   std::unique_ptr<Connection> Connection_;
   std::unique_ptr<Connection> ClosedConnection_;
   /// The value that the echoed header must have; empty if it is not checked.
@@ -325,7 +389,8 @@
   for (auto &[Address, Target] : Impl_->Pools_)
     Target.Open_ -= std::erase_if(
         Target.Idle_, [&](const std::unique_ptr<Connection> &Idle) {
-          return Now - Idle->IdleSince_ >= Impl_->Options_.MaxIdleTime_;
+          return Now - Idle->IdleSince_ >= Impl_->Options_.MaxIdleTime_ ||
+                 !passesIdleCheck(*Idle, Now);
         });
 }
 
@@ -341,4 +406,8 @@
   return Found == Impl_->Pools_.end() ? 0 : Found->second.Open_;
 }
 
+std::size_t HttpClient::receivingBytes() const {
+  return Impl_->ReceivingBytes_;
+}
+
 } // namespace lagoonhitch
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -27,8 +27,16 @@
   std::chrono::milliseconds MaxIdleTime_{10000};
   /// Connections of this age are closed instead of reused.
   std::chrono::milliseconds MaxConnectionAge_{300000};
+  /// Maximum size of the status line and headers of a response. Also limits
+  /// each chunk header and the trailers.
+  std::size_t MaxHeaderBytes_ = 16 * 1024;
   /// Maximum size of a response body.
   std::size_t MaxBodyBytes_ = 1024 * 1024;
+  /// Maximum size of all responses that are being received. A call whose
+  /// response exceeds it fails, unless that response is small.
+  std::size_t MaxReceivingBytes_ = 24 * 1024 * 1024;
+  /// Maximum size of a small response.
+  std::size_t SmallResponseBytes_ = 64 * 1024;
 };
 
 /// Options of a single call.
@@ -75,7 +83,8 @@
   /// Overrides the maximum number of connections to one address.
   void setMaxConnections(const std::string &Address, std::size_t Limit);
 
-  /// Closes connections that exceeded the maximum idle time.
+  /// Closes idle connections that exceeded the maximum idle time, that the peer
+  /// has closed, or on which it has sent unexpected data.
   void reapIdle();
 
   /// Closes all idle connections to an address.
@@ -84,6 +93,9 @@
   /// Returns the number of open connections to an address.
   std::size_t openConnections(const std::string &Address) const;
 
+  /// Returns the size of all responses that are being received.
+  std::size_t receivingBytes() const;
+
   /// State that uses types of Boost.Beast.
   struct Impl;
 
--- /dev/null
+++ b/tests/unit/client_test.cpp
@@ -0,0 +1,334 @@
+/// \file
+/// Tests that an HTTP client bounds the memory and time that a server can take
+/// with bytes without end.
+
+#define BOOST_TEST_MODULE client
+#include "net/http_client.h"
+#include "net/io_loop.h"
+#include "platform/monotonic_clock.h"
+#include "tests/unit/endless_server.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <ostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lagoonhitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t Kilobyte = 1024;
+constexpr std::size_t Megabyte = 1024 * Kilobyte;
+constexpr std::size_t BodyLimit = 2 * Megabyte;
+constexpr milliseconds CallTimeout{3000};
+/// Time in which a call must end that is over before its timeout.
+constexpr milliseconds PromptTime{1500};
+/// What the sockets of both sides may hold in addition to the limits.
+constexpr std::size_t SocketBytes = 8 * Megabyte;
+
+const std::string Ok = "HTTP/1.1 200 OK\r\n";
+const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+
+/// One way to send bytes without end.
+struct EndlessCase {
+  const char *Name_;
+  ServerScript Script_;
+};
+
+std::ostream &operator<<(std::ostream &Stream, const EndlessCase &Case) {
+  return Stream << Case.Name_;
+}
+
+/// Returns a complete header line.
+std::string headerLine() {
+  return "X-Filler: " + std::string(52, 'a') + "\r\n";
+}
+
+std::vector<EndlessCase> fastCases() {
+  return {
+      {"bytes that are not HTTP", {"", "no answer "}},
+      {"status line", {"HTTP/1.1 200 ", "a"}},
+      {"header line", {Ok + "X-Filler: ", "a"}},
+      {"headers", {Ok, headerLine()}},
+      {"interim responses", {"", "HTTP/1.1 100 Continue\r\n\r\n"}},
+      {"body without length", {Ok + "\r\n", "a"}},
+      {"chunks", {Chunked, "4\r\nabcd\r\n"}},
+      {"one chunk", {Chunked + "7fffffffffffffff\r\n", "a"}},
+      {"chunk size", {Chunked, "0"}},
+      {"chunk extension", {Chunked + "4;", "a"}},
+      {"chunk extensions",
+       {Chunked, "1;" + std::string(4000, 'a') + "\r\nb\r\n"}},
+      {"trailer", {Chunked + "0\r\nX-Filler: ", "a"}},
+      {"trailers", {Chunked + "0\r\n", headerLine()}},
+      {"body of a length over the limit",
+       {Ok + "Content-Length: 2000000000\r\n\r\nabcd", "a"}},
+      {"body of a length over the memory",
+       {Ok + "Content-Length: 9000000000000000000\r\n\r\nabcd", "a"}},
+  };
+}
+
+std::vector<EndlessCase> slowCases() {
+  constexpr std::chrono::microseconds Pause{1000};
+  return {
+      {"headers", {Ok, headerLine(), Pause}},
+      {"trailers", {Chunked + "0\r\n", headerLine(), Pause}},
+      {"chunk extension", {Chunked + "4;", std::string(64, 'a'), Pause}},
+      {"interim responses",
+       {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n",
+        Pause}},
+      {"bytes that are not HTTP", {"", "noise", milliseconds(100)}},
+  };
+}
+
+/// A server that sends bytes without end, and a client.
+struct ClientFixture {
+  explicit ClientFixture(ServerScript Script,
+                         HttpClientOptions Options = clientOptions())
+      : Server_(std::move(Script)), Client_(Loop_, Time_, Options) {}
+
+  static HttpClientOptions clientOptions() {
+    HttpClientOptions Options;
+    Options.MaxBodyBytes_ = BodyLimit;
+    return Options;
+  }
+
+  void send(const std::string &EchoHeader = "") {
+    HttpRequest Request;
+    Request.Headers_.push_back({"X-Request-Id", "1"});
+    HttpCallOptions Call;
+    Call.Timeout_ = CallTimeout;
+    Call.EchoHeader_ = EchoHeader;
+    Call.NotRunHeader_ = "X-Not-Executed";
+    Client_.send(
+        Server_.address(), std::move(Request), Call,
+        [this](HttpResult Result) { Results_.push_back(std::move(Result)); });
+  }
+
+  /// Runs the loop until a number of calls have ended.
+  void runUntilEnded(std::size_t Calls) {
+    const Instant Limit = Time_.now() + CallTimeout + milliseconds(1000);
+    while (Results_.size() < Calls && Time_.now() < Limit)
+      runFor(milliseconds(10));
+  }
+
+  void runFor(milliseconds Span) {
+    const std::shared_ptr<void> End =
+        Loop_.after(Span, [this] { Loop_.stop(); });
+    Loop_.restart();
+    Loop_.run();
+  }
+
+  /// Runs the loop and closes unusable idle connections at intervals.
+  void reapFor(milliseconds Span) {
+    constexpr milliseconds Tick{50};
+    for (milliseconds Passed{0}; Passed < Span; Passed += Tick) {
+      runFor(Tick);
+      Client_.reapIdle();
+    }
+  }
+
+  /// Sends one request and checks that its call fails promptly, that the
+  /// connection is closed, and that few bytes were accepted.
+  void checkFailsPromptly() {
+    const Instant Start = Time_.now();
+    send();
+    runUntilEnded(1);
+    BOOST_REQUIRE(Results_.size() == 1U);
+    BOOST_TEST((Results_[0].Status_ == HttpCallStatus::ConnectionLost));
+    BOOST_TEST(toMillis(Time_.now() - Start).count() < PromptTime.count());
+    BOOST_TEST(Client_.openConnections(Server_.address()) == 0U);
+    BOOST_TEST(Server_.waitUntilClosed(milliseconds(500)));
+    BOOST_TEST(Server_.sentBytes() < 3 * BodyLimit + SocketBytes);
+  }
+
+  EndlessServer Server_;
+  MonotonicClock Time_;
+  IoLoop Loop_;
+  HttpClient Client_;
+  std::vector<HttpResult> Results_;
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(EndlessResponseFails,
+                     boost::unit_test::data::make(fastCases()), Case) {
+  ClientFixture Fixture(Case.Script_);
+  Fixture.checkFailsPromptly();
+}
+
+BOOST_DATA_TEST_CASE(SlowEndlessResponseFails,
+                     boost::unit_test::data::make(slowCases()), Case) {
+  ClientFixture Fixture(Case.Script_);
+  Fixture.checkFailsPromptly();
+}
+
+/// A body whose length is within the limit, but which never gets complete,
+/// fails at the timeout.
+BOOST_AUTO_TEST_CASE(SlowBodyTimesOut) {
+  ClientFixture Fixture({Ok + "Content-Length: 100000\r\n\r\n", "abc",
+                         std::chrono::milliseconds(100)});
+  Fixture.send();
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::TimedOut));
+  BOOST_TEST(Fixture.Client_.openConnections(Fixture.Server_.address()) == 0U);
+}
+
+/// Responses that are each within the limit of a body don't exceed the limit of
+/// all responses.
+BOOST_AUTO_TEST_CASE(ManyResponsesShareALimit) {
+  constexpr std::size_t Calls = 12;
+  constexpr std::size_t SharedLimit = 4 * Megabyte;
+  HttpClientOptions Options = ClientFixture::clientOptions();
+  Options.MaxReceivingBytes_ = SharedLimit;
+  ClientFixture Fixture({Ok + "Content-Length: 2000000\r\n\r\n",
+                         std::string(10 * Kilobyte, 'a'),
+                         std::chrono::milliseconds(5)},
+                        Options);
+  for (std::size_t Call = 0; Call < Calls; ++Call)
+    Fixture.send();
+  std::size_t Highest = 0;
+  const Instant Limit = Fixture.Time_.now() + CallTimeout;
+  while (Fixture.Results_.size() < Calls && Fixture.Time_.now() < Limit) {
+    Fixture.runFor(milliseconds(1));
+    Highest = std::max(Highest, Fixture.Client_.receivingBytes());
+  }
+  BOOST_REQUIRE(Fixture.Results_.size() == Calls);
+  std::size_t Completed = 0;
+  for (const HttpResult &Result : Fixture.Results_)
+    Completed += Result.Status_ == HttpCallStatus::Completed ? 1U : 0U;
+  BOOST_TEST(Completed >= 1U);
+  BOOST_TEST(Completed < Calls);
+  BOOST_TEST(Highest <= SharedLimit);
+  BOOST_TEST(Fixture.Client_.receivingBytes() == 0U);
+}
+
+/// A small response is accepted while others are as large as the limit allows.
+BOOST_AUTO_TEST_CASE(SmallResponsesAreAcceptedAtTheLimit) {
+  HttpClientOptions Options = ClientFixture::clientOptions();
+  Options.MaxReceivingBytes_ = 100 * Kilobyte;
+  const std::size_t LargeBytes = 99 * Kilobyte;
+  ClientFixture Large(
+      {Ok + "Content-Length: 102400\r\n\r\n" + std::string(LargeBytes, 'a'),
+       ""},
+      Options);
+  Large.send();
+  Large.runFor(milliseconds(200));
+  BOOST_REQUIRE(Large.Client_.receivingBytes() == LargeBytes);
+  const std::string Body(10 * Kilobyte, 'b');
+  EndlessServer Small({Ok + "Content-Length: 10240\r\n\r\n" + Body, ""});
+  Large.Client_.send(Small.address(), HttpRequest(), HttpCallOptions(),
+                     [&Large](HttpResult Result) {
+                       Large.Results_.push_back(std::move(Result));
+                     });
+  Large.runUntilEnded(1);
+  BOOST_REQUIRE(Large.Results_.size() == 1U);
+  BOOST_TEST((Large.Results_[0].Status_ == HttpCallStatus::Completed));
+  BOOST_TEST((Large.Results_[0].Response_.Body_ == Body));
+}
+
+/// Bytes after a complete response don't change it, but end the connection.
+BOOST_AUTO_TEST_CASE(BytesAfterTheResponseEndTheConnection) {
+  ClientFixture Fixture({Ok + "Content-Length: 4\r\n\r\nbody", "more"});
+  Fixture.send();
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::Completed));
+  BOOST_TEST(Fixture.Results_[0].Response_.Body_ == "body");
+  Fixture.reapFor(milliseconds(1000));
+  BOOST_TEST(Fixture.Client_.openConnections(Fixture.Server_.address()) == 0U);
+  BOOST_TEST(Fixture.Server_.waitUntilClosed(milliseconds(500)));
+}
+
+/// A connection on which bytes arrive while it is idle is closed long before
+/// its maximum idle time.
+BOOST_AUTO_TEST_CASE(BytesOnAnIdleConnectionEndIt) {
+  ServerScript Script{Ok + "Content-Length: 4\r\n\r\nbody", "more"};
+  Script.PauseAfterHead_ = milliseconds(100);
+  ClientFixture Fixture(Script);
+  Fixture.send();
+  Fixture.runUntilEnded(1);
+  BOOST_TEST(Fixture.Client_.openConnections(Fixture.Server_.address()) == 1U);
+  Fixture.reapFor(milliseconds(1000));
+  BOOST_TEST(Fixture.Client_.openConnections(Fixture.Server_.address()) == 0U);
+  BOOST_TEST(Fixture.Server_.waitUntilClosed(milliseconds(500)));
+}
+
+/// Interim responses are skipped, even if they repeat the request's id.
+BOOST_AUTO_TEST_CASE(InterimResponsesAreSkipped) {
+  const std::string Id = "X-Request-Id: 1\r\n";
+  ClientFixture Fixture({"HTTP/1.1 100 Continue\r\n" + Id +
+                             "\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + Ok + Id +
+                             "Content-Length: 4\r\n\r\nbody",
+                         ""});
+  Fixture.send("X-Request-Id");
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::Completed));
+  BOOST_TEST(Fixture.Results_[0].Response_.Status_ == 200U);
+  BOOST_TEST(Fixture.Results_[0].Response_.Body_ == "body");
+}
+
+/// A change of protocol is never requested, so it is no response.
+BOOST_AUTO_TEST_CASE(SwitchingProtocolsFails) {
+  ClientFixture Fixture({"HTTP/1.1 101 Switching Protocols\r\n"
+                         "X-Request-Id: 1\r\n\r\n",
+                         ""});
+  Fixture.send("X-Request-Id");
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::ConnectionLost));
+}
+
+/// Complete responses up to the limits are accepted: with a length, in chunks
+/// and until the connection closes.
+BOOST_AUTO_TEST_CASE(LargeResponsesAreAccepted) {
+  const std::string Body(BodyLimit, 'b');
+  std::string InChunks;
+  constexpr std::size_t ChunkBytes = 16;
+  for (std::size_t At = 0; At < BodyLimit; At += ChunkBytes)
+    InChunks.append("10\r\n").append(Body, At, ChunkBytes).append("\r\n");
+  std::string Headers;
+  for (int Line = 0; Line < 100; ++Line)
+    Headers += headerLine();
+  const std::string Length =
+      "Content-Length: " + std::to_string(BodyLimit) + "\r\n\r\n";
+  ServerScript UntilClose{Ok + Headers + "Connection: close\r\n\r\n" + Body,
+                          ""};
+  UntilClose.CloseAtEnd_ = true;
+  for (const ServerScript &Script :
+       {ServerScript{Ok + Headers + Length + Body, ""},
+        ServerScript{Chunked + InChunks + "0\r\nX-Trailer: a\r\n\r\n", ""},
+        UntilClose}) {
+    ClientFixture Fixture(Script);
+    Fixture.send();
+    Fixture.runUntilEnded(1);
+    BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+    BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::Completed));
+    BOOST_TEST((Fixture.Results_[0].Response_.Body_ == Body));
+  }
+}
+
+/// A response that ends early is not complete.
+BOOST_AUTO_TEST_CASE(TruncatedResponsesFail) {
+  for (const std::string &Text :
+       {std::string("HTTP/1.1 20"), Ok + "X-A: b\r\n",
+        Ok + "Content-Length: 10\r\n\r\nabc", Chunked + "4\r\nab",
+        Chunked + "4\r\nabcd\r\n", Chunked + "4\r\nabcd\r\n0\r\nX-A: b\r\n"}) {
+    ServerScript Script{Text, ""};
+    Script.CloseAtEnd_ = true;
+    ClientFixture Fixture(Script);
+    Fixture.send();
+    Fixture.runUntilEnded(1);
+    BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+    BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::ConnectionLost));
+  }
+}
+
+} // namespace lagoonhitch
