--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -297,15 +297,16 @@
   std::string Headers;
   for (int Line = 0; Line < 100; ++Line)
     Headers += headerLine();
-  const std::string Length =
-      "Content-Length: " + std::to_string(BodyLimit) + "\r\n\r\n";
+  const ServerScript WithLength{
+      Ok + Headers + "Content-Length: " + std::to_string(BodyLimit) +
+          "\r\n\r\n" + Body,
+      ""};
+  const ServerScript WithChunks{
+      Chunked + InChunks + "0\r\nX-Trailer: a\r\n\r\n", ""};
   ServerScript UntilClose{Ok + Headers + "Connection: close\r\n\r\n" + Body,
                           ""};
   UntilClose.CloseAtEnd_ = true;
-  for (const ServerScript &Script :
-       {ServerScript{Ok + Headers + Length + Body, ""},
-        ServerScript{Chunked + InChunks + "0\r\nX-Trailer: a\r\n\r\n", ""},
-        UntilClose}) {
+  for (const ServerScript &Script : {WithLength, WithChunks, UntilClose}) {
     ClientFixture Fixture(Script);
     Fixture.send();
     Fixture.runUntilEnded(1);
