Let peers fetch the results of requests from a stopping daemon

A caller's request that is not idempotent was answered 504 (unknown outcome) at its deadline, although it had run: its connection between daemons had broken, the entry daemon looked its status up every 250 ms, and the daemon beside the upstream, which was being stopped, ended before the run did, as it waited only for open connections.

A stopping daemon now also waits for what its upstream runs, and then 0.4 s for look-ups, before it refuses new connections.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -476,7 +476,7 @@
 void Daemon::Impl::continueShutdown() {
   ShutdownLoad Load;
   Load.OpenRequests_ = CallerServer_.openExchanges() + Router_.openRequests() +
-                       PeerServer_.openExchanges();
+                       PeerServer_.openExchanges() + Gateway_.openRequests();
   Load.PeerConnections_ = PeerServer_.openConnections();
   if (advanceShutdown(*Shutdown_, Load, Time_.now()))
     enterPhase(Shutdown_->Phase_);
@@ -485,6 +485,7 @@
 void Daemon::Impl::enterPhase(ShutdownPhase Phase) {
   switch (Phase) {
   case ShutdownPhase::Serving:
+  case ShutdownPhase::Reporting:
     return;
   case ShutdownPhase::Draining:
     CallerServer_.drain();
--- a/daemon/shutdown_plan.cpp
+++ b/daemon/shutdown_plan.cpp
@@ -6,8 +6,10 @@
 
 /// Time until callers send their requests to other hosts.
 constexpr std::chrono::milliseconds ServeFor{2300};
+/// Time in which peers look up results; they do so every 250 ms.
+constexpr std::chrono::milliseconds ReportFor{400};
 /// Time in which a request that a peer has sent arrives, also on a full link.
-constexpr std::chrono::milliseconds LingerFor{700};
+constexpr std::chrono::milliseconds LingerFor{500};
 
 ShutdownPhase nextPhase(const ShutdownPlan &Plan, const ShutdownLoad &Load,
                         Instant Now) {
@@ -16,7 +18,9 @@
   case ShutdownPhase::Serving:
     return InPhase >= ServeFor ? ShutdownPhase::Draining : Plan.Phase_;
   case ShutdownPhase::Draining:
-    return Load.OpenRequests_ == 0 ? ShutdownPhase::Lingering : Plan.Phase_;
+    return Load.OpenRequests_ == 0 ? ShutdownPhase::Reporting : Plan.Phase_;
+  case ShutdownPhase::Reporting:
+    return InPhase >= ReportFor ? ShutdownPhase::Lingering : Plan.Phase_;
   case ShutdownPhase::Lingering: {
     const bool Idle = Load.OpenRequests_ == 0 &&
                       (Load.PeerConnections_ == 0 || InPhase >= LingerFor);
--- a/daemon/shutdown_plan.h
+++ b/daemon/shutdown_plan.h
@@ -17,8 +17,12 @@
   Serving,
   /// New requests of callers are not accepted, those of peers are rejected.
   Draining,
-  /// Nothing runs any more. New connections of peers are refused. Requests that
-  /// peers sent on open ones may still be on their way, and are rejected.
+  /// Nothing runs any more. Peers whose connections broke can still look up the
+  /// results of their requests.
+  Reporting,
+  /// New connections of peers are refused. Requests that peers sent on open
+  /// ones
+  /// may still be on their way, and are rejected.
   Lingering,
   /// The process can end.
   Stopped,
@@ -36,7 +40,8 @@
 
 /// What is still open during a shutdown.
 struct ShutdownLoad {
-  /// Requests of callers and peers without a complete response.
+  /// Requests of callers and peers without a complete response, and requests
+  /// that the upstream runs.
   std::size_t OpenRequests_ = 0;
   /// Connections of peers.
   std::size_t PeerConnections_ = 0;
--- a/tests/process/process_test.cpp
+++ b/tests/process/process_test.cpp
@@ -184,4 +184,27 @@
   BOOST_TEST(Fixture.Site_.daemon(Host).wait() == 0);
 }
 
+/// The connection of a request that is not idempotent breaks while it runs, and
+/// the daemon beside the upstream is stopped. The result must not be lost.
+BOOST_AUTO_TEST_CASE(StoppingDaemonReportsResultsAfterConnectionsBroke) {
+  SiteOptions Options;
+  Options.UseRelays_ = true;
+  SiteFixture Fixture(Options);
+  Fixture.startLoad();
+  for (std::uint32_t Host = 0; Host < Options.Hosts_; ++Host)
+    Fixture.Site_.setUpstreamMode(Host, {{"service_us", 3200000}});
+  sleepFor(milliseconds(100));
+  const std::uint32_t Owner = Fixture.findOwner();
+  Fixture.Site_.daemon(Owner).signal(SIGTERM);
+  for (std::uint32_t Host = 0; Host < Options.Hosts_; ++Host)
+    Fixture.Site_.relay(Host).reset();
+  Fixture.Load_->finish();
+  for (const LoadGenerator::Call &Call : Fixture.Load_->calls())
+    if (Call.Target_.ends_with("/orders"))
+      BOOST_TEST((Call.Outcome_ == Outcome::Ran),
+                 Call.Target_ << " was answered " << Call.Status_ << " "
+                              << outcomeName(Call.Outcome_));
+  BOOST_TEST(Fixture.Site_.daemon(Owner).wait() == 0);
+}
+
 } // namespace lagoonhitch
