--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -1,5 +1,6 @@
 #include "daemon/request_router.h"
 
+#include "daemon/attempt_description.h"
 #include "daemon/forward_codec.h"
 #include "daemon/upstream_gateway.h"
 #include "net/http_client.h"
@@ -38,58 +39,6 @@
 /// new connection.
 constexpr std::chrono::milliseconds StatusQueryDelay{500};
 
-AttemptLookup toAttemptLookup(HttpCallStatus Status,
-                              const AttemptStatusReply &Reply,
-                              bool Idempotent) {
-  if (Status == HttpCallStatus::NotSent)
-    return AttemptLookup::Unreachable;
-  if (Status != HttpCallStatus::Completed)
-    return AttemptLookup::TimedOut;
-  switch (Reply.Kind_) {
-  case AttemptStatusReply::Kind::Running:
-    return AttemptLookup::Running;
-  case AttemptStatusReply::Kind::Ended:
-    // Gateways keep no record of idempotent attempts.
-    return Idempotent ? AttemptLookup::NotRunning : AttemptLookup::Ended;
-  case AttemptStatusReply::Kind::Unknown:
-    return AttemptLookup::Unknown;
-  }
-  return AttemptLookup::Unknown;
-}
-
-/// Describes how the call of an attempt ended without a response.
-const char *describeLostCall(HttpCallStatus Status) {
-  switch (Status) {
-  case HttpCallStatus::NotSent:
-    return "no connection could be opened";
-  case HttpCallStatus::ConnectionLost:
-    return "the connection broke";
-  case HttpCallStatus::TimedOut:
-  case HttpCallStatus::Completed:
-    break;
-  }
-  return "no response in time";
-}
-
-/// Describes the status look-up after which an attempt is given up.
-const char *describeLookup(AttemptLookup Lookup) {
-  switch (Lookup) {
-  case AttemptLookup::Running:
-    return "the attempt is running";
-  case AttemptLookup::Ended:
-    return "the gateway has finished or rejected the attempt";
-  case AttemptLookup::NotRunning:
-    return "the gateway does not run the attempt and no answer came";
-  case AttemptLookup::Unknown:
-    return "the gateway does not know the attempt";
-  case AttemptLookup::TimedOut:
-    return "no response to the status query";
-  case AttemptLookup::Unreachable:
-    return "the status query could not be sent";
-  }
-  return "";
-}
-
 } // namespace
 
 struct RequestRouter::OpenRequest {
@@ -392,8 +341,8 @@
   const HttpCallStatus Status = Result.Status_;
   if (Status == HttpCallStatus::Completed)
     Reply = decodeStatusReply(std::move(Result.Response_));
-  const AttemptLookup Lookup =
-      toAttemptLookup(Status, Reply, Request->GatewayRequest_.Idempotent_);
+  const AttemptLookup Lookup = toAttemptLookup(
+      Status, Reply.Kind_, Request->GatewayRequest_.Idempotent_);
   const bool Connected = Request->Call_ != nullptr;
   noteReceivedBytes(*Request);
   if (shouldStopWaiting(Request->Plan_, Lookup, Connected, Time_.now())) {
@@ -560,14 +509,8 @@
     absl::StrAppend(&Text, ", key ", *Request.GatewayRequest_.Key_);
   if (Site_.Manifest_ != nullptr)
     absl::StrAppend(&Text, ", configuration ", Site_.Manifest_->Version_);
-  const FleetMember *Member = findMember(Site_.Fleet_, Request.Host_);
-  if (Member == nullptr || Member->LastDigestAt_ == Instant::min())
-    return Text;
-  absl::StrAppend(&Text, "; last sent to ", Request.Host_, ", last contact ",
-                  toMillis(Now - Member->LastDigestAt_).count(), " ms ago, ",
-                  Member->Digest_.Running_, " running and ",
-                  Member->Digest_.Queued_, " queued, ", Member->Digest_.Slots_,
-                  " slots");
+  if (const FleetMember *Member = findMember(Site_.Fleet_, Request.Host_))
+    absl::StrAppend(&Text, describeLastHost(*Member, Now));
   return Text;
 }
 
