--- a/bench/bench_micro.cpp
+++ b/bench/bench_micro.cpp
@@ -102,7 +102,7 @@
                                    Start + Objective, Start + 2 * Objective,
                                    Objective,         2 * Objective};
     submitRequest(Queue, Request, Start);
-    finishRequest(Queue, Request, std::chrono::milliseconds(100), Start);
+    finishRequest(Queue, Request, std::chrono::milliseconds(100));
   }
 }
 BENCHMARK(submitAndFinish);
--- a/bench/decisions/current_policy.cpp
+++ b/bench/decisions/current_policy.cpp
@@ -9,6 +9,8 @@
 
 constexpr const char *Service = "s";
 constexpr std::chrono::milliseconds DigestInterval{250};
+/// How long no request is started after the upstream has shed one.
+constexpr std::chrono::milliseconds RejectionPause{30};
 
 } // namespace
 
@@ -141,11 +143,10 @@
                                                Duration Elapsed, Instant Now) {
   AdmissionQueue &Queue = Hosts_[TargetHost].Queue_;
   const bool Processed = Outcome != BenchOutcome::Shed;
-  if (!Processed)
-    applyUpstreamRejection(Queue, Now - Elapsed, Now);
   finishRequest(Queue, toQueuedRequest(Request),
-                Processed ? std::optional<Duration>(Elapsed) : std::nullopt,
-                Now);
+                Processed ? std::optional<Duration>(Elapsed) : std::nullopt);
+  if (!Processed)
+    Queue.PausedUntil_ = Now + RejectionPause;
   return tick(TargetHost, Now);
 }
 
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -19,6 +19,8 @@
 /// Longest idle time of a connection that is reused for a request that is not
 /// idempotent. After that, the connection may be dead without being noticed.
 constexpr std::chrono::milliseconds MaxIdleIfNotIdempotent{1500};
+/// Pause in dispatching after the upstream rejected a request as overloaded.
+constexpr std::chrono::milliseconds OverloadPause{30};
 /// Transit time of a response from the upstream to the caller.
 constexpr std::chrono::milliseconds ResponseTransitTime{10};
 
@@ -205,7 +207,7 @@
   const bool KeyLost =
       Entry.Request_.Key_ && !KeyHooks_.Serves_(*Entry.Request_.Key_);
   if (KeyLost) {
-    finishRequest(Queue_, Entry.QueuedRequest_, std::nullopt, Now);
+    finishRequest(Queue_, Entry.QueuedRequest_, std::nullopt);
     awaitKey(Number);
     return;
   }
@@ -232,10 +234,9 @@
   const OpenRequest &Entry = Found->second;
   GatewayResult Result = classify(Entry, std::move(CallResult));
   const bool Ran = Result.Outcome_ == Outcome::Ran;
-  const Instant Now = Time_.now();
-  finishRequest(
-      Queue_, Entry.QueuedRequest_,
-      Ran ? std::optional<Duration>(Now - Entry.Since_) : std::nullopt, Now);
+  finishRequest(Queue_, Entry.QueuedRequest_,
+                Ran ? std::optional<Duration>(Time_.now() - Entry.Since_)
+                    : std::nullopt);
   complete(Number, std::move(Result));
   dispatchQueued();
 }
@@ -266,7 +267,7 @@
                            : IsMisdirected ? RejectReason::Unavailable
                                            : RejectReason::Overloaded;
     if (!IsMisdirected)
-      applyUpstreamRejection(Queue_, Entry.Since_, Time_.now());
+      Queue_.PausedUntil_ = Time_.now() + OverloadPause;
     return Result;
   }
   // Encoded bodies are never requested, so the response is not the upstream's.
@@ -322,7 +323,7 @@
   if (!Entry.Request_.Idempotent_)
     return false;
   UpstreamClient_.cancel(Entry.Call_);
-  finishRequest(Queue_, Entry.QueuedRequest_, std::nullopt, Time_.now());
+  finishRequest(Queue_, Entry.QueuedRequest_, std::nullopt);
   complete(Number, GatewayResult());
   dispatchQueued();
   return false;
--- a/limits/admission_queue.cpp
+++ b/limits/admission_queue.cpp
@@ -24,13 +24,8 @@
   State.ColdRefilledAt_ = Now;
 }
 
-/// Returns how many requests may run concurrently.
-std::uint32_t concurrencyLimit(const AdmissionQueue &State) {
-  return std::min(State.Slots_, static_cast<std::uint32_t>(State.Limit_));
-}
-
 bool hasCapacity(AdmissionQueue &State, Instant Now) {
-  if (State.Running_ >= concurrencyLimit(State) || Now < State.PausedUntil_)
+  if (State.Running_ >= State.Slots_ || Now < State.PausedUntil_)
     return false;
   if (!isCold(State, Now))
     return true;
@@ -57,17 +52,6 @@
   return std::min(std::max(BeforeObjective, AfterObjective), BeforeDeadline);
 }
 
-/// Raises the concurrency limit by one after an answer if the limit is in use.
-/// Under load it thus doubles within one processing time.
-void raiseLimit(AdmissionQueue &State, Instant Now) {
-  const bool InUse = State.Running_ >= concurrencyLimit(State);
-  if (State.Limit_ >= State.Slots_ || !InUse || Now < State.LimitHeldUntil_)
-    return;
-  State.Limit_ = std::min<double>(State.Slots_, State.Limit_ + 1);
-  if (State.Limit_ >= State.Slots_)
-    State.LimitHold_ = Duration::zero();
-}
-
 QueueOrder orderOf(const QueuedRequest &Request) {
   return {Request.Rank_, Request.ObjectiveAt_, Request.Number_};
 }
@@ -85,8 +69,7 @@
   const Instant CapacityAt = std::max(State.ReservedUntil_, Now + Wait);
   const Instant RetryAt =
       std::min(CapacityAt, Now + std::max(Request.Timeout_, Wait));
-  const std::uint32_t Slots =
-      std::max<std::uint32_t>(concurrencyLimit(State), 1);
+  const std::uint32_t Slots = std::max<std::uint32_t>(State.Slots_, 1);
   if (!Request.RejectedBefore_)
     State.ReservedUntil_ =
         RetryAt + expectedProcessingTime(State, Request) / Slots;
@@ -101,10 +84,6 @@
   State.ProcessingTimeByObjective_.clear();
   State.ColdUntil_ = Instant::min();
   State.PausedUntil_ = Instant::min();
-  State.Limit_ = Slots;
-  State.LimitLoweredAt_ = Instant::min();
-  State.LimitHeldUntil_ = Instant::min();
-  State.LimitHold_ = Duration::zero();
   State.ReservedUntil_ = Instant::min();
 }
 
@@ -147,9 +126,7 @@
 }
 
 void finishRequest(AdmissionQueue &State, const QueuedRequest &Request,
-                   std::optional<Duration> ProcessingTime, Instant Now) {
-  if (ProcessingTime)
-    raiseLimit(State, Now);
+                   std::optional<Duration> ProcessingTime) {
   --State.Running_;
   if (!ProcessingTime)
     return;
@@ -162,20 +139,6 @@
                   State.Options_.ProcessingTimeWeight_);
 }
 
-void applyUpstreamRejection(AdmissionQueue &State, Instant StartedAt,
-                            Instant Now) {
-  State.PausedUntil_ = Now + State.Options_.RejectionPause_;
-  if (StartedAt < State.LimitLoweredAt_)
-    return;
-  const double Sustained = std::min<double>(State.Limit_, State.Running_);
-  State.Limit_ = std::max(1.0, Sustained * State.Options_.LimitBackoff_);
-  State.LimitLoweredAt_ = Now;
-  const Duration Hold =
-      std::max<Duration>(State.LimitHold_ * 2, State.Options_.LimitHold_);
-  State.LimitHold_ = std::min<Duration>(Hold, State.Options_.MaxLimitHold_);
-  State.LimitHeldUntil_ = Now + State.LimitHold_;
-}
-
 Duration expectedProcessingTime(const AdmissionQueue &State,
                                 const QueuedRequest &Request) {
   const auto Found = State.ProcessingTimeByObjective_.find(Request.Objective_);
@@ -218,7 +181,7 @@
     Ahead += 1;
     ProcessingTime += expectedProcessingTime(State, Waiting);
   }
-  const double Slots = std::max<double>(concurrencyLimit(State), 1);
+  const double Slots = std::max<double>(State.Slots_, 1);
   double Seconds = secondsOf(ProcessingTime) / Slots;
   if (isCold(State, Now))
     Seconds =
@@ -229,7 +192,7 @@
 std::optional<Duration> timeToNextColdToken(const AdmissionQueue &State,
                                             Instant Now) {
   if (State.Waiting_.empty() || !isCold(State, Now) ||
-      State.Running_ >= concurrencyLimit(State))
+      State.Running_ >= State.Slots_)
     return std::nullopt;
   const double Missing = std::max(0.0, 1 - State.ColdTokens_);
   return fromSeconds(Missing / State.ColdRate_);
--- a/limits/admission_queue.h
+++ b/limits/admission_queue.h
@@ -31,17 +31,6 @@
   /// may wait for as long as they can still be answered by their deadline. Most
   /// of them belong to work that has started elsewhere.
   std::chrono::milliseconds MinRetryableTimeout_{900};
-  /// Factor by which the concurrency limit is lowered after the upstream has
-  /// rejected a request.
-  double LimitBackoff_ = 0.5;
-  /// How long no request is started after the upstream has rejected one.
-  std::chrono::milliseconds RejectionPause_{30};
-  /// How long the concurrency limit is not raised after the upstream has
-  /// rejected a request. Doubles with each further rejection until the limit
-  /// has reached the slots again.
-  std::chrono::milliseconds LimitHold_{200};
-  /// Maximum of that time.
-  std::chrono::milliseconds MaxLimitHold_{800};
 };
 
 /// A request that is submitted to an AdmissionQueue.
@@ -91,17 +80,8 @@
   double ColdTokens_ = 0;
   Instant ColdRefilledAt_ = Instant::min();
   /// No request is started before this time. Set when the upstream itself
-  /// rejects a request.
+  /// reports that it has no capacity.
   Instant PausedUntil_ = Instant::min();
-  /// Concurrency limit, which the upstream's rejections lower and its answers
-  /// raise; at most Slots_. Rounded down.
-  double Limit_ = 0;
-  /// When the limit was last lowered; Instant::min() for never.
-  Instant LimitLoweredAt_ = Instant::min();
-  /// The limit is not raised before LimitHeldUntil_. LimitHold_ is the hold
-  /// after the last rejection, zero if the limit has reached the slots since.
-  Instant LimitHeldUntil_ = Instant::min();
-  Duration LimitHold_{};
   std::map<QueueOrder, QueuedRequest> Waiting_;
   /// Until then capacity is reserved for retries of rejected requests.
   Instant ReservedUntil_ = Instant::min();
@@ -132,19 +112,11 @@
 AdmissionDecision submitRequest(AdmissionQueue &State,
                                 const QueuedRequest &Request, Instant Now);
 
-/// Releases the slot of a started request. An answer raises the concurrency
-/// limit if the limit was in use.
+/// Releases the slot of a started request.
 /// \param ProcessingTime time from its start to its answer; std::nullopt if the
 /// request is no sample of the upstream's processing time.
 void finishRequest(AdmissionQueue &State, const QueuedRequest &Request,
-                   std::optional<Duration> ProcessingTime, Instant Now);
-
-/// Lowers the concurrency limit and pauses dispatching because the upstream has
-/// rejected a started request as overloaded. Does not release its slot.
-/// \param StartedAt when the request was started. A request started before the
-/// limit was last lowered does not lower it again.
-void applyUpstreamRejection(AdmissionQueue &State, Instant StartedAt,
-                            Instant Now);
+                   std::optional<Duration> ProcessingTime);
 
 /// Removes a waiting request.
 /// \returns whether the request was waiting.
