Log the request limit and the end that upstreams state in their responses

New: events 405 and 406, the gauges lagoonhitch_upstream_rate_limit and lagoonhitch_upstream_requests_sent, both figures in /status. No decision uses them yet.

--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -32,6 +32,8 @@
     {EventId::UpstreamRestarted, EventLevel::Warn, "upstream-restarted"},
     {EventId::UpstreamDraining, EventLevel::Info, "upstream-draining"},
     {EventId::UpstreamCold, EventLevel::Warn, "upstream-cold"},
+    {EventId::UpstreamLimitChanged, EventLevel::Warn, "upstream-limit-changed"},
+    {EventId::UpstreamLeaving, EventLevel::Info, "upstream-leaving"},
     {EventId::LinkSettled, EventLevel::Warn, "link-settled"},
     {EventId::RingFull, EventLevel::Error, "ring-full"},
     {EventId::LateTick, EventLevel::Warn, "late-tick"},
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -36,6 +36,8 @@
   UpstreamRestarted = 402,
   UpstreamDraining = 403,
   UpstreamCold = 404,
+  UpstreamLimitChanged = 405,
+  UpstreamLeaving = 406,
   ConfigApplied = 310,
   ConfigUnreadable = 311,
   EvacuationChanged = 312,
--- a/daemon/admin_service.cpp
+++ b/daemon/admin_service.cpp
@@ -91,6 +91,11 @@
   return Valid ? toMillis(State.LeaseUntil_ - Now).count() : 0;
 }
 
+/// Returns a limit in requests per second; null for none.
+Json describeLimit(const AnnouncedLimit &Limit) {
+  return Limit.PerSecond_ ? Json(*Limit.PerSecond_) : Json();
+}
+
 } // namespace
 
 AdminService::AdminService(const Clock &Time, const DaemonSettings &Settings,
@@ -149,7 +154,9 @@
          {"running", Queue.Running_},
          {"queued", Queue.Waiting_.size()},
          {"work_ms", toMillis(Queue.ProcessingTime_).count()},
-         {"cold", isCold(Queue, Now)}}},
+         {"cold", isCold(Queue, Now)},
+         {"sent", Gateway_.sentRequests()},
+         {"announced_limit", describeLimit(Gateway_.announcedLimit())}}},
        {"members", std::move(Members)},
        {"tables", std::move(Tables)}});
 }
@@ -210,6 +217,9 @@
   const AdmissionQueue &Queue = Gateway_.queue();
   DaemonMetrics_.setUpstreamLoad(Settings_.Service_, Queue.Slots_,
                                  Queue.Running_);
+  DaemonMetrics_.setUpstreamRate(
+      Settings_.Service_, Gateway_.announcedLimit().PerSecond_.value_or(0),
+      static_cast<double>(Gateway_.sentRequests()));
   std::size_t Owned = 0;
   for (const KeyRow &Row : rowsOf(Ownership_.state().Table_, Settings_.Host_))
     Owned += sizeOf(Row.Range_);
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -23,6 +23,7 @@
 #include "platform/store_client.h"
 #include "settings/settings_error.h"
 
+#include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
 #include <optional>
@@ -127,6 +128,14 @@
   return Result;
 }
 
+std::string describeLimit(const AnnouncedLimit &Limit,
+                          std::uint64_t SentRequests) {
+  const std::string Stated =
+      Limit.PerSecond_ ? absl::StrCat(*Limit.PerSecond_, " requests/s")
+                       : "no limit";
+  return absl::StrCat(Stated, ", ", SentRequests, " requests sent so far");
+}
+
 } // namespace
 
 struct Daemon::Impl {
@@ -135,6 +144,7 @@
 
   OwnershipCallbacks ownershipCallbacks();
   KeyHooks keyHooks();
+  GatewayCallbacks gatewayCallbacks();
   SiteCallbacks siteCallbacks();
   UpstreamManagerConfig upstreamConfig() const;
   void openOptionalServers();
@@ -214,8 +224,7 @@
           {Settings_.Host_, Settings_.Service_, Settings_.UpstreamAddress_},
           ownershipOptions(Settings_), ownershipCallbacks()),
       Gateway_(Loop_, Time, UpstreamClient_, Names_, Settings_.Service_,
-               Settings_.UpstreamAddress_, keyHooks(),
-               {[this] { UpstreamManager_.onConnectionRefused(); }}),
+               Settings_.UpstreamAddress_, keyHooks(), gatewayCallbacks()),
       Router_(Loop_, Time, Site_, PeerClient_, Gateway_, Metrics_, Names_,
               retryBudgetOptions(Settings_.Bounds_),
               {Settings_.Host_, Settings_.Zone_, Settings_.Service_, Process},
@@ -301,6 +310,19 @@
   return Hooks;
 }
 
+GatewayCallbacks Daemon::Impl::gatewayCallbacks() {
+  GatewayCallbacks Callbacks;
+  Callbacks.OnConnectionRefused_ = [this] {
+    UpstreamManager_.onConnectionRefused();
+  };
+  Callbacks.OnLimitChanged_ = [this](const AnnouncedLimit &Limit) {
+    logEvent(EventId::UpstreamLimitChanged,
+             describeLimit(Limit, Gateway_.sentRequests()));
+  };
+  Callbacks.OnLeaving_ = [this] { UpstreamManager_.onLeavingStated(); };
+  return Callbacks;
+}
+
 SiteCallbacks Daemon::Impl::siteCallbacks() {
   SiteCallbacks Callbacks;
   Callbacks.OnManifest_ = [this] { onManifest(); };
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -1,5 +1,6 @@
 #include "daemon/upstream_gateway.h"
 
+#include "daemon/upstream_notice.h"
 #include "net/http_client.h"
 #include "net/io_loop.h"
 
@@ -213,6 +214,7 @@
   }
   Entry.Phase_ = OpenRequest::Phase::Running;
   Entry.Since_ = Now;
+  ++SentRequests_;
   HttpCallOptions Call;
   Call.Timeout_ = Entry.Request_.Deadline_ - Now;
   Call.EchoHeader_ = Names_.RequestId_;
@@ -253,7 +255,7 @@
   }
   if (CallResult.Status_ != HttpCallStatus::Completed)
     return Result;
-  recordUpstreamLoad(CallResult.Response_);
+  onNotice(readUpstreamNotice(CallResult.Response_, Names_), Entry.Since_);
   const std::vector<HttpHeader> &Headers = CallResult.Response_.Headers_;
   const bool NotRun = CallResult.Response_.Status_ == MisdirectedRequest ||
                       findHeader(Headers, Names_.NotRun_) != nullptr;
@@ -278,8 +280,15 @@
   return Result;
 }
 
-void UpstreamGateway::recordUpstreamLoad(const HttpResponse &Response) {
-  static_cast<void>(Response);
+void UpstreamGateway::onNotice(const UpstreamNotice &Notice, Instant SentAt) {
+  const bool LimitChanged =
+      !Notice.RateLimitUnreadable_ &&
+      applyAnnouncement(AnnouncedLimit_, Notice.RateLimit_, SentAt,
+                        Time_.now());
+  if (LimitChanged)
+    Callbacks_.OnLimitChanged_(AnnouncedLimit_);
+  if (Notice.Leaving_)
+    Callbacks_.OnLeaving_();
 }
 
 void UpstreamGateway::reject(std::uint64_t Number, RejectReason Reason,
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -9,6 +9,7 @@
 #include "daemon/gateway_request.h"
 #include "daemon/gateway_result.h"
 #include "limits/admission_queue.h"
+#include "limits/announced_limit.h"
 #include "net/header_names.h"
 #include "net/http_result.h"
 #include "recovery/attempt_table.h"
@@ -24,6 +25,7 @@
 
 class HttpClient;
 class IoLoop;
+struct UpstreamNotice;
 
 /// Queries and notifications about keys, as an UpstreamGateway needs them.
 struct KeyHooks {
@@ -40,6 +42,10 @@
 struct GatewayCallbacks {
   /// Called when the upstream's address refuses a connection.
   std::function<void()> OnConnectionRefused_;
+  /// Called when the upstream states another limit of its request rate.
+  std::function<void(const AnnouncedLimit &)> OnLimitChanged_;
+  /// Called when a response states that the upstream is about to terminate.
+  std::function<void()> OnLeaving_;
 };
 
 /// Admits requests to the local upstream: forwards them while it has capacity,
@@ -90,6 +96,10 @@
   /// \param PerSecond requests per second until then.
   void setCold(Duration For, double PerSecond);
 
+  /// Applies what the upstream states about itself in a response.
+  /// \param SentAt when the request was sent.
+  void onNotice(const UpstreamNotice &Notice, Instant SentAt);
+
   /// Admits or rejects requests that wait for a key. To be called after the
   /// upstream's keys have changed.
   void onKeysChanged();
@@ -104,6 +114,10 @@
   std::size_t openRequests() const { return Requests_.size(); }
   /// Returns the admission queue.
   const AdmissionQueue &queue() const { return Queue_; }
+  /// Returns the limit that the upstream states.
+  const AnnouncedLimit &announcedLimit() const { return AnnouncedLimit_; }
+  /// Returns the number of requests sent to the upstream since the start.
+  std::uint64_t sentRequests() const { return SentRequests_; }
 
   /// Returns the upstream's load, by which other hosts select an upstream.
   LoadReport load() const;
@@ -132,8 +146,6 @@
   GatewayResult classify(const OpenRequest &Entry, HttpResult CallResult);
   void reject(std::uint64_t Number, RejectReason Reason, Duration RetryAfter);
   void complete(std::uint64_t Number, GatewayResult Result);
-  /// Does nothing: the load that the upstream reports is not used.
-  void recordUpstreamLoad(const HttpResponse &Response);
 
   IoLoop &Loop_;
   const Clock &Time_;
@@ -152,6 +164,8 @@
   std::map<RequestId, std::uint64_t> NumbersById_;
   std::uint64_t LastNumber_ = 0;
   std::shared_ptr<void> ColdTimer_;
+  AnnouncedLimit AnnouncedLimit_;
+  std::uint64_t SentRequests_ = 0;
 };
 
 } // namespace lagoonhitch
--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -3,6 +3,7 @@
 #include "daemon/ownership_manager.h"
 #include "daemon/site_watcher.h"
 #include "daemon/upstream_gateway.h"
+#include "daemon/upstream_notice.h"
 #include "net/http_client.h"
 #include "platform/platform_codec.h"
 #include "store/store.h"
@@ -122,6 +123,13 @@
   onStateChanged();
 }
 
+void UpstreamManager::onLeavingStated() {
+  if (LeavingStated_)
+    return;
+  LeavingStated_ = true;
+  LogEvent_(EventId::UpstreamLeaving, AdmittedIncarnation_);
+}
+
 void UpstreamManager::applyColdStart(std::chrono::milliseconds ColdFor) {
   const ServiceSpec *Spec = serviceSpec();
   ColdStateUnknown_ = Spec == nullptr;
@@ -139,6 +147,7 @@
                                  Incarnation_->LastHeartbeat_.Slots_);
     applyColdStart(Incarnation_->LastHeartbeat_.ColdRemaining_);
     AdmittedIncarnation_ = Name;
+    LeavingStated_ = false;
   }
   updateAdmission();
   publishMember();
@@ -228,6 +237,8 @@
     onStateChanged();
     return;
   }
+  Gateway_.onNotice(readUpstreamNotice(Result.Response_, Names_),
+                    *HealthCheckedAt_);
   std::int64_t ColdMillis = 0;
   const std::string *Cold =
       findHeader(Result.Response_.Headers_, Names_.ColdMillis_);
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -66,6 +66,10 @@
   /// Marks the upstream as terminated: its address refuses connections.
   void onConnectionRefused();
 
+  /// Logs that the upstream states in a response that it is about to
+  /// terminate.
+  void onLeavingStated();
+
   /// Reevaluates admission after a change of the manifest or of the evacuated
   /// zones.
   void onSiteChanged();
@@ -125,6 +129,8 @@
   /// until that is known.
   bool ColdStateUnknown_ = true;
   bool HandingOver_ = false;
+  /// Whether the current incarnation has stated that it is about to terminate.
+  bool LeavingStated_ = false;
   bool AdmissionStopped_ = false;
   MemberRecord PublishedRecord_;
   bool Publishing_ = false;
--- a/net/header_names.h
+++ b/net/header_names.h
@@ -33,6 +33,12 @@
   /// Sent by upstreams with health check responses: remaining time of the cold
   /// start, in milliseconds.
   std::string ColdMillis_;
+  /// Sent by upstreams that are short of capacity: the requests per second that
+  /// they accept from all callers together. It holds until they respond without
+  /// it.
+  std::string RateLimit_;
+  /// Sent by upstreams that are about to terminate, with the value `1`.
+  std::string Leaving_;
 };
 
 } // namespace lagoonhitch
--- a/observe/metrics.cpp
+++ b/observe/metrics.cpp
@@ -43,6 +43,17 @@
           .Name("lagoonhitch_upstream_in_flight")
           .Help("Requests that the upstream has now")
           .Register(Registry_);
+  prometheus::Family<prometheus::Gauge> &UpstreamRateLimit_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_upstream_rate_limit")
+          .Help("Requests per second that the upstream states as its limit, 0 "
+                "for none")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Gauge> &UpstreamSent_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_upstream_requests_sent")
+          .Help("Requests sent to the upstream since the daemon's start")
+          .Register(Registry_);
   prometheus::Gauge &OwnedShards_ = prometheus::BuildGauge()
                                         .Name("lagoonhitch_owned_shards")
                                         .Help("Shards that this daemon owns")
@@ -72,6 +83,12 @@
   Impl_->UpstreamInFlight_.Add({{"service", Service}}).Set(InFlight);
 }
 
+void Metrics::setUpstreamRate(const std::string &Service, double Limit,
+                              double Sent) {
+  Impl_->UpstreamRateLimit_.Add({{"service", Service}}).Set(Limit);
+  Impl_->UpstreamSent_.Add({{"service", Service}}).Set(Sent);
+}
+
 void Metrics::setOwnedShards(std::size_t Count) {
   Impl_->OwnedShards_.Set(static_cast<double>(Count));
 }
--- a/observe/metrics.h
+++ b/observe/metrics.h
@@ -34,6 +34,12 @@
   void setUpstreamLoad(const std::string &Service, double Limit,
                        double InFlight);
 
+  /// Sets the request rate limit of the local upstream and what it got.
+  /// \param Limit requests per second that the upstream states as its limit;
+  /// zero for none.
+  /// \param Sent the number of requests sent to it since the daemon's start.
+  void setUpstreamRate(const std::string &Service, double Limit, double Sent);
+
   /// Sets the number of shards that the daemon owns.
   void setOwnedShards(std::size_t Count);
 
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -42,7 +42,8 @@
       : Server_({Head, std::string(64 * Kilobyte, 'a')}),
         Client_(Loop_, Time_, clientOptions()),
         Gateway_(Loop_, Time_, Client_, platformHeaders(), "katalog",
-                 Server_.address(), keyHooks(), {[] {}}) {
+                 Server_.address(), keyHooks(),
+                 {[] {}, [](const AnnouncedLimit &) {}, [] {}}) {
     Gateway_.resetForIncarnation("katalog-1", Slots);
     Gateway_.setAccepting(true);
   }
--- a/tests/unit/peer_service_test.cpp
+++ b/tests/unit/peer_service_test.cpp
@@ -54,7 +54,8 @@
         Client_(Loop_, Time_, HttpClientOptions()),
         Store_(Client_, Client_, "127.0.0.1:1", [] { return std::string(); }),
         Gateway_(Loop_, Time_, Client_, platformHeaders(), Service,
-                 Upstream_.address(), KeyHooks(), {[] {}}),
+                 Upstream_.address(), KeyHooks(),
+                 {[] {}, [](const AnnouncedLimit &) {}, [] {}}),
         Peers_(Time_, Gateway_, Store_, Process) {
     Gateway_.resetForIncarnation("u", 1);
     Gateway_.setAccepting(true);
