--- a/tests/history/history.h
+++ b/tests/history/history.h
@@ -39,6 +39,9 @@
     std::string Call_;
     /// Whether the call must not be executed more than once.
     bool NonIdempotent_ = false;
+    /// The upstream's name; empty if it is not known.
+    std::string Upstream_ = {};
+    Instant Begin_ = Instant::min();
   };
 
   /// A caller received the answer to a call.
--- a/tests/process/run_files.cpp
+++ b/tests/process/run_files.cpp
@@ -23,7 +23,9 @@
   const std::string Call = Record.at("call").get<std::string>();
   const FencingToken Fence = Record.at("token").get<FencingToken>();
   if (!Record.contains("end_us")) {
-    Events.Runs_.push_back({Call, Call.starts_with("POST")});
+    Events.Runs_.push_back({Call, Call.starts_with("POST"),
+                            Record.at("instance").get<std::string>(),
+                            instantOf(Record, "begin_us")});
     return;
   }
   if (Fence == 0)
--- a/tests/standin/upstream_standin.cpp
+++ b/tests/standin/upstream_standin.cpp
@@ -111,6 +111,10 @@
   Response.Headers_.push_back(
       {"X-Server-Load", absl::StrCat(Running_.size(), ",", Waiting_.size(), ",",
                                      Options_.Slots_, ",100")});
+  if (!StatedLimit_.empty())
+    Response.Headers_.push_back({"Server-Limit", StatedLimit_});
+  if (LeavingStated_)
+    Response.Headers_.push_back({"Server-Leaving", "1"});
   return Response;
 }
 
@@ -320,6 +324,8 @@
     startHeartbeats(Mode.at("own").get<std::string>(),
                     Mode.at("daemon").get<std::string>());
   Draining_ = Mode.value("draining", Draining_);
+  StatedLimit_ = Mode.value("stated_limit", StatedLimit_);
+  LeavingStated_ = Mode.value("leaving_stated", LeavingStated_);
   if (Mode.contains("cold_ms"))
     ColdUntil_ =
         Time_.now() + std::chrono::milliseconds(Mode.at("cold_ms").get<int>());
--- a/tests/standin/upstream_standin.h
+++ b/tests/standin/upstream_standin.h
@@ -107,6 +107,10 @@
   std::uint64_t LastRunId_ = 0;
   std::uint64_t Sequence_ = 0;
   bool Draining_ = false;
+  /// The stated limit of the request rate; empty for none.
+  std::string StatedLimit_;
+  /// Whether responses state that it is about to terminate.
+  bool LeavingStated_ = false;
   Instant ColdUntil_;
   std::list<Instant> ColdArrivals_;
   std::shared_ptr<void> HeartbeatTimer_;
