Move the token bucket out of the admission queue

A limit that an upstream states needs the same bucket as the cold rate. The load report is made in one place instead of two, and its cold rate is called a rate limit. Behaviour is as it was, but for one thing: the expected wait counts the tokens of the present, not those of the last refill.

--- a/bench/decisions/current_policy.cpp
+++ b/bench/decisions/current_policy.cpp
@@ -40,20 +40,8 @@
     sendDigest(Sender, Now);
 }
 
-LoadReport CurrentPolicy::loadReportOf(const Host &Target, Instant Now) const {
-  LoadReport Load;
-  Load.Running_ = Target.Queue_.Running_;
-  Load.Queued_ = static_cast<std::uint32_t>(Target.Queue_.Waiting_.size());
-  Load.Slots_ = Target.Queue_.Slots_;
-  Load.ProcessingMillis_ = static_cast<std::uint32_t>(
-      toMillis(Target.Queue_.ProcessingTime_).count());
-  if (isCold(Target.Queue_, Now))
-    Load.ColdRate_ = static_cast<std::uint32_t>(Target.Queue_.ColdRate_);
-  return Load;
-}
-
 void CurrentPolicy::sendDigest(Host &Sender, Instant Now) {
-  const LoadReport Load = loadReportOf(Sender, Now);
+  const LoadReport Load = loadReport(Sender.Queue_, Now);
   LoadDigest Digest;
   Digest.Host_ = Sender.Name_;
   Digest.Process_ = 1;
@@ -63,7 +51,7 @@
   Digest.Queued_ = Load.Queued_;
   Digest.Slots_ = Load.Slots_;
   Digest.ProcessingMillis_ = Load.ProcessingMillis_;
-  Digest.ColdRate_ = Load.ColdRate_;
+  Digest.RateLimit_ = Load.RateLimit_;
   for (Host &Receiver : Hosts_)
     applyDigest(Receiver.Fleet_, Digest, Now);
   Sender.NextDigestAt_ = Now + DigestInterval;
@@ -87,7 +75,7 @@
   Options.ZoneCost_ = toMillis(ZoneDelay_ * 2);
   // A daemon knows the current load of its local upstream.
   applyLoadReport(memberOf(EntryHost, EntryHost),
-                  loadReportOf(Hosts_[EntryHost], Now), Now);
+                  loadReport(Hosts_[EntryHost].Queue_, Now), Now);
   const std::optional<std::string> Chosen =
       chooseHost(Hosts_[EntryHost].Fleet_, Choice, Options, Random_(), Now);
   return Chosen ? std::stoull(*Chosen) : EntryHost;
@@ -105,7 +93,7 @@
                                    Instant Now) {
   FleetMember &Member = memberOf(EntryHost, TargetHost);
   --Member.InFlight_;
-  applyLoadReport(Member, loadReportOf(Hosts_[TargetHost], Now), Now);
+  applyLoadReport(Member, loadReport(Hosts_[TargetHost].Queue_, Now), Now);
 }
 
 QueuedRequest CurrentPolicy::toQueuedRequest(const BenchRequest &Request) {
--- a/bench/decisions/current_policy.h
+++ b/bench/decisions/current_policy.h
@@ -50,7 +50,6 @@
     std::uint64_t Sequence_ = 0;
   };
 
-  LoadReport loadReportOf(const Host &Target, Instant Now) const;
   void sendDigest(Host &Sender, Instant Now);
   FleetMember &memberOf(std::size_t EntryHost, std::size_t TargetHost);
   static QueuedRequest toQueuedRequest(const BenchRequest &Request);
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -426,7 +426,7 @@
   Digest.Queued_ = Load.Queued_;
   Digest.Slots_ = Load.Slots_;
   Digest.ProcessingMillis_ = Load.ProcessingMillis_;
-  Digest.ColdRate_ = Load.ColdRate_;
+  Digest.RateLimit_ = Load.RateLimit_;
   Digest.KeyEpoch_ = Ownership_.state().Epoch_;
   Digest.KeyRate_ =
       static_cast<std::uint32_t>(Ownership_.requestRate() * Hundred);
--- a/daemon/forward_codec.cpp
+++ b/daemon/forward_codec.cpp
@@ -60,7 +60,7 @@
 
 std::string encodeLoad(const LoadReport &Load) {
   return absl::StrCat(Load.Running_, ";", Load.Queued_, ";", Load.Slots_, ";",
-                      Load.ProcessingMillis_, ";", Load.ColdRate_);
+                      Load.ProcessingMillis_, ";", Load.RateLimit_);
 }
 
 std::optional<LoadReport> decodeLoad(const std::string *Text) {
@@ -73,7 +73,7 @@
                      absl::SimpleAtoi(Parts[1], &Load.Queued_) &&
                      absl::SimpleAtoi(Parts[2], &Load.Slots_) &&
                      absl::SimpleAtoi(Parts[3], &Load.ProcessingMillis_) &&
-                     absl::SimpleAtoi(Parts[4], &Load.ColdRate_);
+                     absl::SimpleAtoi(Parts[4], &Load.RateLimit_);
   return Valid ? std::optional<LoadReport>(Load) : std::nullopt;
 }
 
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -183,9 +183,9 @@
     reject(Request.Number_, RejectReason::DeadlineExceeded, Duration::zero());
   for (const QueuedRequest &Request : Dispatch.Started_)
     start(Request.Number_);
-  ColdTimer_.reset();
-  if (const std::optional<Duration> Wait = timeToNextColdToken(Queue_, Now))
-    ColdTimer_ = Loop_.after(*Wait, [this] { dispatchQueued(); });
+  RateLimitTimer_.reset();
+  if (const std::optional<Duration> Wait = timeToNextToken(Queue_, Now))
+    RateLimitTimer_ = Loop_.after(*Wait, [this] { dispatchQueued(); });
 }
 
 HttpRequest
@@ -339,15 +339,7 @@
 }
 
 LoadReport UpstreamGateway::load() const {
-  LoadReport Load;
-  Load.Running_ = Queue_.Running_;
-  Load.Queued_ = static_cast<std::uint32_t>(Queue_.Waiting_.size());
-  Load.Slots_ = Queue_.Slots_;
-  Load.ProcessingMillis_ =
-      static_cast<std::uint32_t>(toMillis(Queue_.ProcessingTime_).count());
-  if (isCold(Queue_, Time_.now()))
-    Load.ColdRate_ = static_cast<std::uint32_t>(Queue_.ColdRate_);
-  return Load;
+  return loadReport(Queue_, Time_.now());
 }
 
 std::optional<AttemptInfo>
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -163,7 +163,7 @@
   std::map<std::uint64_t, OpenRequest> Requests_;
   std::map<RequestId, std::uint64_t> NumbersById_;
   std::uint64_t LastNumber_ = 0;
-  std::shared_ptr<void> ColdTimer_;
+  std::shared_ptr<void> RateLimitTimer_;
   AnnouncedLimit AnnouncedLimit_;
   std::uint64_t SentRequests_ = 0;
 };
--- a/limits/admission_queue.cpp
+++ b/limits/admission_queue.cpp
@@ -6,37 +6,26 @@
 
 namespace {
 
-double secondsOf(Duration Span) {
-  return std::chrono::duration<double>(Span).count();
-}
-
-Duration fromSeconds(double Seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds));
-}
-
-void refillTokens(AdmissionQueue &State, Instant Now) {
-  if (State.ColdRefilledAt_ < Now && State.ColdRefilledAt_ != Instant::min())
-    State.ColdTokens_ =
-        std::min(State.Options_.ColdBurst_,
-                 State.ColdTokens_ +
-                     secondsOf(Now - State.ColdRefilledAt_) * State.ColdRate_);
-  State.ColdRefilledAt_ = Now;
-}
-
 bool hasCapacity(AdmissionQueue &State, Instant Now) {
   if (State.Running_ >= State.Slots_ || Now < State.PausedUntil_)
     return false;
   if (!isCold(State, Now))
     return true;
-  refillTokens(State, Now);
-  return State.ColdTokens_ >= 1;
+  refillTokens(State.ColdTokens_, Now);
+  return State.ColdTokens_.Tokens_ >= 1;
 }
 
 void startRequest(AdmissionQueue &State, Instant Now) {
   ++State.Running_;
   if (isCold(State, Now))
-    State.ColdTokens_ -= 1;
+    State.ColdTokens_.Tokens_ -= 1;
+}
+
+/// Returns the time until the rate limit allows a number of requests.
+Duration rateLimitWait(const AdmissionQueue &State, double Requests,
+                       Instant Now) {
+  return isCold(State, Now) ? timeToTokens(State.ColdTokens_, Requests, Now)
+                            : Duration::zero();
 }
 
 /// Returns the longest time that a request may wait and still be worth running.
@@ -93,12 +82,10 @@
     State.ColdUntil_ = Instant::min();
     return;
   }
-  if (!isCold(State, Now)) {
-    State.ColdTokens_ = 1;
-    State.ColdRefilledAt_ = Now;
-  }
+  if (!isCold(State, Now))
+    State.ColdTokens_ = {PerSecond, State.Options_.ColdBurst_, 1, Now};
   State.ColdUntil_ = Until;
-  State.ColdRate_ = PerSecond;
+  State.ColdTokens_.PerSecond_ = PerSecond;
 }
 
 bool isCold(const AdmissionQueue &State, Instant Now) {
@@ -181,21 +168,29 @@
     Ahead += 1;
     ProcessingTime += expectedProcessingTime(State, Waiting);
   }
-  const double Slots = std::max<double>(State.Slots_, 1);
-  double Seconds = secondsOf(ProcessingTime) / Slots;
-  if (isCold(State, Now))
-    Seconds =
-        std::max(Seconds, (Ahead + 1 - State.ColdTokens_) / State.ColdRate_);
-  return fromSeconds(Seconds);
+  const Duration SlotWait =
+      ProcessingTime / std::max<std::uint32_t>(State.Slots_, 1);
+  return std::max(SlotWait, rateLimitWait(State, Ahead + 1, Now));
 }
 
-std::optional<Duration> timeToNextColdToken(const AdmissionQueue &State,
-                                            Instant Now) {
+std::optional<Duration> timeToNextToken(const AdmissionQueue &State,
+                                        Instant Now) {
   if (State.Waiting_.empty() || !isCold(State, Now) ||
       State.Running_ >= State.Slots_)
     return std::nullopt;
-  const double Missing = std::max(0.0, 1 - State.ColdTokens_);
-  return fromSeconds(Missing / State.ColdRate_);
+  return rateLimitWait(State, 1, Now);
+}
+
+LoadReport loadReport(const AdmissionQueue &State, Instant Now) {
+  LoadReport Load;
+  Load.Running_ = State.Running_;
+  Load.Queued_ = static_cast<std::uint32_t>(State.Waiting_.size());
+  Load.Slots_ = State.Slots_;
+  Load.ProcessingMillis_ =
+      static_cast<std::uint32_t>(toMillis(State.ProcessingTime_).count());
+  if (isCold(State, Now))
+    Load.RateLimit_ = static_cast<std::uint32_t>(State.ColdTokens_.PerSecond_);
+  return Load;
 }
 
 } // namespace lagoonhitch
--- a/limits/admission_queue.h
+++ b/limits/admission_queue.h
@@ -5,6 +5,8 @@
 /// Admission control for a daemon's local upstream.
 
 #include "core/clock.h"
+#include "limits/token_bucket.h"
+#include "membership/load_digest.h"
 
 #include <compare>
 #include <cstdint>
@@ -73,12 +75,10 @@
   /// objective.
   Duration ProcessingTime_{};
   std::map<Duration, Duration> ProcessingTimeByObjective_;
-  /// Until then the upstream is cold and a token bucket limits the requests
-  /// that it gets. The rate is in requests per second.
+  /// Until then the upstream is cold and ColdTokens_ limits the requests that
+  /// it gets.
   Instant ColdUntil_ = Instant::min();
-  double ColdRate_ = 0;
-  double ColdTokens_ = 0;
-  Instant ColdRefilledAt_ = Instant::min();
+  TokenBucket ColdTokens_;
   /// No request is started before this time. Set when the upstream itself
   /// reports that it has no capacity.
   Instant PausedUntil_ = Instant::min();
@@ -142,10 +142,13 @@
 Duration expectedProcessingTime(const AdmissionQueue &State,
                                 const QueuedRequest &Request);
 
-/// Returns the time until the rate limit of a cold upstream allows the next
-/// request; std::nullopt if no request waits for the rate limit alone.
-std::optional<Duration> timeToNextColdToken(const AdmissionQueue &State,
-                                            Instant Now);
+/// Returns the time until the rate limit allows the next request; std::nullopt
+/// if no request waits for the rate limit alone.
+std::optional<Duration> timeToNextToken(const AdmissionQueue &State,
+                                        Instant Now);
+
+/// Returns the upstream's load, by which other hosts select an upstream.
+LoadReport loadReport(const AdmissionQueue &State, Instant Now);
 
 } // namespace lagoonhitch
 
--- a/membership/fleet.cpp
+++ b/membership/fleet.cpp
@@ -54,7 +54,7 @@
   Digest.Queued_ = Load.Queued_;
   Digest.Slots_ = Load.Slots_;
   Digest.ProcessingMillis_ = Load.ProcessingMillis_;
-  Digest.ColdRate_ = Load.ColdRate_;
+  Digest.RateLimit_ = Load.RateLimit_;
   Member.LoadReportedAt_ = Now;
   Member.SentSinceLoadUpdate_ = 0;
 }
--- a/membership/load_digest.h
+++ b/membership/load_digest.h
@@ -38,8 +38,8 @@
   std::uint64_t KeyEpoch_ = 0;
   /// Request rate of the owned keys, in hundredths of a request per second.
   std::uint32_t KeyRate_ = 0;
-  /// Requests per second that a cold upstream gets; zero if it is not cold.
-  std::uint32_t ColdRate_ = 0;
+  /// Limit of the upstream's request rate, per second; zero if it has none.
+  std::uint32_t RateLimit_ = 0;
   /// End offset of the configuration topic, as far as known.
   std::uint64_t ConfigEnd_ = 0;
   /// End offset of the member topic, as far as known.
@@ -55,7 +55,7 @@
   std::uint32_t Queued_ = 0;
   std::uint32_t Slots_ = 0;
   std::uint32_t ProcessingMillis_ = 0;
-  std::uint32_t ColdRate_ = 0;
+  std::uint32_t RateLimit_ = 0;
 };
 
 } // namespace lagoonhitch
--- a/net/digest_codec.cpp
+++ b/net/digest_codec.cpp
@@ -52,7 +52,7 @@
       Digest.Running_,       Digest.Queued_,
       Digest.Slots_,         Digest.ProcessingMillis_,
       Digest.KeyEpoch_,      Digest.KeyRate_,
-      Digest.ColdRate_,      Digest.ConfigEnd_,
+      Digest.RateLimit_,     Digest.ConfigEnd_,
       Digest.MembersEnd_,    Digest.TableEnd_,
       Digest.IntervalMillis_};
   msgpack::sbuffer Buffer;
@@ -68,7 +68,7 @@
   std::tie(Digest.Host_, Digest.Process_, Digest.Sequence_, Digest.Accepting_,
            Digest.Stopping_, Digest.RecentlyGainedKeys_, Digest.Running_,
            Digest.Queued_, Digest.Slots_, Digest.ProcessingMillis_,
-           Digest.KeyEpoch_, Digest.KeyRate_, Digest.ColdRate_,
+           Digest.KeyEpoch_, Digest.KeyRate_, Digest.RateLimit_,
            Digest.ConfigEnd_, Digest.MembersEnd_, Digest.TableEnd_,
            Digest.IntervalMillis_) = Unpacked;
   return Digest;
--- a/routing/host_choice.cpp
+++ b/routing/host_choice.cpp
@@ -102,10 +102,10 @@
       1 + (LightLoadWeight * Load + OverloadWeight * Overload) / Slots;
   std::chrono::duration<double> Cost =
       processingTimeFor(Digest, Options) * Factor;
-  if (Digest.ColdRate_ > 0)
+  if (Digest.RateLimit_ > 0)
     Cost += std::chrono::duration<double>(
         (Digest.Queued_ + Member.SentSinceLoadUpdate_ + 0.5) /
-        Digest.ColdRate_);
+        Digest.RateLimit_);
   if (Member.Record_.Zone_ != Choice.OwnZone_)
     Cost += Options.ZoneCost_;
   static_cast<void>(Now);
