Send an upstream no more requests than the limit that it states

Cause: the gateway limits concurrency by slots only; its rate is slots / processing time, whatever the upstream states.

The gateway is the only way to its upstream, so it limits the rate itself, with the bucket used for cold upstreams: 4 s hold at most four times the limit and a burst of two. Requests that can't be served in time are rejected at once; the interval of a rate limit now counts in their Retry-After. The limit is part of the load report, so that other hosts prefer upstreams without one, and of the capacity by which keys are balanced. It stays until a response without it to a request sent after it; a value that is no number changes nothing; at zero, one request in 2 s still asks.

--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -31,11 +31,12 @@
 
 /// Returns the requests per second that a host can handle.
 double capacityOf(const LoadDigest &Digest) {
-  if (Digest.RateLimit_ > 0)
-    return Digest.RateLimit_;
   constexpr double MillisPerSecond = 1000;
   const double ProcessingMillis = std::max<double>(Digest.ProcessingMillis_, 1);
-  return std::max(1.0, Digest.Slots_ * MillisPerSecond / ProcessingMillis);
+  const double BySlots =
+      std::max(1.0, Digest.Slots_ * MillisPerSecond / ProcessingMillis);
+  return Digest.RateLimit_ > 0 ? std::min<double>(BySlots, Digest.RateLimit_)
+                               : BySlots;
 }
 
 } // namespace
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -285,8 +285,10 @@
       !Notice.RateLimitUnreadable_ &&
       applyAnnouncement(AnnouncedLimit_, Notice.RateLimit_, SentAt,
                         Time_.now());
-  if (LimitChanged)
+  if (LimitChanged) {
+    setStatedLimit(Queue_, AnnouncedLimit_.PerSecond_, Time_.now());
     Callbacks_.OnLimitChanged_(AnnouncedLimit_);
+  }
   if (Notice.Leaving_)
     Callbacks_.OnLeaving_();
 }
--- a/limits/admission_queue.cpp
+++ b/limits/admission_queue.cpp
@@ -1,31 +1,55 @@
 #include "limits/admission_queue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lagoonhitch {
 
 namespace {
 
-bool hasCapacity(AdmissionQueue &State, Instant Now) {
-  if (State.Running_ >= State.Slots_ || Now < State.PausedUntil_)
-    return false;
-  if (!isCold(State, Now))
-    return true;
-  refillTokens(State.ColdTokens_, Now);
-  return State.ColdTokens_.Tokens_ >= 1;
+/// Returns the rate limit in requests per second; std::nullopt for none.
+std::optional<double> rateLimit(const AdmissionQueue &State, Instant Now) {
+  std::optional<double> Limit;
+  if (isCold(State, Now))
+    Limit = State.ColdTokens_.PerSecond_;
+  if (State.StatedTokens_)
+    Limit = std::min(Limit.value_or(State.StatedTokens_->PerSecond_),
+                     State.StatedTokens_->PerSecond_);
+  return Limit;
+}
+
+/// Returns the time until the rate limits allow a number of requests.
+Duration rateLimitWait(const AdmissionQueue &State, double Requests,
+                       Instant Now) {
+  Duration Wait{};
+  if (isCold(State, Now))
+    Wait = timeToTokens(State.ColdTokens_, Requests, Now);
+  if (State.StatedTokens_)
+    Wait = std::max(Wait, timeToTokens(*State.StatedTokens_, Requests, Now));
+  return Wait;
+}
+
+bool hasCapacity(const AdmissionQueue &State, Instant Now) {
+  return State.Running_ < State.Slots_ && Now >= State.PausedUntil_ &&
+         rateLimitWait(State, 1, Now) <= Duration::zero();
 }
 
 void startRequest(AdmissionQueue &State, Instant Now) {
   ++State.Running_;
-  if (isCold(State, Now))
-    State.ColdTokens_.Tokens_ -= 1;
+  chargeRateLimits(State, Now);
 }
 
-/// Returns the time until the rate limit allows a number of requests.
-Duration rateLimitWait(const AdmissionQueue &State, double Requests,
-                       Instant Now) {
-  return isCold(State, Now) ? timeToTokens(State.ColdTokens_, Requests, Now)
-                            : Duration::zero();
+/// Returns the average time between two starts of such requests when the
+/// upstream is fully used.
+Duration startInterval(const AdmissionQueue &State,
+                       const QueuedRequest &Request, Instant Now) {
+  const Duration BySlots = expectedProcessingTime(State, Request) /
+                           std::max<std::uint32_t>(State.Slots_, 1);
+  const std::optional<double> Limit = rateLimit(State, Now);
+  if (!Limit)
+    return BySlots;
+  const std::chrono::duration<double> ByRate(1 / *Limit);
+  return std::max(BySlots, std::chrono::duration_cast<Duration>(ByRate));
 }
 
 /// Returns the longest time that a request may wait and still be worth running.
@@ -58,10 +82,8 @@
   const Instant CapacityAt = std::max(State.ReservedUntil_, Now + Wait);
   const Instant RetryAt =
       std::min(CapacityAt, Now + std::max(Request.Timeout_, Wait));
-  const std::uint32_t Slots = std::max<std::uint32_t>(State.Slots_, 1);
   if (!Request.RejectedBefore_)
-    State.ReservedUntil_ =
-        RetryAt + expectedProcessingTime(State, Request) / Slots;
+    State.ReservedUntil_ = RetryAt + startInterval(State, Request, Now);
   return RetryAt - Now;
 }
 
@@ -88,6 +110,30 @@
   State.ColdTokens_.PerSecond_ = PerSecond;
 }
 
+void setStatedLimit(AdmissionQueue &State, std::optional<double> PerSecond,
+                    Instant Now) {
+  if (!PerSecond) {
+    State.StatedTokens_.reset();
+    return;
+  }
+  if (!State.StatedTokens_)
+    State.StatedTokens_ = {1, State.Options_.StatedBurst_, 1, Now};
+  refillTokens(*State.StatedTokens_, Now);
+  State.StatedTokens_->PerSecond_ =
+      std::max(*PerSecond, State.Options_.MinStatedRate_);
+}
+
+void chargeRateLimits(AdmissionQueue &State, Instant Now) {
+  if (isCold(State, Now)) {
+    refillTokens(State.ColdTokens_, Now);
+    State.ColdTokens_.Tokens_ -= 1;
+  }
+  if (State.StatedTokens_) {
+    refillTokens(*State.StatedTokens_, Now);
+    State.StatedTokens_->Tokens_ -= 1;
+  }
+}
+
 bool isCold(const AdmissionQueue &State, Instant Now) {
   return Now < State.ColdUntil_;
 }
@@ -175,7 +221,7 @@
 
 std::optional<Duration> timeToNextToken(const AdmissionQueue &State,
                                         Instant Now) {
-  if (State.Waiting_.empty() || !isCold(State, Now) ||
+  if (State.Waiting_.empty() || !rateLimit(State, Now) ||
       State.Running_ >= State.Slots_)
     return std::nullopt;
   return rateLimitWait(State, 1, Now);
@@ -188,8 +234,8 @@
   Load.Slots_ = State.Slots_;
   Load.ProcessingMillis_ =
       static_cast<std::uint32_t>(toMillis(State.ProcessingTime_).count());
-  if (isCold(State, Now))
-    Load.RateLimit_ = static_cast<std::uint32_t>(State.ColdTokens_.PerSecond_);
+  if (const std::optional<double> Limit = rateLimit(State, Now))
+    Load.RateLimit_ = static_cast<std::uint32_t>(std::ceil(*Limit));
   return Load;
 }
 
--- a/limits/admission_queue.h
+++ b/limits/admission_queue.h
@@ -27,6 +27,11 @@
   std::chrono::milliseconds InitialProcessingTime_{200};
   /// Burst size of the rate limit for a cold upstream, in requests.
   double ColdBurst_ = 3;
+  /// Burst size of the rate limit that the upstream states, in requests.
+  double StatedBurst_ = 2;
+  /// Lowest rate, in requests per second. An upstream without any requests
+  /// could not state the end of its limit.
+  double MinStatedRate_ = 0.5;
   /// Maximum number of waiting requests.
   std::size_t MaxWaiting_ = 512;
   /// Requests with a shorter timeout can't be retried after a rejection. They
@@ -79,6 +84,8 @@
   /// it gets.
   Instant ColdUntil_ = Instant::min();
   TokenBucket ColdTokens_;
+  /// The rate limit that the upstream states; std::nullopt for none.
+  std::optional<TokenBucket> StatedTokens_;
   /// No request is started before this time. Set when the upstream itself
   /// reports that it has no capacity.
   Instant PausedUntil_ = Instant::min();
@@ -97,7 +104,9 @@
 };
 
 /// Resets slots, processing times, cold start, pauses and reserved capacity for
-/// another incarnation of the upstream. Running and waiting requests stay.
+/// another incarnation of the upstream. Running and waiting requests stay, and
+/// so does the stated rate limit: the first response of the new incarnation
+/// ends it if it does not apply any more.
 void resetForUpstream(AdmissionQueue &State, std::uint32_t Slots);
 
 /// Marks the upstream as cold until a point in time.
@@ -105,6 +114,15 @@
 void setCold(AdmissionQueue &State, Instant Until, double PerSecond,
              Instant Now);
 
+/// Sets the rate limit that the upstream states.
+/// \param PerSecond limit in requests per second; std::nullopt ends it.
+void setStatedLimit(AdmissionQueue &State, std::optional<double> PerSecond,
+                    Instant Now);
+
+/// Counts a request to the upstream that has not passed the queue, such as a
+/// health check, against the rate limits.
+void chargeRateLimits(AdmissionQueue &State, Instant Now);
+
 /// Returns whether the upstream is cold.
 bool isCold(const AdmissionQueue &State, Instant Now);
 
--- a/tests/unit/door_test.cpp
+++ b/tests/unit/door_test.cpp
@@ -4,6 +4,7 @@
 
 #define BOOST_TEST_MODULE door
 #include "limits/admission_queue.h"
+#include "limits/announced_limit.h"
 #include "limits/shared_retry_budget.h"
 
 #include <boost/test/unit_test.hpp>
@@ -255,4 +256,72 @@
   BOOST_TEST(Withdrawn >= Options.Ratio_ * Requests * Daemons / 2);
 }
 
+/// Requests that keep arriving are started at the stated rate, those that can't
+/// be served in time are told when they can, and the rate is the same again
+/// after the limit has ended.
+BOOST_AUTO_TEST_CASE(StartsRequestsAtTheStatedRate) {
+  AdmissionQueue Queue = makeQueue(18);
+  setStatedLimit(Queue, 12.5, Start);
+  const QueuedRequest Request = makeRequest(1, Start);
+  std::uint64_t Number = 0;
+  int Started = 0;
+  Duration LongestRetryAfter{};
+  const auto Submit = [&](Instant Now) {
+    const AdmissionDecision Decision =
+        submitRequest(Queue, makeRequest(++Number, Now), Now);
+    Started += Decision.Kind_ == AdmissionDecision::Kind::Start ? 1 : 0;
+    LongestRetryAfter = std::max(LongestRetryAfter, Decision.RetryAfter_);
+  };
+  for (int Millis = 0; Millis < 4000; Millis += 10) {
+    const Instant Now = Start + milliseconds(Millis);
+    Submit(Now);
+    Started += static_cast<int>(dispatchWaiting(Queue, Now).Started_.size());
+    while (Queue.Running_ > 0)
+      finishRequest(Queue, Request, milliseconds(5));
+  }
+  BOOST_TEST(Started >= 48);
+  BOOST_TEST(Started <= 52);
+  BOOST_TEST((LongestRetryAfter > milliseconds(400)));
+  setStatedLimit(Queue, std::nullopt, Start + milliseconds(4000));
+  Started = 0;
+  for (int Millis = 4000; Millis < 5000; Millis += 10) {
+    const Instant Now = Start + milliseconds(Millis);
+    dispatchWaiting(Queue, Now);
+    Submit(Now);
+    while (Queue.Running_ > 0)
+      finishRequest(Queue, Request, milliseconds(5));
+  }
+  BOOST_TEST(Started == 100);
+}
+
+/// An upstream that states zero must still be able to state the end of that.
+BOOST_AUTO_TEST_CASE(StartsFewRequestsAtAStatedRateOfZero) {
+  AdmissionQueue Queue = makeQueue(18);
+  setStatedLimit(Queue, 0, Start);
+  int Started = 0;
+  for (std::uint64_t Number = 1; Number <= 4000; ++Number) {
+    const Instant Now = Start + milliseconds(Number);
+    const QueuedRequest Request = makeRequest(Number, Now);
+    if (submitRequest(Queue, Request, Now).Kind_ ==
+        AdmissionDecision::Kind::Start) {
+      ++Started;
+      finishRequest(Queue, Request, std::nullopt);
+    }
+  }
+  BOOST_TEST(Started >= 1);
+  BOOST_TEST(Started <= 5);
+}
+
+/// A response that was sent before the limit was stated may arrive after it.
+BOOST_AUTO_TEST_CASE(EarlierResponsesEndNoStatedLimit) {
+  AnnouncedLimit Limit;
+  const auto At = [](int Millis) { return Start + milliseconds(Millis); };
+  BOOST_TEST(applyAnnouncement(Limit, 10.0, At(0), At(100)));
+  BOOST_TEST(!applyAnnouncement(Limit, std::nullopt, At(50), At(150)));
+  BOOST_TEST(!applyAnnouncement(Limit, 10.0, At(60), At(160)));
+  BOOST_TEST(Limit.PerSecond_.has_value());
+  BOOST_TEST(applyAnnouncement(Limit, std::nullopt, At(170), At(250)));
+  BOOST_TEST(!Limit.PerSecond_.has_value());
+}
+
 } // namespace lagoonhitch
