--- /dev/null
+++ b/tests/process/leaving_upstream_test.cpp
@@ -0,0 +1,110 @@
+/// \file
+/// Tests that an upstream which states in its responses that it is about to
+/// terminate gets no new requests, although its heartbeats do not report it.
+
+#define BOOST_TEST_MODULE leaving_upstream
+#include "tests/process/site_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <string>
+#include <vector>
+
+namespace lagoonhitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The users' bound for requests to an upstream after it has stated its end.
+constexpr seconds DrainTime{2};
+
+/// A site in which the owner of some keys and an upstream of the service
+/// without keys state that they are about to terminate. Requests run for long
+/// enough for queues to form.
+struct LeavingSite {
+  LeavingSite() : Fixture_(options()) {
+    LoadGeneratorOptions Load;
+    Load.Workers_ = 96;
+    Fixture_.startLoad(Load);
+    Leaving_ = {Fixture_.findOwner(), SharedHost};
+    for (const std::uint32_t Host : Leaving_)
+      Fixture_.Site_.setUpstreamMode(Host, {{"leaving_stated", true}});
+    StatedAt_ = Fixture_.Time_.now();
+  }
+
+  static SiteOptions options() {
+    SiteOptions Options;
+    Options.ServiceTimeMicros_ = 200000;
+    return Options;
+  }
+
+  void restartDaemons() {
+    for (const std::uint32_t Host : Leaving_) {
+      Fixture_.Site_.daemon(Host).signal(SIGKILL);
+      Fixture_.Site_.daemon(Host).wait();
+      Fixture_.Site_.restartDaemon(Host);
+    }
+  }
+
+  std::size_t countRuns(std::uint32_t Host, Instant From) const {
+    const std::string Service = Host % 2 == 0 ? "katalog" : "pruf";
+    const std::string Name = Service + "-h" + std::to_string(Host) + "-1";
+    std::size_t Count = 0;
+    for (const History::Run &Run : Fixture_.Events_.Runs_)
+      Count += Run.Upstream_ == Name && Run.Begin_ >= From ? 1 : 0;
+    return Count;
+  }
+
+  void checkNoRequestsAfterDrainTime() const {
+    for (const std::uint32_t Host : Leaving_) {
+      const std::size_t Late = countRuns(Host, StatedAt_ + DrainTime);
+      BOOST_TEST(Late == 0U, "host " << Host << " got " << Late
+                                     << " requests after the drain time");
+    }
+  }
+
+  static constexpr std::uint32_t SharedHost = 3;
+  SiteFixture Fixture_;
+  std::vector<std::uint32_t> Leaving_;
+  Instant StatedAt_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(LeavingUpstreamsGetRequests) {
+  LeavingSite Site;
+  sleepFor(seconds(5));
+  Site.Fixture_.finishAndCheck();
+  Site.checkNoRequestsAfterDrainTime();
+  BOOST_TEST(Site.Fixture_.countRecentlyFailed(milliseconds(500)) == 0U);
+}
+
+/// The daemons that have received the statement are killed; those that took the
+/// requests from the callers still run.
+BOOST_AUTO_TEST_CASE(LeavingUpstreamsGetRequestsOfRestartedDaemons) {
+  LeavingSite Site;
+  sleepFor(milliseconds(500));
+  Site.restartDaemons();
+  sleepFor(seconds(5));
+  Site.Fixture_.finishAndCheck();
+  Site.checkNoRequestsAfterDrainTime();
+}
+
+/// The next incarnation of the upstream has stated nothing.
+BOOST_AUTO_TEST_CASE(RestartedUpstreamsGetNoRequests) {
+  LeavingSite Site;
+  sleepFor(milliseconds(500));
+  Site.Fixture_.Site_.restartUpstream(LeavingSite::SharedHost);
+  const Instant RestartedAt = Site.Fixture_.Time_.now();
+  sleepFor(seconds(3));
+  Site.Fixture_.finishAndCheck();
+  std::size_t Runs = 0;
+  for (const History::Run &Run : Site.Fixture_.Events_.Runs_)
+    Runs += Run.Upstream_ == "pruf-h3-2" && Run.Begin_ > RestartedAt ? 1 : 0;
+  BOOST_TEST(Runs > 0U);
+}
+
+} // namespace lagoonhitch
