Stop sending requests to an upstream that states that it is leaving

An upstream states in all its responses that it is about to terminate; its heartbeats may report it late, or never. The statement now marks the incarnation as draining, as a heartbeat does: its queue is rejected and its keys move away. It can't be taken back. A response to a request that was sent to an earlier incarnation does not count.

All requests pass the gateway, so nothing is needed at entry daemons.

--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -63,6 +63,7 @@
   case EventId::UpstreamAnnounced:
   case EventId::UpstreamLost:
   case EventId::UpstreamDraining:
+  case EventId::UpstreamLeaving:
     return true;
   default:
     return false;
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -58,6 +58,7 @@
   if (UpstreamId_ != Upstream)
     UpstreamClient_.closeIdle(Address_);
   UpstreamId_ = Upstream;
+  IncarnationSince_ = Time_.now();
   resetForUpstream(Queue_, Slots);
 }
 
@@ -234,6 +235,8 @@
   if (Found == Requests_.end())
     return;
   const OpenRequest &Entry = Found->second;
+  if (CallResult.Status_ == HttpCallStatus::Completed)
+    onNotice(readUpstreamNotice(CallResult.Response_, Names_), Entry.Since_);
   GatewayResult Result = classify(Entry, std::move(CallResult));
   const bool Ran = Result.Outcome_ == Outcome::Ran;
   finishRequest(Queue_, Entry.QueuedRequest_,
@@ -255,7 +258,6 @@
   }
   if (CallResult.Status_ != HttpCallStatus::Completed)
     return Result;
-  onNotice(readUpstreamNotice(CallResult.Response_, Names_), Entry.Since_);
   const std::vector<HttpHeader> &Headers = CallResult.Response_.Headers_;
   const bool NotRun = CallResult.Response_.Status_ == MisdirectedRequest ||
                       findHeader(Headers, Names_.NotRun_) != nullptr;
@@ -293,7 +295,7 @@
     setStatedLimit(Queue_, AnnouncedLimit_.PerSecond_, Time_.now());
     Callbacks_.OnLimitChanged_(AnnouncedLimit_);
   }
-  if (Notice.Leaving_)
+  if (Notice.Leaving_ && SentAt >= IncarnationSince_)
     Callbacks_.OnLeaving_();
 }
 
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -168,6 +168,9 @@
   std::uint64_t LastNumber_ = 0;
   std::shared_ptr<void> RateLimitTimer_;
   AnnouncedLimit AnnouncedLimit_;
+  /// When the upstream's current incarnation was first known. Responses to
+  /// earlier requests may be of another incarnation.
+  Instant IncarnationSince_ = Instant::min();
   std::uint64_t SentRequests_ = 0;
 };
 
--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -124,10 +124,11 @@
 }
 
 void UpstreamManager::onLeavingStated() {
-  if (LeavingStated_)
+  if (!Incarnation_ || Incarnation_->Draining_)
     return;
-  LeavingStated_ = true;
+  Incarnation_->Draining_ = true;
   LogEvent_(EventId::UpstreamLeaving, AdmittedIncarnation_);
+  onStateChanged();
 }
 
 void UpstreamManager::applyColdStart(std::chrono::milliseconds ColdFor) {
@@ -146,7 +147,6 @@
                                  Incarnation_->LastHeartbeat_.Slots_);
     applyColdStart(Incarnation_->LastHeartbeat_.ColdRemaining_);
     AdmittedIncarnation_ = Name;
-    LeavingStated_ = false;
   }
   checkHealth();
   updateAdmission();
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -66,8 +66,8 @@
   /// Marks the upstream as terminated: its address refuses connections.
   void onConnectionRefused();
 
-  /// Logs that the upstream states in a response that it is about to
-  /// terminate.
+  /// Marks the upstream as draining: it states in a response that it is about
+  /// to terminate. Its heartbeats may not report that.
   void onLeavingStated();
 
   /// Reevaluates admission after a change of the manifest or of the evacuated
@@ -130,8 +130,6 @@
   /// before this daemon was started or while its zone was evacuated.
   bool AwaitsHealthCheck_ = true;
   bool HandingOver_ = false;
-  /// Whether the current incarnation has stated that it is about to terminate.
-  bool LeavingStated_ = false;
   bool AdmissionStopped_ = false;
   MemberRecord PublishedRecord_;
   bool Publishing_ = false;
