Log the requests that an upstream was running when it crashed

A request whose connection breaks is now kept until the upstream answers a later one; if it proves to have crashed instead (connection refused, or another incarnation), each is logged as event 407 with a fingerprint of service, caller's service, host name, method, target and body. No decision uses it yet.

--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -34,6 +34,7 @@
     {EventId::UpstreamCold, EventLevel::Warn, "upstream-cold"},
     {EventId::UpstreamLimitChanged, EventLevel::Warn, "upstream-limit-changed"},
     {EventId::UpstreamLeaving, EventLevel::Info, "upstream-leaving"},
+    {EventId::RequestLostInCrash, EventLevel::Warn, "request-lost-in-crash"},
     {EventId::LinkSettled, EventLevel::Warn, "link-settled"},
     {EventId::RingFull, EventLevel::Error, "ring-full"},
     {EventId::LateTick, EventLevel::Warn, "late-tick"},
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -38,6 +38,7 @@
   UpstreamCold = 404,
   UpstreamLimitChanged = 405,
   UpstreamLeaving = 406,
+  RequestLostInCrash = 407,
   ConfigApplied = 310,
   ConfigUnreadable = 311,
   EvacuationChanged = 312,
--- a/daemon/gateway_request.h
+++ b/daemon/gateway_request.h
@@ -8,6 +8,7 @@
 #include "core/key_range.h"
 #include "core/request_id.h"
 #include "net/http_message.h"
+#include "recovery/request_fingerprint.h"
 
 #include <cstdint>
 #include <optional>
@@ -15,6 +16,8 @@
 
 namespace lagoonhitch {
 
+struct HeaderNames;
+
 /// A request as the entry daemon, which received it from a caller, passes it to
 /// the gateway of an upstream.
 struct GatewayRequest {
@@ -45,6 +48,10 @@
   HttpRequest HttpRequest_;
 };
 
+/// Returns the fingerprint by which repetitions of a request are recognised.
+RequestFingerprint fingerprintOf(const GatewayRequest &Request,
+                                 const HeaderNames &Names);
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_DAEMON_GATEWAY_REQUEST_H
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -235,8 +235,12 @@
   if (Found == Requests_.end())
     return;
   const OpenRequest &Entry = Found->second;
-  if (CallResult.Status_ == HttpCallStatus::Completed)
+  if (CallResult.Status_ == HttpCallStatus::Completed) {
+    onUpstreamAlive(LostRuns_, Entry.Since_);
     onNotice(readUpstreamNotice(CallResult.Response_, Names_), Entry.Since_);
+  }
+  if (CallResult.Status_ == HttpCallStatus::ConnectionLost)
+    recordLostRun(Entry);
   GatewayResult Result = classify(Entry, std::move(CallResult));
   const bool Ran = Result.Outcome_ == Outcome::Ran;
   finishRequest(Queue_, Entry.QueuedRequest_,
@@ -246,6 +250,24 @@
   dispatchQueued();
 }
 
+void UpstreamGateway::recordLostRun(const OpenRequest &Entry) {
+  constexpr std::size_t MaxSummaryLength = 120;
+  LostRun Run;
+  Run.Request_ = fingerprintOf(Entry.Request_, Names_);
+  const HttpRequest &Message = Entry.Request_.HttpRequest_;
+  if (const std::string *Id = findHeader(Message.Headers_, Names_.RequestId_))
+    Run.RequestId_ = *Id;
+  Run.Summary_ = Message.Method_ + " " + Message.Target_;
+  Run.Summary_.resize(std::min(Run.Summary_.size(), MaxSummaryLength));
+  Run.SentAt_ = Entry.Since_;
+  Run.LostAt_ = Time_.now();
+  addLostRun(LostRuns_, std::move(Run));
+}
+
+std::vector<LostRun> UpstreamGateway::takeLostRuns() {
+  return std::exchange(LostRuns_, {}).Runs_;
+}
+
 GatewayResult UpstreamGateway::classify(const OpenRequest &Entry,
                                         HttpResult CallResult) {
   GatewayResult Result;
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -13,6 +13,7 @@
 #include "net/header_names.h"
 #include "net/http_result.h"
 #include "recovery/attempt_table.h"
+#include "recovery/lost_runs.h"
 
 #include <cstdint>
 #include <functional>
@@ -20,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lagoonhitch {
 
@@ -96,6 +98,10 @@
   /// \param PerSecond requests per second until then.
   void setCold(Duration For, double PerSecond);
 
+  /// Returns the requests that the upstream may have been running when it
+  /// crashed, and forgets them. To be called when it is known to have crashed.
+  std::vector<LostRun> takeLostRuns();
+
   /// Counts a health check of the upstream against its rate limits.
   void chargeHealthCheck();
 
@@ -146,6 +152,7 @@
   void dispatchQueued();
   HttpRequest makeUpstreamRequest(const OpenRequest &Entry) const;
   void onUpstreamResult(std::uint64_t Number, HttpResult CallResult);
+  void recordLostRun(const OpenRequest &Entry);
   GatewayResult classify(const OpenRequest &Entry, HttpResult CallResult);
   void reject(std::uint64_t Number, RejectReason Reason, Duration RetryAfter);
   void complete(std::uint64_t Number, GatewayResult Result);
@@ -168,6 +175,7 @@
   std::uint64_t LastNumber_ = 0;
   std::shared_ptr<void> RateLimitTimer_;
   AnnouncedLimit AnnouncedLimit_;
+  LostRuns LostRuns_;
   /// When the upstream's current incarnation was first known. Responses to
   /// earlier requests may be of another incarnation.
   Instant IncarnationSince_ = Instant::min();
--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -9,6 +9,7 @@
 #include "store/store.h"
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 
 #include <utility>
 
@@ -120,9 +121,21 @@
     return;
   Incarnation_->Terminated_ = true;
   LogEvent_(EventId::UpstreamLost, AdmittedIncarnation_);
+  recordCrash();
   onStateChanged();
 }
 
+/// Logs the requests that the admitted incarnation may have been running when
+/// it crashed.
+void UpstreamManager::recordCrash() {
+  for (const LostRun &Run : Gateway_.takeLostRuns())
+    LogEvent_(EventId::RequestLostInCrash,
+              absl::StrCat(AdmittedIncarnation_, ", request ", Run.RequestId_,
+                           ", fingerprint ", toString(Run.Request_), ", ",
+                           Run.Summary_, ", ran ",
+                           toMillis(Run.LostAt_ - Run.SentAt_).count(), " ms"));
+}
+
 void UpstreamManager::onLeavingStated() {
   if (!Incarnation_ || Incarnation_->Draining_)
     return;
@@ -142,6 +155,7 @@
       Incarnation_->LastHeartbeat_.Upstream_ + "/" +
       std::to_string(Incarnation_->LastHeartbeat_.StartMillis_);
   if (Name != AdmittedIncarnation_) {
+    recordCrash();
     LogEvent_(EventId::UpstreamAnnounced, Name);
     Gateway_.resetForIncarnation(Incarnation_->LastHeartbeat_.Upstream_,
                                  Incarnation_->LastHeartbeat_.Slots_);
@@ -153,9 +167,7 @@
   publishMember();
 }
 
-void UpstreamManager::onSiteChanged() {
-  updateAdmission();
-}
+void UpstreamManager::onSiteChanged() { updateAdmission(); }
 
 void UpstreamManager::startHandover() {
   HandingOver_ = true;
@@ -196,8 +208,8 @@
       Now - Incarnation_->LastHeartbeatAt_ > HeartbeatTimeout;
   const bool RecentlyChecked =
       HealthCheckedAt_ && Now - *HealthCheckedAt_ < HealthCheckInterval;
-  if (!RecentlyChecked &&
-      ((HeartbeatMissing && !Incarnation_->Unresponsive_) || AwaitsHealthCheck_))
+  if (!RecentlyChecked && ((HeartbeatMissing && !Incarnation_->Unresponsive_) ||
+                           AwaitsHealthCheck_))
     sendHealthCheck();
 }
 
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -96,6 +96,7 @@
   void handleHeartbeat(const UpstreamHeartbeat &Heartbeat,
                        HttpExchange &Exchange);
   void onStateChanged();
+  void recordCrash();
   void updateAdmission();
   void checkHealth();
   void sendHealthCheck();
