Reproduce a request that crashes upstream after upstream

A child process that has already been waited for can now be waited for again: the test hung there at first.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -57,6 +57,8 @@
 }
 
 int ChildProcess::wait() {
+  if (Id_ == 0)
+    return 0;
   int Status = 0;
   waitpid(Id_, &Status, 0);
   Id_ = 0;
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -32,7 +32,7 @@
   void signal(int Number) const;
 
   /// Waits for the process to exit. Returns its exit code, or the negative
-  /// signal number if a signal ended it.
+  /// signal number if a signal ended it; zero if the exit was seen before.
   int wait();
 
   /// Like wait(), but returns std::nullopt if the process is still running
--- a/tests/standin/upstream_standin.cpp
+++ b/tests/standin/upstream_standin.cpp
@@ -262,6 +262,8 @@
       Millis < 0 ? Instant::max()
                  : Started.StartedAt_ + std::chrono::milliseconds(Millis);
   recordRun(Started, nullptr);
+  if (!CrashOn_.empty() && Request.Target_.find(CrashOn_) != std::string::npos)
+    std::abort();
   Timers_[RunId] =
       Loop_.after(Options_.ServiceTime_, [this, RunId] { finishRun(RunId); });
 }
@@ -325,6 +327,7 @@
                     Mode.at("daemon").get<std::string>());
   Draining_ = Mode.value("draining", Draining_);
   StatedLimit_ = Mode.value("stated_limit", StatedLimit_);
+  CrashOn_ = Mode.value("crash_on", CrashOn_);
   LeavingStated_ = Mode.value("leaving_stated", LeavingStated_);
   if (Mode.contains("cold_ms"))
     ColdUntil_ =
--- a/tests/standin/upstream_standin.h
+++ b/tests/standin/upstream_standin.h
@@ -109,6 +109,9 @@
   bool Draining_ = false;
   /// The stated limit of the request rate; empty for none.
   std::string StatedLimit_;
+  /// Part of the targets of the requests that crash this upstream; empty for
+  /// none.
+  std::string CrashOn_;
   /// Whether responses state that it is about to terminate.
   bool LeavingStated_ = false;
   Instant ColdUntil_;
