Quarantine requests that crash the upstreams which run them

Cause: nobody remembered what ran at a crash. The entry daemon ran the request again on the key's next owner, and each repetition by the caller was a new request to all daemons. Evidence: key 58549 in the failed requests of seven crashes, no other key in more than two; the test crashing_requests has 16 and 20 runs of one request.

The daemon beside an upstream that has crashed now lists the requests that were running in its member record, without those that this upstream has answered before. The record is pushed to all daemons and kept in the store, so nothing is lost with a process, and costs no call of its own: it changes at a crash in any case. A request that was running at the crash of three incarnations is not sent any more, by entry daemons or from a gateway's queue: 503 with the rest of the quarantine as Retry-After, or 502 if it has run in this attempt. The quarantine lasts for 10 min after the last crash, twice as long after each further one, at most 2 h; 256 crashes are kept. Requests are compared by service, caller's service, host name, method, target and body, so a caller can have only its own request refused.

A member record is written only once the members have been read, or it would overwrite the list of an earlier process.

--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -35,6 +35,7 @@
     {EventId::UpstreamLimitChanged, EventLevel::Warn, "upstream-limit-changed"},
     {EventId::UpstreamLeaving, EventLevel::Info, "upstream-leaving"},
     {EventId::RequestLostInCrash, EventLevel::Warn, "request-lost-in-crash"},
+    {EventId::RequestQuarantined, EventLevel::Error, "request-quarantined"},
     {EventId::LinkSettled, EventLevel::Warn, "link-settled"},
     {EventId::RingFull, EventLevel::Error, "ring-full"},
     {EventId::LateTick, EventLevel::Warn, "late-tick"},
@@ -65,6 +66,7 @@
   case EventId::UpstreamLost:
   case EventId::UpstreamDraining:
   case EventId::UpstreamLeaving:
+  case EventId::RequestQuarantined:
     return true;
   default:
     return false;
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -39,6 +39,7 @@
   UpstreamLimitChanged = 405,
   UpstreamLeaving = 406,
   RequestLostInCrash = 407,
+  RequestQuarantined = 408,
   ConfigApplied = 310,
   ConfigUnreadable = 311,
   EvacuationChanged = 312,
--- a/recovery/request_fingerprint.cpp
+++ b/core/request_fingerprint.cpp
@@ -1,4 +1,4 @@
-#include "recovery/request_fingerprint.h"
+#include "core/request_fingerprint.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
--- a/recovery/request_fingerprint.h
+++ b/core/request_fingerprint.h
@@ -1,5 +1,5 @@
-#ifndef LAGOONHITCH_RECOVERY_REQUEST_FINGERPRINT_H
-#define LAGOONHITCH_RECOVERY_REQUEST_FINGERPRINT_H
+#ifndef LAGOONHITCH_CORE_REQUEST_FINGERPRINT_H
+#define LAGOONHITCH_CORE_REQUEST_FINGERPRINT_H
 
 /// \file
 /// Recognises requests that are the same to an upstream.
@@ -44,4 +44,4 @@
 
 } // namespace lagoonhitch
 
-#endif // LAGOONHITCH_RECOVERY_REQUEST_FINGERPRINT_H
+#endif // LAGOONHITCH_CORE_REQUEST_FINGERPRINT_H
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "daemon/admin_service.h"
+#include "daemon/crash_record.h"
 #include "daemon/digest_exchange.h"
 #include "daemon/manifest_caller_interface.h"
 #include "daemon/ownership_manager.h"
@@ -315,6 +316,9 @@
   Callbacks.OnConnectionRefused_ = [this] {
     UpstreamManager_.onConnectionRefused();
   };
+  Callbacks.QuarantineLeft_ = [this](const GatewayRequest &Request) {
+    return quarantineLeft(Site_, Request, Names_, Time_.now());
+  };
   Callbacks.OnLimitChanged_ = [this](const AnnouncedLimit &Limit) {
     logEvent(EventId::UpstreamLimitChanged,
              describeLimit(Limit, Gateway_.sentRequests()));
--- a/daemon/forward_codec.cpp
+++ b/daemon/forward_codec.cpp
@@ -51,7 +51,7 @@
                      absl::SimpleAtoi(Parts[1], &Millis) &&
                      absl::SimpleAtoi(Parts[2], &RejectedByUpstream);
   if (!Valid || Reason < 0 ||
-      Reason > static_cast<int>(RejectReason::KeyInTransition))
+      Reason > static_cast<int>(RejectReason::Quarantined))
     return;
   Result.RejectReason_ = static_cast<RejectReason>(Reason);
   Result.RetryAfter_ = std::chrono::milliseconds(Millis);
--- a/daemon/gateway_request.h
+++ b/daemon/gateway_request.h
@@ -6,9 +6,9 @@
 
 #include "core/clock.h"
 #include "core/key_range.h"
+#include "core/request_fingerprint.h"
 #include "core/request_id.h"
 #include "net/http_message.h"
-#include "recovery/request_fingerprint.h"
 
 #include <cstdint>
 #include <optional>
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -1,6 +1,7 @@
 #include "daemon/request_router.h"
 
 #include "daemon/attempt_description.h"
+#include "daemon/crash_record.h"
 #include "daemon/forward_codec.h"
 #include "daemon/upstream_gateway.h"
 #include "net/http_client.h"
@@ -195,12 +196,18 @@
     return;
   Request->WaitingForOwner_ = false;
   Request->Timer_.reset();
+  const Instant Now = Time_.now();
+  if (const std::optional<Duration> Left =
+          quarantineLeft(Site_, Request->GatewayRequest_, Names_, Now)) {
+    executeStep(Request, onQuarantined(Request->Plan_, *Left));
+    return;
+  }
   const std::optional<std::string> Host = selectHost(*Request);
   if (Host) {
     sendToHost(Request, *Host);
     return;
   }
-  executeStep(Request, onNoHost(Request->Plan_, Time_.now()));
+  executeStep(Request, onNoHost(Request->Plan_, Now));
 }
 
 void RequestRouter::onSiteChanged() {
--- a/daemon/site_state.h
+++ b/daemon/site_state.h
@@ -5,12 +5,14 @@
 /// A daemon's view of its site. Serving thread only.
 
 #include "manifest/manifest.h"
+#include "membership/crash_history.h"
 #include "membership/fleet.h"
 #include "ownership/key_table.h"
 
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lagoonhitch {
 
@@ -22,6 +24,12 @@
   Fleet Fleet_;
   /// The key table of each sharded service.
   std::map<std::string, KeyTable> Tables_;
+  /// The crashes of all upstreams.
+  CrashHistory Crashes_;
+  /// The crashes of upstreams on this host, as its member record lists them.
+  std::vector<UpstreamCrash> OwnCrashes_;
+  /// Whether the members have been read from the store.
+  bool MembersRead_ = false;
 };
 
 /// Returns whether a service is sharded according to the current manifest;
--- a/daemon/site_watcher.cpp
+++ b/daemon/site_watcher.cpp
@@ -1,5 +1,6 @@
 #include "daemon/site_watcher.h"
 
+#include "daemon/crash_record.h"
 #include "net/io_loop.h"
 #include "ownership/table_change.h"
 #include "platform/platform_codec.h"
@@ -180,15 +181,21 @@
 
 void SiteWatcher::onMemberRecords(const std::vector<StoreRecord> &Records) {
   const Instant Now = Time_.now();
+  Site_.MembersRead_ = true;
   for (const StoreRecord &Record : Records) {
-    if (Record.Key_ == OwnHost_)
-      continue;
     const std::optional<MemberRecord> Member = decodeMember(Record.Value_);
     if (!Member || Member->Host_ != Record.Key_) {
       Callbacks_.LogEvent_(EventId::RecordUnreadable, Record.Key_);
       continue;
     }
-    applyRecord(Site_.Fleet_, *Member, Now);
+    for (const UpstreamCrash &Crash : Member->Crashes_)
+      recordCrash(Site_, Crash, Time_, Callbacks_.LogEvent_);
+    if (Record.Key_ != OwnHost_) {
+      applyRecord(Site_.Fleet_, *Member, Now);
+      continue;
+    }
+    for (const UpstreamCrash &Crash : Member->Crashes_)
+      mergeCrash(Site_.OwnCrashes_, Crash);
   }
   Callbacks_.OnChanged_();
 }
--- a/daemon/site_watcher.h
+++ b/daemon/site_watcher.h
@@ -57,7 +57,8 @@
 /// SiteState. Serving thread only.
 class SiteWatcher {
 public:
-  /// \param OwnHost this host; its own member record is ignored.
+  /// \param OwnHost this host; of its own member record only the crashes are
+  /// read.
   SiteWatcher(IoLoop &Loop, const Clock &Time, Store &Source, SiteState &Site,
               std::string OwnHost, SiteCallbacks Callbacks);
 
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -124,7 +124,18 @@
   admit(Number);
 }
 
+/// Rejects a request that is known to crash upstreams.
+bool UpstreamGateway::rejectIfQuarantined(std::uint64_t Number) {
+  const std::optional<Duration> Left =
+      Callbacks_.QuarantineLeft_(Requests_.at(Number).Request_);
+  if (Left)
+    reject(Number, RejectReason::Quarantined, *Left);
+  return Left.has_value();
+}
+
 void UpstreamGateway::admit(std::uint64_t Number) {
+  if (rejectIfQuarantined(Number))
+    return;
   OpenRequest &Entry = Requests_.at(Number);
   if (Entry.Request_.Key_ && !KeyHooks_.Serves_(*Entry.Request_.Key_)) {
     awaitKey(Number);
@@ -183,12 +194,20 @@
   for (const QueuedRequest &Request : Dispatch.Dropped_)
     reject(Request.Number_, RejectReason::DeadlineExceeded, Duration::zero());
   for (const QueuedRequest &Request : Dispatch.Started_)
-    start(Request.Number_);
+    startQueued(Request);
   RateLimitTimer_.reset();
   if (const std::optional<Duration> Wait = timeToNextToken(Queue_, Now))
     RateLimitTimer_ = Loop_.after(*Wait, [this] { dispatchQueued(); });
 }
 
+/// Starts a request from the queue. It may have been quarantined meanwhile.
+void UpstreamGateway::startQueued(const QueuedRequest &Request) {
+  if (rejectIfQuarantined(Request.Number_))
+    finishRequest(Queue_, Request, std::nullopt);
+  else
+    start(Request.Number_);
+}
+
 HttpRequest
 UpstreamGateway::makeUpstreamRequest(const OpenRequest &Entry) const {
   HttpRequest Request = Entry.Request_.HttpRequest_;
@@ -246,6 +265,8 @@
   finishRequest(Queue_, Entry.QueuedRequest_,
                 Ran ? std::optional<Duration>(Time_.now() - Entry.Since_)
                     : std::nullopt);
+  if (Ran)
+    addAnswered(AnsweredRequests_, fingerprintOf(Entry.Request_, Names_));
   complete(Number, std::move(Result));
   dispatchQueued();
 }
@@ -259,6 +280,7 @@
     Run.RequestId_ = *Id;
   Run.Summary_ = Message.Method_ + " " + Message.Target_;
   Run.Summary_.resize(std::min(Run.Summary_.size(), MaxSummaryLength));
+  Run.AnsweredBefore_ = wasAnswered(AnsweredRequests_, Run.Request_);
   Run.SentAt_ = Entry.Since_;
   Run.LostAt_ = Time_.now();
   addLostRun(LostRuns_, std::move(Run));
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -12,6 +12,7 @@
 #include "limits/announced_limit.h"
 #include "net/header_names.h"
 #include "net/http_result.h"
+#include "recovery/answered_requests.h"
 #include "recovery/attempt_table.h"
 #include "recovery/lost_runs.h"
 
@@ -44,6 +45,10 @@
 struct GatewayCallbacks {
   /// Called when the upstream's address refuses a connection.
   std::function<void()> OnConnectionRefused_;
+  /// Returns how long a request must not be sent to the upstream; std::nullopt
+  /// if it may be sent.
+  std::function<std::optional<Duration>(const GatewayRequest &)>
+      QuarantineLeft_;
   /// Called when the upstream states another limit of its request rate.
   std::function<void(const AnnouncedLimit &)> OnLimitChanged_;
   /// Called when a response states that the upstream is about to terminate.
@@ -148,8 +153,10 @@
 
   void admit(std::uint64_t Number);
   void awaitKey(std::uint64_t Number);
+  bool rejectIfQuarantined(std::uint64_t Number);
   void start(std::uint64_t Number);
   void dispatchQueued();
+  void startQueued(const QueuedRequest &Request);
   HttpRequest makeUpstreamRequest(const OpenRequest &Entry) const;
   void onUpstreamResult(std::uint64_t Number, HttpResult CallResult);
   void recordLostRun(const OpenRequest &Entry);
@@ -176,6 +183,7 @@
   std::shared_ptr<void> RateLimitTimer_;
   AnnouncedLimit AnnouncedLimit_;
   LostRuns LostRuns_;
+  AnsweredRequests AnsweredRequests_;
   /// When the upstream's current incarnation was first known. Responses to
   /// earlier requests may be of another incarnation.
   Instant IncarnationSince_ = Instant::min();
--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -1,5 +1,6 @@
 #include "daemon/upstream_manager.h"
 
+#include "daemon/crash_record.h"
 #include "daemon/ownership_manager.h"
 #include "daemon/site_watcher.h"
 #include "daemon/upstream_gateway.h"
@@ -125,15 +126,32 @@
   onStateChanged();
 }
 
-/// Logs the requests that the admitted incarnation may have been running when
-/// it crashed.
+/// Records that the admitted incarnation has crashed, with the requests that it
+/// may have been running. Those that this upstream has answered before are not
+/// the cause and are left out.
 void UpstreamManager::recordCrash() {
-  for (const LostRun &Run : Gateway_.takeLostRuns())
-    LogEvent_(EventId::RequestLostInCrash,
-              absl::StrCat(AdmittedIncarnation_, ", request ", Run.RequestId_,
-                           ", fingerprint ", toString(Run.Request_), ", ",
-                           Run.Summary_, ", ran ",
-                           toMillis(Run.LostAt_ - Run.SentAt_).count(), " ms"));
+  UpstreamCrash Crash;
+  Crash.Upstream_ = AdmittedUpstream_;
+  Crash.StartMillis_ = AdmittedStartMillis_;
+  Crash.At_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Time_.wallNow().time_since_epoch());
+  for (const LostRun &Run : Gateway_.takeLostRuns()) {
+    LogEvent_(EventId::RequestLostInCrash, describeLostRun(Run));
+    if (!Run.AnsweredBefore_)
+      Crash.Requests_.push_back(Run.Request_);
+  }
+  if (Crash.Requests_.empty())
+    return;
+  mergeCrash(Site_.OwnCrashes_, Crash);
+  lagoonhitch::recordCrash(Site_, Crash, Time_, LogEvent_);
+}
+
+std::string UpstreamManager::describeLostRun(const LostRun &Run) const {
+  return absl::StrCat(AdmittedIncarnation_, ", request ", Run.RequestId_,
+                      ", fingerprint ", toString(Run.Request_), ", ",
+                      Run.Summary_, ", ran ",
+                      toMillis(Run.LostAt_ - Run.SentAt_).count(), " ms",
+                      Run.AnsweredBefore_ ? ", answered before" : "");
 }
 
 void UpstreamManager::onLeavingStated() {
@@ -161,6 +179,8 @@
                                  Incarnation_->LastHeartbeat_.Slots_);
     applyColdStart(Incarnation_->LastHeartbeat_.ColdRemaining_);
     AdmittedIncarnation_ = Name;
+    AdmittedUpstream_ = Incarnation_->LastHeartbeat_.Upstream_;
+    AdmittedStartMillis_ = Incarnation_->LastHeartbeat_.StartMillis_;
   }
   checkHealth();
   updateAdmission();
@@ -237,8 +257,10 @@
   if (AdmittedIncarnation_ != Incarnation)
     return;
   if (Result.Status_ != HttpCallStatus::Completed) {
-    Incarnation_->Terminated_ =
-        Incarnation_->Terminated_ || Result.ConnectionRefused_;
+    if (Result.ConnectionRefused_) {
+      onConnectionRefused();
+      return;
+    }
     Incarnation_->Unresponsive_ =
         Time_.now() - Incarnation_->LastHeartbeatAt_ > HeartbeatTimeout;
     if (Incarnation_->Terminated_ || Incarnation_->Unresponsive_)
@@ -265,6 +287,7 @@
   Record.PeerAddress_ = Config_.PeerAddress_;
   Record.DigestAddress_ = Config_.DigestAddress_;
   Record.Process_ = Config_.Process_;
+  Record.Crashes_ = Site_.OwnCrashes_;
   if (!Incarnation_)
     return Record;
   Record.Upstream_ = Incarnation_->LastHeartbeat_.Upstream_;
@@ -282,8 +305,10 @@
   const Instant Now = Time_.now();
   const MemberRecord Record = memberRecord();
   applyRecord(Site_.Fleet_, Record, Now);
+  // The members are read first, so that the crashes that an earlier process has
+  // listed stay in the record.
   if (Publishing_ || Record == PublishedRecord_ || Now < NextPublishAt_ ||
-      !Incarnation_)
+      !Incarnation_ || !Site_.MembersRead_)
     return;
   Publishing_ = true;
   MemberStore_.append(
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -24,6 +24,7 @@
 class Store;
 class UpstreamGateway;
 struct HttpResult;
+struct LostRun;
 
 /// Identity and addresses of the local upstream and of its daemon.
 struct UpstreamManagerConfig {
@@ -97,6 +98,7 @@
                        HttpExchange &Exchange);
   void onStateChanged();
   void recordCrash();
+  std::string describeLostRun(const LostRun &Run) const;
   void updateAdmission();
   void checkHealth();
   void sendHealthCheck();
@@ -123,6 +125,9 @@
   std::optional<EarlyDeregistration> EarlyDeregistration_;
   /// `id/start` of the incarnation that the gateway was last reset for.
   std::string AdmittedIncarnation_;
+  /// The same incarnation's identifier and start time.
+  std::string AdmittedUpstream_;
+  std::int64_t AdmittedStartMillis_ = 0;
   bool HealthCheckInFlight_ = false;
   std::optional<Instant> HealthCheckedAt_;
   bool WasEvacuated_ = false;
--- a/membership/member_record.cpp
+++ b/membership/member_record.cpp
@@ -14,6 +14,44 @@
   return Name == "draining" ? UpstreamState::Draining : UpstreamState::Lost;
 }
 
+Json encodeCrashes(const std::vector<UpstreamCrash> &Crashes) {
+  Json List = Json::array();
+  for (const UpstreamCrash &Crash : Crashes) {
+    Json Requests = Json::array();
+    for (const RequestFingerprint &Request : Crash.Requests_)
+      Requests.push_back(toString(Request));
+    List.push_back({{"upstream", Crash.Upstream_},
+                    {"born", Crash.StartMillis_},
+                    {"at", Crash.At_.count()},
+                    {"requests", std::move(Requests)}});
+  }
+  return List;
+}
+
+/// Decodes a list of crashes; leaves out fingerprints that are malformed and
+/// whatever exceeds the limits.
+std::vector<UpstreamCrash> decodeCrashes(const Json &List) {
+  constexpr std::size_t MaxCrashes = 16;
+  constexpr std::size_t MaxRequests = 64;
+  std::vector<UpstreamCrash> Crashes;
+  for (const Json &Fields : List) {
+    if (Crashes.size() == MaxCrashes)
+      break;
+    UpstreamCrash Crash;
+    Fields.at("upstream").get_to(Crash.Upstream_);
+    Fields.at("born").get_to(Crash.StartMillis_);
+    Crash.At_ = std::chrono::milliseconds(Fields.at("at").get<std::int64_t>());
+    for (const Json &Text : Fields.at("requests")) {
+      const std::optional<RequestFingerprint> Request =
+          parseFingerprint(Text.get<std::string>());
+      if (Request && Crash.Requests_.size() < MaxRequests)
+        Crash.Requests_.push_back(*Request);
+    }
+    Crashes.push_back(std::move(Crash));
+  }
+  return Crashes;
+}
+
 } // namespace
 
 const char *upstreamStateName(UpstreamState State) {
@@ -29,16 +67,18 @@
 }
 
 std::string encodeMember(const MemberRecord &Record) {
-  const Json Fields = {{"host", Record.Host_},
-                       {"zone", Record.Zone_},
-                       {"service", Record.Service_},
-                       {"peer", Record.PeerAddress_},
-                       {"digest", Record.DigestAddress_},
-                       {"upstream", Record.Upstream_},
-                       {"born", Record.StartMillis_},
-                       {"slots", Record.Slots_},
-                       {"process", Record.Process_},
-                       {"state", upstreamStateName(Record.State_)}};
+  Json Fields = {{"host", Record.Host_},
+                 {"zone", Record.Zone_},
+                 {"service", Record.Service_},
+                 {"peer", Record.PeerAddress_},
+                 {"digest", Record.DigestAddress_},
+                 {"upstream", Record.Upstream_},
+                 {"born", Record.StartMillis_},
+                 {"slots", Record.Slots_},
+                 {"process", Record.Process_},
+                 {"state", upstreamStateName(Record.State_)}};
+  if (!Record.Crashes_.empty())
+    Fields["crashes"] = encodeCrashes(Record.Crashes_);
   return Fields.dump();
 }
 
@@ -56,6 +96,7 @@
     Fields.at("slots").get_to(Record.Slots_);
     Fields.at("process").get_to(Record.Process_);
     Record.State_ = parseState(Fields.at("state").get<std::string>());
+    Record.Crashes_ = decodeCrashes(Fields.value("crashes", Json::array()));
     return Record;
   } catch (const Json::exception &) {
     return std::nullopt;
--- a/membership/member_record.h
+++ b/membership/member_record.h
@@ -4,9 +4,12 @@
 /// \file
 /// The member records in the store.
 
+#include "membership/upstream_crash.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lagoonhitch {
 
@@ -36,6 +39,8 @@
   /// The random number of the daemon's process.
   std::uint64_t Process_ = 0;
   UpstreamState State_ = UpstreamState::Lost;
+  /// The latest crashes of upstreams on this host.
+  std::vector<UpstreamCrash> Crashes_;
 
   bool operator==(const MemberRecord &) const = default;
 };
--- a/recovery/lost_runs.h
+++ b/recovery/lost_runs.h
@@ -5,7 +5,7 @@
 /// The requests that an upstream may have been running when it crashed.
 
 #include "core/clock.h"
-#include "recovery/request_fingerprint.h"
+#include "core/request_fingerprint.h"
 
 #include <string>
 #include <vector>
@@ -21,6 +21,8 @@
   std::string Summary_;
   Instant SentAt_;
   Instant LostAt_;
+  /// Whether the upstream has answered the same request before.
+  bool AnsweredBefore_ = false;
 };
 
 /// The requests that were lost since the upstream was last known to be alive.
--- a/routing/reject_reason.h
+++ b/routing/reject_reason.h
@@ -24,6 +24,8 @@
   AlreadyResolved,
   /// The key's ownership has been in transition for too long.
   KeyInTransition,
+  /// The request has crashed the upstreams that ran it.
+  Quarantined,
 };
 
 } // namespace lagoonhitch
--- a/routing/request_plan.cpp
+++ b/routing/request_plan.cpp
@@ -125,6 +125,8 @@
   constexpr const char *NoCapacity = "the upstream has no room in time";
   if (Result.RejectReason_ == RejectReason::DeadlineExceeded)
     return rejectStep(Plan, Result.RetryAfter_, NoCapacity);
+  if (Result.RejectReason_ == RejectReason::Quarantined)
+    return onQuarantined(Plan, Result.RetryAfter_);
   if (Plan.Keyed_ && Result.RejectReason_ == RejectReason::Overloaded)
     return rejectStep(Plan, Result.RetryAfter_,
                       "the key's owner has no room in time");
@@ -180,6 +182,10 @@
   return false;
 }
 
+PlanStep onQuarantined(const RequestPlan &Plan, Duration Left) {
+  return rejectStep(Plan, Left, "the request crashes upstreams");
+}
+
 PlanStep onNoHost(RequestPlan &Plan, Instant Now) {
   if (!Plan.Keyed_)
     return rejectStep(Plan, NoHostRetryAfter,
--- a/routing/request_plan.h
+++ b/routing/request_plan.h
@@ -113,6 +113,10 @@
 bool shouldStopWaiting(RequestPlan &Plan, AttemptLookup Lookup, bool Connected,
                        Instant Now);
 
+/// Returns the next step if the request is known to crash upstreams.
+/// \param Left how long it must not be sent.
+PlanStep onQuarantined(const RequestPlan &Plan, Duration Left);
+
 /// Returns the next step if no host is available for the request.
 PlanStep onNoHost(RequestPlan &Plan, Instant Now);
 
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -43,7 +43,8 @@
         Client_(Loop_, Time_, clientOptions()),
         Gateway_(Loop_, Time_, Client_, platformHeaders(), "katalog",
                  Server_.address(), keyHooks(),
-                 {[] {}, [](const AnnouncedLimit &) {}, [] {}}) {
+                 {[] {}, [](const GatewayRequest &) { return std::nullopt; },
+                  [](const AnnouncedLimit &) {}, [] {}}) {
     Gateway_.resetForIncarnation("katalog-1", Slots);
     Gateway_.setAccepting(true);
   }
--- a/tests/unit/peer_service_test.cpp
+++ b/tests/unit/peer_service_test.cpp
@@ -55,7 +55,8 @@
         Store_(Client_, Client_, "127.0.0.1:1", [] { return std::string(); }),
         Gateway_(Loop_, Time_, Client_, platformHeaders(), Service,
                  Upstream_.address(), KeyHooks(),
-                 {[] {}, [](const AnnouncedLimit &) {}, [] {}}),
+                 {[] {}, [](const GatewayRequest &) { return std::nullopt; },
+                  [](const AnnouncedLimit &) {}, [] {}}),
         Peers_(Time_, Gateway_, Store_, Process) {
     Gateway_.resetForIncarnation("u", 1);
     Gateway_.setAccepting(true);
--- a/tests/unit/plan_test.cpp
+++ b/tests/unit/plan_test.cpp
@@ -255,4 +255,22 @@
   BOOST_TEST((Step.Kind_ == PlanStep::Kind::Fail));
 }
 
+/// The rejection promises that the request has not run. If it has, the outcome
+/// is unknown.
+BOOST_AUTO_TEST_CASE(RejectsQuarantinedRequestsOnlyIfTheyHaveNotRun) {
+  AttemptResult Result = rejection(RejectReason::Quarantined);
+  Result.RetryAfter_ = std::chrono::minutes(10);
+  for (const bool Keyed : {true, false}) {
+    RequestPlan Plan = sentPlan(true);
+    Plan.Keyed_ = Keyed;
+    PlanStep Step = endAttempt(Plan, Result, Start);
+    BOOST_TEST((Step.Kind_ == PlanStep::Kind::Reject));
+    BOOST_TEST((Step.RetryAfter_ == std::chrono::minutes(10)));
+    Plan.Runs_ = 1;
+    Step = endAttempt(Plan, Result, Start);
+    BOOST_TEST((Step.Kind_ == PlanStep::Kind::Fail));
+    BOOST_TEST(Step.Status_ == 502U);
+  }
+}
+
 } // namespace lagoonhitch
