Recognise a request that crashes upstreams under any name of a daemon

The fingerprint contained the Host header, which differs between daemons if callers use their addresses. The users identify such a request by path, caller and body. The service, which the host name selects, is still part of the fingerprint.

--- a/core/request_fingerprint.cpp
+++ b/core/request_fingerprint.cpp
@@ -11,8 +11,8 @@
   // Each part's hash depends on those before it, so that no two different
   // splits of the same bytes have the same fingerprint.
   for (const std::string_view Part :
-       {Identity.Service_, Identity.CallerService_, Identity.HostName_,
-        Identity.Method_, Identity.Target_, Identity.Body_})
+       {Identity.Service_, Identity.CallerService_, Identity.Method_,
+        Identity.Target_, Identity.Body_})
     Hash = XXH3_64bits_withSeed(Part.data(), Part.size(), Hash + 1);
   return {Hash};
 }
--- a/core/request_fingerprint.h
+++ b/core/request_fingerprint.h
@@ -25,8 +25,6 @@
   std::string_view Service_;
   /// The service from whose host the request comes.
   std::string_view CallerService_;
-  /// The host name that the request is for.
-  std::string_view HostName_;
   std::string_view Method_;
   /// Path and query.
   std::string_view Target_;
--- a/daemon/gateway_request.cpp
+++ b/daemon/gateway_request.cpp
@@ -19,7 +19,6 @@
   RequestIdentity Identity;
   Identity.Service_ = Request.Service_;
   Identity.CallerService_ = headerOf(Message, Names.CallerService_);
-  Identity.HostName_ = headerOf(Message, "Host");
   Identity.Method_ = Message.Method_;
   Identity.Target_ = Message.Target_;
   Identity.Body_ = Message.Body_;
