Report crashes to other daemons before the store has acknowledged them

Cause: the member record, which lists the crashes, is pushed once the store has acknowledged it.

The daemon now also sends its record to the others at once, under a topic of which only the crashes are used, so nothing else is taken from a record that the store may not have. The store stays the copy for daemons that start.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -256,8 +256,8 @@
           [this](EventId Id, const std::string &Subject) {
             logEvent(Id, Subject);
           },
-          [this](const StoreRecord &Record) {
-            pushRecord(MembersTopic, Record);
+          [this](const std::string &Topic, const StoreRecord &Record) {
+            pushRecord(Topic, Record);
           }),
       AdminService_(Time, Settings_, Site_, Ownership_, Gateway_, Store_,
                     Trail_, Metrics_),
@@ -452,8 +452,7 @@
   Digests_.pushRecord({Topic, {TableChangeKey, *Change, *Table.Offset_}});
 }
 
-/// Pushes a record that the store has acknowledged to all peers and to this
-/// daemon's own follower.
+/// Pushes a record to all peers and to this daemon's own followers.
 void Daemon::Impl::pushRecord(const std::string &Topic,
                               const StoreRecord &Record) {
   Watcher_.onPushedRecord(Topic, Record);
--- a/daemon/site_watcher.cpp
+++ b/daemon/site_watcher.cpp
@@ -71,11 +71,25 @@
     MemberFollower_.hintEnd(Record.Offset_ + 1);
     return;
   }
+  if (Topic == CrashesTopic) {
+    onPushedCrashes(Record);
+    return;
+  }
   for (const auto &[Service, Follower] : TableFollowers_)
     if (tableTopic(Service) == Topic)
       onPushedTable(Service, *Follower, Record);
 }
 
+void SiteWatcher::onPushedCrashes(const StoreRecord &Record) {
+  const std::optional<MemberRecord> Member = decodeMember(Record.Value_);
+  if (!Member) {
+    Callbacks_.LogEvent_(EventId::RecordUnreadable, Record.Key_);
+    return;
+  }
+  for (const UpstreamCrash &Crash : Member->Crashes_)
+    recordCrash(Site_, Crash, Time_, Callbacks_.LogEvent_);
+}
+
 void SiteWatcher::onPushedTable(const std::string &Service,
                                 TopicFollower &Follower,
                                 const StoreRecord &Record) {
--- a/daemon/site_watcher.h
+++ b/daemon/site_watcher.h
@@ -32,6 +32,10 @@
 /// records are exchanged between daemons and are not in the store.
 inline constexpr const char *TableChangeKey = "rows";
 
+/// Topic of pushed member records whose crashes alone are used. They are sent
+/// before the store has acknowledged the record, and are not in the store.
+inline constexpr const char *CrashesTopic = "crashes";
+
 /// Returns the topic of a service's key table.
 std::string tableTopic(const std::string &Service);
 
@@ -87,6 +91,7 @@
   void onMemberRecords(const std::vector<StoreRecord> &Records);
   void onTableRecords(const std::string &Service,
                       const std::vector<StoreRecord> &Records);
+  void onPushedCrashes(const StoreRecord &Record);
   void onPushedTable(const std::string &Service, TopicFollower &Follower,
                      const StoreRecord &Record);
   void applyPendingChanges(const std::string &Service, TopicFollower &Follower);
--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -44,11 +44,11 @@
                                  OwnershipManager &Ownership, HeaderNames Names,
                                  UpstreamManagerConfig Config,
                                  EventCallback LogEvent,
-                                 MemberCallback PushMember)
+                                 PushCallback PushRecord)
     : Time_(Time), MemberStore_(MemberStore), UpstreamClient_(UpstreamClient),
       Site_(Site), Gateway_(Gateway), Ownership_(Ownership),
       Names_(std::move(Names)), Config_(std::move(Config)),
-      LogEvent_(std::move(LogEvent)), PushMember_(std::move(PushMember)) {}
+      LogEvent_(std::move(LogEvent)), PushRecord_(std::move(PushRecord)) {}
 
 const ServiceSpec *UpstreamManager::serviceSpec() const {
   if (Site_.Manifest_ == nullptr)
@@ -144,6 +144,7 @@
     return;
   mergeCrash(Site_.OwnCrashes_, Crash);
   lagoonhitch::recordCrash(Site_, Crash, Time_, LogEvent_);
+  PushRecord_(CrashesTopic, {Config_.Host_, encodeMember(memberRecord()), 0});
 }
 
 std::string UpstreamManager::describeLostRun(const LostRun &Run) const {
@@ -320,7 +321,8 @@
           return;
         }
         PublishedRecord_ = Record;
-        PushMember_({Record.Host_, encodeMember(Record), Reply.Offset_});
+        PushRecord_(MembersTopic,
+                    {Record.Host_, encodeMember(Record), Reply.Offset_});
       });
 }
 
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -48,18 +48,19 @@
 public:
   /// Logs an event and what it is about.
   using EventCallback = std::function<void(EventId, const std::string &)>;
-  /// Pushes this daemon's member record to the peers.
-  using MemberCallback = std::function<void(const StoreRecord &)>;
+  /// Pushes a record of a topic to the peers.
+  using PushCallback =
+      std::function<void(const std::string &Topic, const StoreRecord &)>;
 
   /// \param UpstreamClient sends health checks.
   /// \param LogEvent logs changes of the upstream's state.
-  /// \param PushMember is called for each member record that the store has
-  /// acknowledged.
+  /// \param PushRecord is called for each member record that the store has
+  /// acknowledged, and for new crashes before that.
   UpstreamManager(const Clock &Time, Store &MemberStore,
                   HttpClient &UpstreamClient, SiteState &Site,
                   UpstreamGateway &Gateway, OwnershipManager &Ownership,
                   HeaderNames Names, UpstreamManagerConfig Config,
-                  EventCallback LogEvent, MemberCallback PushMember);
+                  EventCallback LogEvent, PushCallback PushRecord);
 
   /// Handles an HTTP request that carries a heartbeat or a deregistration.
   void handle(const HttpRequest &Request, HttpExchange &Exchange);
@@ -118,7 +119,7 @@
   HeaderNames Names_;
   UpstreamManagerConfig Config_;
   EventCallback LogEvent_;
-  MemberCallback PushMember_;
+  PushCallback PushRecord_;
   std::optional<UpstreamIncarnation> Incarnation_;
   /// The last deregistration of an upstream other than Incarnation_. It was
   /// acknowledged, so it also applies to heartbeats that arrive after it.
--- a/tests/process/crashing_request_test.cpp
+++ b/tests/process/crashing_request_test.cpp
@@ -25,11 +25,14 @@
 /// In the target of the request that crashes upstreams.
 constexpr const char *Fatal = "fatal";
 
-/// A site under load whose upstreams with keys crash when they begin to run one
-/// of the requests, and are started again.
+/// A site under load where the upstreams of one service crash when they begin
+/// to run one of the requests, and are started again.
 struct CrashingSite {
-  CrashingSite() {
-    for (std::uint32_t Host = 0; Host < Fixture_.Site_.hosts(); Host += 2)
+  /// \param FirstHost the first host of the service; the others are every
+  /// second one after it.
+  explicit CrashingSite(std::uint32_t FirstHost = 0) : FirstHost_(FirstHost) {
+    for (std::uint32_t Host = FirstHost_; Host < Fixture_.Site_.hosts();
+         Host += 2)
       crashOnFatal(Host);
     LoadGeneratorOptions Load;
     Load.Workers_ = 4;
@@ -44,7 +47,8 @@
   /// Sends the request to the daemon of a host and returns the response.
   HttpResult sendFatal(std::uint32_t Host) {
     HttpRequest Request;
-    Request.Target_ = std::string("/katalog/") + Fatal;
+    const std::string Service = FirstHost_ == 0 ? "katalog" : "pruf";
+    Request.Target_ = "/" + Service + "/" + Fatal;
     Request.Headers_.push_back({"X-Call", "GET fatal"});
     return callBlocking(Fixture_.Time_, Fixture_.Site_.callersAddress(Host),
                         std::move(Request), seconds(6));
@@ -52,7 +56,8 @@
 
   /// Starts the upstreams again that have crashed.
   void restartCrashed() {
-    for (std::uint32_t Host = 0; Host < Fixture_.Site_.hosts(); Host += 2) {
+    for (std::uint32_t Host = FirstHost_; Host < Fixture_.Site_.hosts();
+         Host += 2) {
       if (!Fixture_.Site_.upstream(Host).waitFor(milliseconds(20)))
         continue;
       Fixture_.Site_.restartUpstream(Host);
@@ -87,6 +92,7 @@
         [](const History::Run &Run) { return Run.Call_ == "GET fatal"; }));
   }
 
+  std::uint32_t FirstHost_ = 0;
   SiteFixture Fixture_;
   unsigned LastStatus_ = 0;
 };
@@ -117,4 +123,17 @@
   BOOST_TEST(Runs <= MaxRuns, "the request was run " << Runs << " times");
 }
 
+/// Daemons tell each other of crashes while they can't use the store.
+BOOST_AUTO_TEST_CASE(RequestCrashesUpstreamsWhileTheStoreIsDown) {
+  CrashingSite Site(1);
+  Site.Fixture_.Site_.setStoreMode({{"down", true}});
+  Site.sendRepeatedly(6);
+  Site.Fixture_.Site_.setStoreMode({{"down", false}});
+  sleepFor(seconds(2));
+  Site.Fixture_.finishAndCheck();
+  const std::size_t Runs = Site.countRuns();
+  BOOST_TEST(Runs >= 3U);
+  BOOST_TEST(Runs <= MaxRuns, "the request was run " << Runs << " times");
+}
+
 } // namespace lagoonhitch
