--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/admin_service.h"
 #include "daemon/crash_record.h"
+#include "daemon/daemon_options.h"
 #include "daemon/digest_exchange.h"
 #include "daemon/manifest_caller_interface.h"
 #include "daemon/ownership_manager.h"
@@ -43,69 +44,6 @@
 /// store.
 constexpr std::chrono::milliseconds MaxDigestAge{1500};
 constexpr std::size_t MaxAuditEntries = 256;
-constexpr std::size_t MaxForwardedBodyBytes = 64U * 1024U * 1024U;
-constexpr std::size_t MaxResponseBytes = 8U * 1024U * 1024U;
-/// Limit of all responses that a client is receiving. Hosts have as little as
-/// 160 MB.
-constexpr std::size_t MaxReceivingBytes = 24U * 1024U * 1024U;
-/// Larger than the limits for callers and upstreams: forwarded requests and
-/// their responses have additional headers.
-constexpr std::size_t MaxPeerHeaderBytes = 128U * 1024U;
-
-HttpClientOptions clientOptions(std::chrono::milliseconds MaxIdleTime,
-                                std::chrono::milliseconds ConnectTimeout) {
-  HttpClientOptions Options;
-  Options.MaxIdleTime_ = MaxIdleTime;
-  Options.ConnectTimeout_ = ConnectTimeout;
-  Options.MaxBodyBytes_ = MaxResponseBytes;
-  Options.MaxReceivingBytes_ = MaxReceivingBytes;
-  return Options;
-}
-
-HttpClientOptions peerClientOptions() {
-  HttpClientOptions Options = clientOptions(std::chrono::milliseconds(8000),
-                                            std::chrono::milliseconds(250));
-  Options.MaxHeaderBytes_ = MaxPeerHeaderBytes;
-  return Options;
-}
-
-HttpServerOptions serverOptions(const std::string &Address) {
-  HttpServerOptions Options;
-  Options.Address_ = Address;
-  return Options;
-}
-
-HttpServerOptions peerServerOptions(const std::string &Address) {
-  HttpServerOptions Options = serverOptions(Address);
-  Options.MaxHeaderBytes_ = MaxPeerHeaderBytes;
-  Options.MaxBodyBytes_ = MaxForwardedBodyBytes;
-  return Options;
-}
-
-HttpServerOptions callerServerOptions(const DaemonSettings &Settings,
-                                      const std::string &Address) {
-  HttpServerOptions Options = serverOptions(Address);
-  Options.MaxBodyBytes_ = Settings.MaxBodyBytes_;
-  return Options;
-}
-
-SharedRetryBudgetOptions retryBudgetOptions(const SiteBounds &Bounds) {
-  SharedRetryBudgetOptions Options;
-  Options.Ratio_ = Bounds.RetryRatio_;
-  Options.Slack_ = Bounds.RetrySlack_;
-  Options.Window_ = Bounds.RetryWindow_;
-  return Options;
-}
-
-KeyOwnershipOptions ownershipOptions(const DaemonSettings &Settings) {
-  KeyOwnershipOptions Options;
-  Options.Lease_ = Settings.Lease_;
-  Options.RenewInterval_ = Settings.RenewInterval_;
-  Options.Hold_ = std::min(Settings.Hold_, Settings.Bounds_.MaxHold_);
-  Options.SuspectAfter_ = Settings.SuspectAfter_;
-  return Options;
-}
-
 std::unique_ptr<CallerInterface>
 makeCallerInterface(const DaemonSettings &Settings, const SiteState &Site,
                     bool Internal) {
@@ -115,20 +53,6 @@
                                                    Internal);
 }
 
-/// Builds the manifest of a daemon whose settings define the services.
-Manifest manifestFromSettings(const DaemonSettings &Settings) {
-  Manifest Result;
-  Result.Version_ = 1;
-  Result.Limits_.MaxBodyBytes_ = Settings.MaxBodyBytes_;
-  for (const ServiceSettings &Service : Settings.Services_) {
-    ServiceSpec Spec;
-    Spec.Name_ = Service.Name_;
-    Spec.Sharded_ = Service.Sharded_;
-    Result.Services_[Spec.Name_] = Spec;
-  }
-  return Result;
-}
-
 std::string describeLimit(const AnnouncedLimit &Limit,
                           std::uint64_t SentRequests) {
   const std::string Stated =
--- /dev/null
+++ b/daemon/daemon_options.cpp
@@ -0,0 +1,89 @@
+#include "daemon/daemon_options.h"
+
+#include "settings/daemon_settings.h"
+
+#include <algorithm>
+
+namespace lagoonhitch {
+
+namespace {
+
+constexpr std::size_t MaxForwardedBodyBytes = 64U * 1024U * 1024U;
+constexpr std::size_t MaxResponseBytes = 8U * 1024U * 1024U;
+/// Limit of all responses that a client is receiving. Hosts have as little as
+/// 160 MB.
+constexpr std::size_t MaxReceivingBytes = 24U * 1024U * 1024U;
+/// Larger than the limits for callers and upstreams: forwarded requests and
+/// their responses have additional headers.
+constexpr std::size_t MaxPeerHeaderBytes = 128U * 1024U;
+
+} // namespace
+
+HttpClientOptions clientOptions(std::chrono::milliseconds MaxIdleTime,
+                                std::chrono::milliseconds ConnectTimeout) {
+  HttpClientOptions Options;
+  Options.MaxIdleTime_ = MaxIdleTime;
+  Options.ConnectTimeout_ = ConnectTimeout;
+  Options.MaxBodyBytes_ = MaxResponseBytes;
+  Options.MaxReceivingBytes_ = MaxReceivingBytes;
+  return Options;
+}
+
+HttpClientOptions peerClientOptions() {
+  HttpClientOptions Options = clientOptions(std::chrono::milliseconds(8000),
+                                            std::chrono::milliseconds(250));
+  Options.MaxHeaderBytes_ = MaxPeerHeaderBytes;
+  return Options;
+}
+
+HttpServerOptions serverOptions(const std::string &Address) {
+  HttpServerOptions Options;
+  Options.Address_ = Address;
+  return Options;
+}
+
+HttpServerOptions peerServerOptions(const std::string &Address) {
+  HttpServerOptions Options = serverOptions(Address);
+  Options.MaxHeaderBytes_ = MaxPeerHeaderBytes;
+  Options.MaxBodyBytes_ = MaxForwardedBodyBytes;
+  return Options;
+}
+
+HttpServerOptions callerServerOptions(const DaemonSettings &Settings,
+                                      const std::string &Address) {
+  HttpServerOptions Options = serverOptions(Address);
+  Options.MaxBodyBytes_ = Settings.MaxBodyBytes_;
+  return Options;
+}
+
+SharedRetryBudgetOptions retryBudgetOptions(const SiteBounds &Bounds) {
+  SharedRetryBudgetOptions Options;
+  Options.Ratio_ = Bounds.RetryRatio_;
+  Options.Slack_ = Bounds.RetrySlack_;
+  Options.Window_ = Bounds.RetryWindow_;
+  return Options;
+}
+
+KeyOwnershipOptions ownershipOptions(const DaemonSettings &Settings) {
+  KeyOwnershipOptions Options;
+  Options.Lease_ = Settings.Lease_;
+  Options.RenewInterval_ = Settings.RenewInterval_;
+  Options.Hold_ = std::min(Settings.Hold_, Settings.Bounds_.MaxHold_);
+  Options.SuspectAfter_ = Settings.SuspectAfter_;
+  return Options;
+}
+
+Manifest manifestFromSettings(const DaemonSettings &Settings) {
+  Manifest Result;
+  Result.Version_ = 1;
+  Result.Limits_.MaxBodyBytes_ = Settings.MaxBodyBytes_;
+  for (const ServiceSettings &Service : Settings.Services_) {
+    ServiceSpec Spec;
+    Spec.Name_ = Service.Name_;
+    Spec.Sharded_ = Service.Sharded_;
+    Result.Services_[Spec.Name_] = Spec;
+  }
+  return Result;
+}
+
+} // namespace lagoonhitch
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -3,6 +3,7 @@
 #include "daemon/attempt_description.h"
 #include "daemon/crash_record.h"
 #include "daemon/forward_codec.h"
+#include "daemon/own_response.h"
 #include "daemon/upstream_gateway.h"
 #include "net/http_client.h"
 #include "net/http_exchange.h"
@@ -11,7 +12,6 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_format.h>
 
 #include <algorithm>
 #include <set>
@@ -24,11 +24,9 @@
 constexpr unsigned BadRequest = 400;
 constexpr unsigned NotFound = 404;
 constexpr unsigned BadGateway = 502;
-constexpr unsigned Unavailable = 503;
 
 /// Retry-After while no configuration is known.
 constexpr std::chrono::milliseconds NoManifestRetryAfter{500};
-constexpr std::chrono::milliseconds MinRetryAfter{50};
 /// How long an unreachable host is not selected.
 constexpr std::chrono::milliseconds AvoidUnreachableFor{700};
 /// How long a host is not selected after its gateway rejected a request as
@@ -486,15 +484,6 @@
   OpenRequests_.erase(Request->Number_);
 }
 
-HttpResponse RequestRouter::errorResponse(unsigned Status,
-                                          const std::string &Reason) {
-  HttpResponse Response;
-  Response.Status_ = Status;
-  Response.Headers_.push_back({"Content-Type", "application/json"});
-  Response.Body_ = absl::StrCat("{\"error\":\"", Reason, "\"}");
-  return Response;
-}
-
 /// Describes why the entry daemon stopped waiting for the current attempt.
 std::string RequestRouter::describeAttempt(const OpenRequest &Request,
                                            const char *Cause) const {
@@ -529,20 +518,10 @@
     fail(Request, BadGateway, Reason);
     return;
   }
-  HttpResponse Response = errorResponse(Unavailable, Reason);
-  // Add up to 50 % jitter so that callers that are rejected together do not
-  // retry together.
-  constexpr std::uint64_t Steps = 1024;
-  const double Spread =
-      1 + 0.5 * static_cast<double>(Random_() % Steps) / Steps;
-  const Duration Pause = std::max<Duration>(RetryAfter, MinRetryAfter);
-  Response.Headers_.push_back(
-      {"Retry-After",
-       absl::StrFormat("%.3f",
-                       std::chrono::duration<double>(Pause).count() * Spread)});
   LogEvent_(EventId::RequestRefused, Request->Routed_.CallerRequestId_,
             describeDecision(*Request, Reason));
-  reply(Request, std::move(Response), Outcome::NotRun);
+  reply(Request, rejectionResponse(Reason, RetryAfter, Random_()),
+        Outcome::NotRun);
 }
 
 void RequestRouter::fail(const OpenRequestPtr &Request, unsigned Status,
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -116,7 +116,6 @@
                               const char *Cause) const;
   std::string describeDecision(const OpenRequest &Request,
                                const std::string &Reason) const;
-  static HttpResponse errorResponse(unsigned Status, const std::string &Reason);
 
   IoLoop &Loop_;
   const Clock &Time_;
