--- a/tests/process/announced_limit_test.cpp
+++ b/tests/process/announced_limit_test.cpp
@@ -57,8 +57,7 @@
 
   /// Returns when a host's upstream began to run requests.
   std::vector<Instant> starts(std::uint32_t Host, Instant From) const {
-    const std::string Service = Host % 2 == 0 ? "katalog" : "pruf";
-    const std::string Name = Service + "-h" + std::to_string(Host) + "-1";
+    const std::string Name = Fixture_.Site_.upstreamName(Host);
     std::vector<Instant> Found;
     for (const History::Run &Run : Fixture_.Events_.Runs_)
       if (Run.Upstream_ == Name && Run.Begin_ >= From)
--- a/tests/process/leaving_upstream_test.cpp
+++ b/tests/process/leaving_upstream_test.cpp
@@ -50,8 +50,7 @@
   }
 
   std::size_t countRuns(std::uint32_t Host, Instant From) const {
-    const std::string Service = Host % 2 == 0 ? "katalog" : "pruf";
-    const std::string Name = Service + "-h" + std::to_string(Host) + "-1";
+    const std::string Name = Fixture_.Site_.upstreamName(Host);
     std::size_t Count = 0;
     for (const History::Run &Run : Fixture_.Events_.Runs_)
       Count += Run.Upstream_ == Name && Run.Begin_ >= From ? 1 : 0;
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -142,8 +142,8 @@
 
 void Site::startUpstream(std::uint32_t Index) {
   Host &Started = Hosts_[Index];
-  const std::string Name = Started.Service_ + "-" + Started.Name_ + "-" +
-                           std::to_string(++Started.Incarnation_);
+  ++Started.Incarnation_;
+  const std::string Name = upstreamName(Index);
   std::vector<std::string> Arguments = {
       LAGOONHITCH_STANDIN,
       "upstream",
@@ -162,6 +162,12 @@
   Started.UpstreamAddress_ = waitForLine(Name + ".out");
 }
 
+std::string Site::upstreamName(std::uint32_t Index) const {
+  const Host &Named = Hosts_[Index];
+  return Named.Service_ + "-" + Named.Name_ + "-" +
+         std::to_string(Named.Incarnation_);
+}
+
 void Site::startHeartbeats(std::uint32_t Index) {
   setUpstreamMode(Index, {{"own", Hosts_[Index].UpstreamAddress_},
                           {"daemon", Hosts_[Index].HeartbeatAddress_}});
--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -72,6 +72,9 @@
   /// Returns the upstream of a host.
   ChildProcess &upstream(std::uint32_t Host) { return *Hosts_[Host].Upstream_; }
 
+  /// Returns the name of a host's upstream, which each incarnation has anew.
+  std::string upstreamName(std::uint32_t Host) const;
+
   /// Returns the `ip:port` of a host's upstream.
   std::string upstreamAddress(std::uint32_t Host) const {
     return Hosts_[Host].UpstreamAddress_;
