List quarantined requests in /status

An operator could see a quarantine only in the log lines of its start. New test: a request that waits in a gateway's queue is rejected when it is quarantined meanwhile (it passed at once; the check was there).

--- a/daemon/admin_service.cpp
+++ b/daemon/admin_service.cpp
@@ -91,6 +91,17 @@
   return Valid ? toMillis(State.LeaseUntil_ - Now).count() : 0;
 }
 
+/// Lists the requests that are not sent to upstreams.
+Json describeQuarantines(const CrashHistory &Crashes, Instant Now) {
+  Json Quarantines = Json::array();
+  for (const auto &[Request, Suspect] : Crashes.Suspects_)
+    if (const auto Left = quarantineLeft(Crashes, Request, Now))
+      Quarantines.push_back({{"fingerprint", toString(Request)},
+                             {"crashes", Suspect.Crashes_},
+                             {"left_ms", toMillis(*Left).count()}});
+  return Quarantines;
+}
+
 /// Returns a limit in requests per second; null for none.
 Json describeLimit(const AnnouncedLimit &Limit) {
   return Limit.PerSecond_ ? Json(*Limit.PerSecond_) : Json();
@@ -157,6 +168,7 @@
          {"cold", isCold(Queue, Now)},
          {"sent", Gateway_.sentRequests()},
          {"announced_limit", describeLimit(Gateway_.announcedLimit())}}},
+       {"quarantined", describeQuarantines(Site_.Crashes_, Now)},
        {"members", std::move(Members)},
        {"tables", std::move(Tables)}});
 }
--- a/tests/process/crashing_request_test.cpp
+++ b/tests/process/crashing_request_test.cpp
@@ -103,6 +103,8 @@
   CrashingSite Site;
   Site.sendRepeatedly(10);
   sleepFor(seconds(2));
+  for (const std::uint32_t Host : {0U, 1U})
+    BOOST_TEST(Site.Fixture_.Site_.status(Host).at("quarantined").size() == 1U);
   Site.Fixture_.finishAndCheck();
   const std::size_t Runs = Site.countRuns();
   BOOST_TEST(Runs >= 3U);
--- a/tests/unit/peer_service_test.cpp
+++ b/tests/unit/peer_service_test.cpp
@@ -55,7 +55,8 @@
         Store_(Client_, Client_, "127.0.0.1:1", [] { return std::string(); }),
         Gateway_(Loop_, Time_, Client_, platformHeaders(), Service,
                  Upstream_.address(), KeyHooks(),
-                 {[] {}, [](const GatewayRequest &) { return std::nullopt; },
+                 {[] {},
+                  [this](const GatewayRequest &) { return QuarantineLeft_; },
                   [](const AnnouncedLimit &) {}, [] {}}),
         Peers_(Time_, Gateway_, Store_, Process) {
     Gateway_.resetForIncarnation("u", 1);
@@ -76,9 +77,10 @@
   }
 
   /// Forwards the attempt to the gateway and lets the upstream receive it.
-  std::shared_ptr<RecordedExchange> forward(bool Idempotent) {
+  std::shared_ptr<RecordedExchange> forward(bool Idempotent,
+                                            const RequestId &Id = Attempt) {
     GatewayRequest Request;
-    Request.Id_ = Attempt;
+    Request.Id_ = Id;
     Request.Service_ = Service;
     Request.Idempotent_ = Idempotent;
     Request.Objective_ = milliseconds(1000);
@@ -117,6 +119,8 @@
   MonotonicClock Time_;
   IoLoop Loop_;
   std::vector<std::shared_ptr<HttpExchange>> Running_;
+  /// How long all requests are quarantined.
+  std::optional<Duration> QuarantineLeft_;
   HttpServer Upstream_;
   HttpClient Client_;
   StoreClient Store_;
@@ -175,4 +179,22 @@
       (decodeGatewayResult(*Exchange->Response_).Outcome_ == Outcome::NotRun));
 }
 
+/// A request may wait in the queue while others of its kind crash upstreams.
+BOOST_AUTO_TEST_CASE(RejectsQueuedRequestsThatAreQuarantinedMeanwhile) {
+  PeerServiceFixture Fixture;
+  Fixture.forward(true);
+  const std::shared_ptr<RecordedExchange> Queued =
+      Fixture.forward(true, {7, 2, 1});
+  BOOST_TEST(Fixture.Gateway_.load().Queued_ == 1U);
+  Fixture.QuarantineLeft_ = std::chrono::minutes(10);
+  Fixture.finishRun();
+  BOOST_TEST(Fixture.Running_.size() == 1U);
+  BOOST_TEST(Fixture.Gateway_.load().Running_ == 0U);
+  BOOST_REQUIRE(Queued->Response_.has_value());
+  const GatewayResult Result = decodeGatewayResult(*Queued->Response_);
+  BOOST_TEST((Result.Outcome_ == Outcome::NotRun));
+  BOOST_TEST((Result.RejectReason_ == RejectReason::Quarantined));
+  BOOST_TEST((Result.RetryAfter_ == std::chrono::minutes(10)));
+}
+
 } // namespace lagoonhitch
