--- a/tests/history/checker.cpp
+++ b/tests/history/checker.cpp
@@ -146,4 +146,29 @@
   return Found;
 }
 
+Violations checkStatedLimit(const History &Events, const StatedLimit &Limit) {
+  constexpr std::uint32_t WindowSeconds = 4;
+  const std::size_t Bound = Limit.PerSecond_ * WindowSeconds * 3 / 2 + 5;
+  std::vector<Instant> Starts;
+  for (const History::Run &Run : Events.Runs_)
+    if (Run.Upstream_ == Limit.Upstream_ && Run.Begin_ >= Limit.From_ &&
+        Run.Begin_ < Limit.To_)
+      Starts.push_back(Run.Begin_);
+  std::sort(Starts.begin(), Starts.end());
+  std::size_t Most = 0;
+  std::size_t Oldest = 0;
+  for (std::size_t Newest = 0; Newest < Starts.size(); ++Newest) {
+    while (Starts[Newest] - Starts[Oldest] >
+           std::chrono::seconds(WindowSeconds))
+      ++Oldest;
+    Most = std::max(Most, Newest - Oldest + 1);
+  }
+  if (Most <= Bound)
+    return {};
+  return {Limit.Upstream_ + " stated a limit of " +
+          std::to_string(Limit.PerSecond_) + " requests/s and got " +
+          std::to_string(Most) + " in " + std::to_string(WindowSeconds) +
+          " s, bound " + std::to_string(Bound)};
+}
+
 } // namespace lagoonhitch
--- a/tests/history/checker.h
+++ b/tests/history/checker.h
@@ -6,6 +6,7 @@
 
 #include "tests/history/history.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,20 @@
 /// Runs all checks above.
 Violations checkAll(const History &Events);
 
+/// A limit of its request rate that an upstream stated for a time.
+struct StatedLimit {
+  std::string Upstream_;
+  /// Requests per second.
+  std::uint32_t PerSecond_ = 0;
+  /// When all daemons that sent requests knew the limit.
+  Instant From_;
+  Instant To_;
+};
+
+/// Checks that an upstream got no more requests than it stated: in any four
+/// seconds at most one and a half times the limit, and five more.
+Violations checkStatedLimit(const History &Events, const StatedLimit &Limit);
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_TESTS_HISTORY_CHECKER_H
--- a/tests/history/checker_test.cpp
+++ b/tests/history/checker_test.cpp
@@ -90,4 +90,18 @@
   BOOST_TEST(checkAnswers(Events).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(FindsMoreRequestsThanAStatedLimitAllows) {
+  const Instant Start{std::chrono::hours(1)};
+  const StatedLimit Limit = {"u", 10, Start, Start + std::chrono::seconds(20)};
+  History Events;
+  // 65 in four seconds are allowed.
+  for (int Number = 0; Number < 300; ++Number)
+    Events.Runs_.push_back(
+        {"c", false, "u", Start + std::chrono::milliseconds(62) * Number});
+  BOOST_TEST(checkStatedLimit(Events, Limit).empty());
+  Events.Runs_.push_back({"c", false, "u", Start + std::chrono::seconds(7)});
+  Events.Runs_.push_back({"c", false, "other", Start});
+  BOOST_TEST(checkStatedLimit(Events, Limit).size() == 1U);
+}
+
 } // namespace lagoonhitch
--- a/tests/soak/fault.h
+++ b/tests/soak/fault.h
@@ -28,6 +28,7 @@
     RefuseConnections,
     IgnoreConnections,
     SlowRuns,
+    StateLimit,
     StoreDown,
     StoreRejects,
     StoreSlow,
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -64,6 +64,8 @@
      milliseconds(500), milliseconds(3000)},
     {"slow runs", Fault::Kind::SlowRuns, Target::Upstream, milliseconds(3000),
      milliseconds(5000)},
+    {"state limit", Fault::Kind::StateLimit, Target::Upstream,
+     milliseconds(2000), milliseconds(7000)},
 };
 
 const FaultKindInfo &infoOf(Fault::Kind Kind) {
@@ -147,6 +149,21 @@
   }
 }
 
+/// Adds up to two upstreams that state a limit of their request rate.
+void addStatedLimits(FaultPlan &Plan, SeededRandom &Random, std::uint32_t Hosts,
+                     milliseconds MaxStart) {
+  const FaultKindInfo &Info = infoOf(Fault::Kind::StateLimit);
+  const std::uint64_t Count = Random.below(3);
+  for (std::uint64_t Index = 0; Index < Count; ++Index) {
+    Fault Candidate;
+    Candidate.Kind_ = Info.Kind_;
+    Candidate.Host_ = static_cast<std::uint32_t>(Random.below(Hosts));
+    Candidate.Start_ = Random.between(milliseconds(0), MaxStart);
+    Candidate.Duration_ = Random.between(Info.MinDuration_, Info.MaxDuration_);
+    addFault(Plan, Candidate);
+  }
+}
+
 } // namespace
 
 const char *faultName(Fault::Kind Kind) { return infoOf(Kind).Name_; }
@@ -170,10 +187,14 @@
     Candidate.Duration_ = Random.between(Info.MinDuration_, Info.MaxDuration_);
     addFault(Plan, Candidate);
   }
-  // Numbers of their own keep the plans of earlier seeds but for this addition.
+  // Numbers of their own keep the plans of earlier seeds but for these
+  // additions.
   SeededRandom SlowRandom(~(Seed * RoundSeedStep + Round));
   if (SlowRandom.below(2) == 0)
     addSlowRuns(Plan, SlowRandom, Hosts, MaxStart);
+  constexpr std::uint64_t LimitSeedMask = 0x5A5A5A5A5A5A5A5AULL;
+  SeededRandom LimitRandom((Seed * RoundSeedStep + Round) ^ LimitSeedMask);
+  addStatedLimits(Plan, LimitRandom, Hosts, MaxStart);
   std::sort(Plan.Faults_.begin(), Plan.Faults_.end(),
             [](const Fault &Left, const Fault &Right) {
               return Left.Start_ < Right.Start_;
--- a/tests/soak/soak_round.cpp
+++ b/tests/soak/soak_round.cpp
@@ -24,6 +24,10 @@
 /// The last part of a round, in which every call must run.
 constexpr seconds RecoveredPhase{1};
 constexpr milliseconds ConnectionDelay{120};
+/// Limit that upstreams state, in requests per second.
+constexpr std::uint32_t StatedRate = 20;
+/// Time in which a stated limit becomes known.
+constexpr milliseconds LimitNotice{500};
 /// Time that an upstream takes for a request without SlowRuns.
 constexpr microseconds NormalRunTime{SiteOptions().ServiceTimeMicros_};
 
@@ -80,6 +84,7 @@
   Violations_.insert(Violations_.end(), HistoryViolations.begin(),
                      HistoryViolations.end());
   checkPlannedStops();
+  checkStatedLimits();
   checkRecovery();
   if (Plan_.PlannedOnly_) {
     checkPlannedOperations();
@@ -93,6 +98,7 @@
 /// planned operations.
 bool SoakRound::delaysRequests(const Fault &Current) {
   return Current.Kind_ == Fault::Kind::SlowRuns ||
+         Current.Kind_ == Fault::Kind::StateLimit ||
          Current.Kind_ == Fault::Kind::RefuseConnections;
 }
 
@@ -140,6 +146,9 @@
   case Fault::Kind::SlowRuns:
     setRunTime(Current.Host_, Current.RunTime_);
     return;
+  case Fault::Kind::StateLimit:
+    stateLimit(Current.Host_);
+    return;
   case Fault::Kind::KillUpstream:
     // restartUpstream() kills it at the end of the fault.
     return;
@@ -176,6 +185,9 @@
   case Fault::Kind::SlowRuns:
     setRunTime(Current.Host_, NormalRunTime);
     return;
+  case Fault::Kind::StateLimit:
+    endStatedLimit(Current.Host_);
+    return;
   case Fault::Kind::ReloadDaemon:
   case Fault::Kind::DropTraffic:
   case Fault::Kind::DropResponses:
@@ -190,6 +202,19 @@
   Site_.setUpstreamMode(Host, {{"service_us", RunTime.count()}});
 }
 
+void SoakRound::stateLimit(std::uint32_t Host) {
+  Site_.setUpstreamMode(Host, {{"stated_limit", std::to_string(StatedRate)}});
+  Limits_.push_back({Site_.upstreamName(Host), StatedRate,
+                     Time_.now() + LimitNotice, Instant::max()});
+}
+
+void SoakRound::endStatedLimit(std::uint32_t Host) {
+  for (StatedLimit &Limit : Limits_)
+    if (Limit.Upstream_ == Site_.upstreamName(Host))
+      Limit.To_ = std::min(Limit.To_, Time_.now());
+  Site_.setUpstreamMode(Host, {{"stated_limit", ""}});
+}
+
 void SoakRound::startStoreFault(Fault::Kind Kind) {
   switch (Kind) {
   case Fault::Kind::StoreDown:
@@ -307,6 +332,13 @@
   }
 }
 
+void SoakRound::checkStatedLimits() {
+  for (const StatedLimit &Limit : Limits_) {
+    const Violations Found = checkStatedLimit(History_, Limit);
+    Violations_.insert(Violations_.end(), Found.begin(), Found.end());
+  }
+}
+
 void SoakRound::checkRecovery() {
   const std::vector<LoadGenerator::Call> &Calls = Load_->calls();
   const Instant From = Calls.back().AnsweredAt_ - RecoveredPhase;
--- a/tests/soak/soak_round.h
+++ b/tests/soak/soak_round.h
@@ -56,6 +56,8 @@
   void setRunTime(std::uint32_t Host, std::chrono::microseconds RunTime);
   void startStoreFault(Fault::Kind Kind);
   void endStoreFaults();
+  void stateLimit(std::uint32_t Host);
+  void endStatedLimit(std::uint32_t Host);
   void stopDaemon(const Fault &Current);
   void checkPlannedStops();
   void checkDrains();
@@ -64,6 +66,7 @@
   bool isDisrupted(const LoadGenerator::Call &Finished) const;
   void checkPlannedOperations();
   void checkSingleRuns();
+  void checkStatedLimits();
 
   const Clock &Time_;
   Site &Site_;
@@ -75,6 +78,7 @@
   Instant DelaysFrom_ = Instant::max();
   Instant DelaysTo_ = Instant::min();
   std::vector<PlannedStop> Stops_;
+  std::vector<StatedLimit> Limits_;
   Violations Violations_;
 };
 
