--- a/daemon/admin_service.cpp
+++ b/daemon/admin_service.cpp
@@ -103,7 +103,7 @@
 }
 
 /// Returns a limit in requests per second; null for none.
-Json describeLimit(const AnnouncedLimit &Limit) {
+Json describeLimit(const StatedRateLimit &Limit) {
   return Limit.PerSecond_ ? Json(*Limit.PerSecond_) : Json();
 }
 
@@ -167,7 +167,7 @@
          {"work_ms", toMillis(Queue.ProcessingTime_).count()},
          {"cold", isCold(Queue, Now)},
          {"sent", Gateway_.sentRequests()},
-         {"announced_limit", describeLimit(Gateway_.announcedLimit())}}},
+         {"stated_limit", describeLimit(Gateway_.statedRateLimit())}}},
        {"quarantined", describeQuarantines(Site_.Crashes_, Now)},
        {"members", std::move(Members)},
        {"tables", std::move(Tables)}});
@@ -230,7 +230,7 @@
   DaemonMetrics_.setUpstreamLoad(Settings_.Service_, Queue.Slots_,
                                  Queue.Running_);
   DaemonMetrics_.setUpstreamRate(
-      Settings_.Service_, Gateway_.announcedLimit().PerSecond_.value_or(0),
+      Settings_.Service_, Gateway_.statedRateLimit().PerSecond_.value_or(0),
       static_cast<double>(Gateway_.sentRequests()));
   std::size_t Owned = 0;
   for (const KeyRow &Row : rowsOf(Ownership_.state().Table_, Settings_.Host_))
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -53,7 +53,7 @@
                                                    Internal);
 }
 
-std::string describeLimit(const AnnouncedLimit &Limit,
+std::string describeLimit(const StatedRateLimit &Limit,
                           std::uint64_t SentRequests) {
   const std::string Stated =
       Limit.PerSecond_ ? absl::StrCat(*Limit.PerSecond_, " requests/s")
@@ -243,7 +243,7 @@
   Callbacks.QuarantineLeft_ = [this](const GatewayRequest &Request) {
     return quarantineLeft(Site_, Request, Names_, Time_.now());
   };
-  Callbacks.OnLimitChanged_ = [this](const AnnouncedLimit &Limit) {
+  Callbacks.OnLimitChanged_ = [this](const StatedRateLimit &Limit) {
     logEvent(EventId::UpstreamLimitChanged,
              describeLimit(Limit, Gateway_.sentRequests()));
   };
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -333,11 +333,11 @@
 void UpstreamGateway::onNotice(const UpstreamNotice &Notice, Instant SentAt) {
   const bool LimitChanged =
       !Notice.RateLimitUnreadable_ &&
-      applyAnnouncement(AnnouncedLimit_, Notice.RateLimit_, SentAt,
-                        Time_.now());
+      applyStatedLimit(StatedRateLimit_, Notice.RateLimit_, SentAt,
+                       Time_.now());
   if (LimitChanged) {
-    setStatedLimit(Queue_, AnnouncedLimit_.PerSecond_, Time_.now());
-    Callbacks_.OnLimitChanged_(AnnouncedLimit_);
+    setStatedLimit(Queue_, StatedRateLimit_.PerSecond_, Time_.now());
+    Callbacks_.OnLimitChanged_(StatedRateLimit_);
   }
   if (Notice.Leaving_ && SentAt >= IncarnationSince_)
     Callbacks_.OnLeaving_();
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -9,7 +9,7 @@
 #include "daemon/gateway_request.h"
 #include "daemon/gateway_result.h"
 #include "limits/admission_queue.h"
-#include "limits/announced_limit.h"
+#include "limits/stated_rate_limit.h"
 #include "net/header_names.h"
 #include "net/http_result.h"
 #include "recovery/answered_requests.h"
@@ -50,7 +50,7 @@
   std::function<std::optional<Duration>(const GatewayRequest &)>
       QuarantineLeft_;
   /// Called when the upstream states another limit of its request rate.
-  std::function<void(const AnnouncedLimit &)> OnLimitChanged_;
+  std::function<void(const StatedRateLimit &)> OnLimitChanged_;
   /// Called when a response states that the upstream is about to terminate.
   std::function<void()> OnLeaving_;
 };
@@ -129,7 +129,7 @@
   /// Returns the admission queue.
   const AdmissionQueue &queue() const { return Queue_; }
   /// Returns the limit that the upstream states.
-  const AnnouncedLimit &announcedLimit() const { return AnnouncedLimit_; }
+  const StatedRateLimit &statedRateLimit() const { return StatedRateLimit_; }
   /// Returns the number of requests sent to the upstream since the start.
   std::uint64_t sentRequests() const { return SentRequests_; }
 
@@ -181,7 +181,7 @@
   std::map<RequestId, std::uint64_t> NumbersById_;
   std::uint64_t LastNumber_ = 0;
   std::shared_ptr<void> RateLimitTimer_;
-  AnnouncedLimit AnnouncedLimit_;
+  StatedRateLimit StatedRateLimit_;
   LostRuns LostRuns_;
   AnsweredRequests AnsweredRequests_;
   /// When the upstream's current incarnation was first known. Responses to
--- a/limits/announced_limit.cpp
+++ b/limits/stated_rate_limit.cpp
@@ -1,9 +1,9 @@
-#include "limits/announced_limit.h"
+#include "limits/stated_rate_limit.h"
 
 namespace lagoonhitch {
 
-bool applyAnnouncement(AnnouncedLimit &State, std::optional<double> PerSecond,
-                       Instant SentAt, Instant Now) {
+bool applyStatedLimit(StatedRateLimit &State, std::optional<double> PerSecond,
+                      Instant SentAt, Instant Now) {
   if (!PerSecond && SentAt <= State.StatedAt_)
     return false;
   if (PerSecond)
--- a/limits/announced_limit.h
+++ b/limits/stated_rate_limit.h
@@ -1,5 +1,5 @@
-#ifndef LAGOONHITCH_LIMITS_ANNOUNCED_LIMIT_H
-#define LAGOONHITCH_LIMITS_ANNOUNCED_LIMIT_H
+#ifndef LAGOONHITCH_LIMITS_STATED_RATE_LIMIT_H
+#define LAGOONHITCH_LIMITS_STATED_RATE_LIMIT_H
 
 /// \file
 /// The limit of its request rate that an upstream states in its responses.
@@ -11,7 +11,7 @@
 namespace lagoonhitch {
 
 /// The limit of its request rate that an upstream states in its responses.
-struct AnnouncedLimit {
+struct StatedRateLimit {
   /// Requests per second; std::nullopt if the upstream states no limit.
   std::optional<double> PerSecond_;
   /// When the last response that stated a limit arrived.
@@ -24,9 +24,9 @@
 /// \param PerSecond the stated limit; std::nullopt for none.
 /// \param SentAt when the request was sent.
 /// \returns whether the limit has changed.
-bool applyAnnouncement(AnnouncedLimit &State, std::optional<double> PerSecond,
-                       Instant SentAt, Instant Now);
+bool applyStatedLimit(StatedRateLimit &State, std::optional<double> PerSecond,
+                      Instant SentAt, Instant Now);
 
 } // namespace lagoonhitch
 
-#endif // LAGOONHITCH_LIMITS_ANNOUNCED_LIMIT_H
+#endif // LAGOONHITCH_LIMITS_STATED_RATE_LIMIT_H
--- a/tests/process/announced_limit_test.cpp
+++ b/tests/process/stated_limit_test.cpp
@@ -2,7 +2,7 @@
 /// Tests that an upstream which states a limit of its request rate gets no more
 /// than that.
 
-#define BOOST_TEST_MODULE announced_limit
+#define BOOST_TEST_MODULE stated_limit
 #include "tests/history/checker.h"
 #include "tests/process/site_fixture.h"
 
--- a/tests/unit/door_test.cpp
+++ b/tests/unit/door_test.cpp
@@ -4,8 +4,8 @@
 
 #define BOOST_TEST_MODULE door
 #include "limits/admission_queue.h"
-#include "limits/announced_limit.h"
 #include "limits/shared_retry_budget.h"
+#include "limits/stated_rate_limit.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -314,13 +314,13 @@
 
 /// A response that was sent before the limit was stated may arrive after it.
 BOOST_AUTO_TEST_CASE(EarlierResponsesEndNoStatedLimit) {
-  AnnouncedLimit Limit;
+  StatedRateLimit Limit;
   const auto At = [](int Millis) { return Start + milliseconds(Millis); };
-  BOOST_TEST(applyAnnouncement(Limit, 10.0, At(0), At(100)));
-  BOOST_TEST(!applyAnnouncement(Limit, std::nullopt, At(50), At(150)));
-  BOOST_TEST(!applyAnnouncement(Limit, 10.0, At(60), At(160)));
+  BOOST_TEST(applyStatedLimit(Limit, 10.0, At(0), At(100)));
+  BOOST_TEST(!applyStatedLimit(Limit, std::nullopt, At(50), At(150)));
+  BOOST_TEST(!applyStatedLimit(Limit, 10.0, At(60), At(160)));
   BOOST_TEST(Limit.PerSecond_.has_value());
-  BOOST_TEST(applyAnnouncement(Limit, std::nullopt, At(170), At(250)));
+  BOOST_TEST(applyStatedLimit(Limit, std::nullopt, At(170), At(250)));
   BOOST_TEST(!Limit.PerSecond_.has_value());
 }
 
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -44,7 +44,7 @@
         Gateway_(Loop_, Time_, Client_, platformHeaders(), "katalog",
                  Server_.address(), keyHooks(),
                  {[] {}, [](const GatewayRequest &) { return std::nullopt; },
-                  [](const AnnouncedLimit &) {}, [] {}}) {
+                  [](const StatedRateLimit &) {}, [] {}}) {
     Gateway_.resetForIncarnation("katalog-1", Slots);
     Gateway_.setAccepting(true);
   }
