--- a/tests/process/leaving_upstream_test.cpp
+++ b/tests/process/leaving_upstream_test.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <csignal>
 #include <string>
 #include <vector>
 
@@ -42,24 +41,13 @@
   }
 
   void restartDaemons() {
-    for (const std::uint32_t Host : Leaving_) {
-      Fixture_.Site_.daemon(Host).signal(SIGKILL);
-      Fixture_.Site_.daemon(Host).wait();
-      Fixture_.Site_.restartDaemon(Host);
-    }
-  }
-
-  std::size_t countRuns(std::uint32_t Host, Instant From) const {
-    const std::string Name = Fixture_.Site_.upstreamName(Host);
-    std::size_t Count = 0;
-    for (const History::Run &Run : Fixture_.Events_.Runs_)
-      Count += Run.Upstream_ == Name && Run.Begin_ >= From ? 1 : 0;
-    return Count;
+    for (const std::uint32_t Host : Leaving_)
+      Fixture_.Site_.killAndRestartDaemon(Host);
   }
 
   void checkNoRequestsAfterDrainTime() const {
     for (const std::uint32_t Host : Leaving_) {
-      const std::size_t Late = countRuns(Host, StatedAt_ + DrainTime);
+      const std::size_t Late = Fixture_.countRuns(Host, StatedAt_ + DrainTime);
       BOOST_TEST(Late == 0U, "host " << Host << " got " << Late
                                      << " requests after the drain time");
     }
@@ -100,10 +88,8 @@
   const Instant RestartedAt = Site.Fixture_.Time_.now();
   sleepFor(seconds(3));
   Site.Fixture_.finishAndCheck();
-  std::size_t Runs = 0;
-  for (const History::Run &Run : Site.Fixture_.Events_.Runs_)
-    Runs += Run.Upstream_ == "pruf-h3-2" && Run.Begin_ > RestartedAt ? 1 : 0;
-  BOOST_TEST(Runs > 0U);
+  BOOST_TEST(Site.Fixture_.countRuns(LeavingSite::SharedHost, RestartedAt) >
+             0U);
 }
 
 } // namespace lagoonhitch
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -180,6 +180,12 @@
   startHeartbeats(Index);
 }
 
+void Site::killAndRestartDaemon(std::uint32_t Host) {
+  daemon(Host).signal(SIGKILL);
+  daemon(Host).wait();
+  restartDaemon(Host);
+}
+
 void Site::restartDaemon(std::uint32_t Index) { startDaemon(Index); }
 
 Json Site::getJson(const std::string &Address,
--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -86,6 +86,9 @@
   /// Starts a host's daemon again after it has exited.
   void restartDaemon(std::uint32_t Host);
 
+  /// Kills a host's daemon and starts it again.
+  void killAndRestartDaemon(std::uint32_t Host);
+
   /// Makes a host's upstream send heartbeats to the host's daemon.
   void startHeartbeats(std::uint32_t Host);
 
--- a/tests/process/site_fixture.cpp
+++ b/tests/process/site_fixture.cpp
@@ -85,6 +85,15 @@
                                                      << " times");
 }
 
+std::size_t SiteFixture::countRuns(std::uint32_t Host, Instant From) const {
+  const std::string Name = Site_.upstreamName(Host);
+  return static_cast<std::size_t>(
+      std::count_if(Events_.Runs_.begin(), Events_.Runs_.end(),
+                    [&Name, From](const History::Run &Run) {
+                      return Run.Upstream_ == Name && Run.Begin_ >= From;
+                    }));
+}
+
 std::size_t SiteFixture::countFailed(Instant From, Instant To) const {
   const std::vector<LoadGenerator::Call> &Calls = Load_->calls();
   return static_cast<std::size_t>(std::count_if(
--- a/tests/process/site_fixture.h
+++ b/tests/process/site_fixture.h
@@ -44,6 +44,10 @@
   /// after finishAndCheck().
   void checkEachRanOnce() const;
 
+  /// Returns how many requests the current upstream of a host has begun to run
+  /// since a time. Call it only after finishAndCheck().
+  std::size_t countRuns(std::uint32_t Host, Instant From) const;
+
   /// Returns the number of calls sent between two times whose outcome is not
   /// Ran.
   std::size_t countFailed(Instant From, Instant To) const;
--- a/tests/process/stated_limit_test.cpp
+++ b/tests/process/stated_limit_test.cpp
@@ -8,8 +8,6 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
-#include <csignal>
 #include <string>
 #include <vector>
 
@@ -43,20 +41,8 @@
   }
 
   void restartDaemons() {
-    for (const std::uint32_t Host : Limited_) {
-      Fixture_.Site_.daemon(Host).signal(SIGKILL);
-      Fixture_.Site_.daemon(Host).wait();
-      Fixture_.Site_.restartDaemon(Host);
-    }
-  }
-
-  std::size_t countRuns(std::uint32_t Host, Instant From) const {
-    const std::string Name = Fixture_.Site_.upstreamName(Host);
-    const std::vector<History::Run> &Runs = Fixture_.Events_.Runs_;
-    return static_cast<std::size_t>(std::count_if(
-        Runs.begin(), Runs.end(), [&Name, From](const History::Run &Run) {
-          return Run.Upstream_ == Name && Run.Begin_ >= From;
-        }));
+    for (const std::uint32_t Host : Limited_)
+      Fixture_.Site_.killAndRestartDaemon(Host);
   }
 
   /// Checks the number of requests since the limit was stated. The owner's
@@ -69,7 +55,7 @@
            checkStatedLimit(Fixture_.Events_, {Name, Limit_, From, To}))
         BOOST_ERROR(Violation);
     }
-    BOOST_TEST(countRuns(SharedHost, From) > 0U);
+    BOOST_TEST(Fixture_.countRuns(SharedHost, From) > 0U);
   }
 
   static constexpr std::uint32_t SharedHost = 3;
@@ -119,7 +105,7 @@
   Site.checkWithinLimit(LimitedTo);
   // Twice what the limit allows in four seconds.
   constexpr std::size_t MinRunsWithoutLimit = 130;
-  BOOST_TEST(Site.countRuns(LimitedSite::SharedHost, LimitedTo) >
+  BOOST_TEST(Site.Fixture_.countRuns(LimitedSite::SharedHost, LimitedTo) >
              MinRunsWithoutLimit);
 }
 
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -117,6 +117,17 @@
     Plan.Faults_.push_back(Candidate);
 }
 
+/// Draws host, start and duration of a fault.
+Fault drawFault(const FaultKindInfo &Info, SeededRandom &Random,
+                std::uint32_t Hosts, milliseconds MaxStart) {
+  Fault Drawn;
+  Drawn.Kind_ = Info.Kind_;
+  Drawn.Host_ = static_cast<std::uint32_t>(Random.below(Hosts));
+  Drawn.Start_ = Random.between(milliseconds(0), MaxStart);
+  Drawn.Duration_ = Random.between(Info.MinDuration_, Info.MaxDuration_);
+  return Drawn;
+}
+
 /// Adds a phase in which requests outlast status queries: the upstreams take
 /// long, each another time, and new connections to some hosts fail meanwhile.
 void addSlowRuns(FaultPlan &Plan, SeededRandom &Random, std::uint32_t Hosts,
@@ -155,12 +166,7 @@
   const FaultKindInfo &Info = infoOf(Fault::Kind::StateLimit);
   const std::uint64_t Count = Random.below(3);
   for (std::uint64_t Index = 0; Index < Count; ++Index) {
-    Fault Candidate;
-    Candidate.Kind_ = Info.Kind_;
-    Candidate.Host_ = static_cast<std::uint32_t>(Random.below(Hosts));
-    Candidate.Start_ = Random.between(milliseconds(0), MaxStart);
-    Candidate.Duration_ = Random.between(Info.MinDuration_, Info.MaxDuration_);
-    addFault(Plan, Candidate);
+    addFault(Plan, drawFault(Info, Random, Hosts, MaxStart));
   }
 }
 
@@ -180,12 +186,7 @@
       Plan.PlannedOnly_ ? PlannedKindCount : DrawnKindCount;
   for (std::size_t Index = 0; Index < Count; ++Index) {
     const FaultKindInfo &Info = FaultKinds[Random.below(KindCount)];
-    Fault Candidate;
-    Candidate.Kind_ = Info.Kind_;
-    Candidate.Host_ = static_cast<std::uint32_t>(Random.below(Hosts));
-    Candidate.Start_ = Random.between(milliseconds(0), MaxStart);
-    Candidate.Duration_ = Random.between(Info.MinDuration_, Info.MaxDuration_);
-    addFault(Plan, Candidate);
+    addFault(Plan, drawFault(Info, Random, Hosts, MaxStart));
   }
   // Numbers of their own keep the plans of earlier seeds but for these
   // additions.
