--- a/tests/process/leaving_upstream_test.cpp
+++ b/tests/process/leaving_upstream_test.cpp
@@ -73,7 +73,7 @@
 /// requests from the callers still run.
 BOOST_AUTO_TEST_CASE(LeavingUpstreamsGetRequestsOfRestartedDaemons) {
   LeavingSite Site;
-  sleepFor(milliseconds(500));
+  sleepFor(DrainTime + milliseconds(500));
   Site.restartDaemons();
   sleepFor(seconds(5));
   Site.Fixture_.finishAndCheck();
