Charge the second run of a request to the retry budgets of all services

Upstreams of chargeyard rejected half of their requests; requests of slotdesk whose calls failed ran again, and each second run repeated its calls. These repeats were in no budget.

A rerun now takes a token of every service.

--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -407,8 +407,8 @@
       Request->GatewayRequest_.Key_ && ownerOf(*Request) != Request->Host_;
   const PlanStep Step = onAttemptEnd(
       Request->Plan_, AttemptOutcome,
-      [this, &Request] {
-        return takeRetryToken(Request->GatewayRequest_.Service_);
+      [this, &Request](RetryCause Cause) {
+        return takeRetryToken(Request->GatewayRequest_.Service_, Cause);
       },
       Now);
   if (Step.Kind_ == PlanStep::Kind::Reply) {
@@ -447,9 +447,13 @@
   }
 }
 
-bool RequestRouter::takeRetryToken(const std::string &Service) {
+bool RequestRouter::takeRetryToken(const std::string &Service,
+                                   RetryCause Cause) {
   const std::size_t Daemons =
       std::max<std::size_t>(Site_.Fleet_.Members_.size(), 1);
+  if (Cause == RetryCause::Rerun)
+    return tryWithdrawRerun(RetryBudgets_, RetryBudgetOptions_, Daemons,
+                            Time_.now());
   return tryWithdrawRetry(RetryBudgets_[Service], RetryBudgetOptions_, Daemons,
                           Time_.now());
 }
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -99,7 +99,7 @@
   void onGatewayResult(const OpenRequestPtr &Request, std::uint32_t Attempt,
                        GatewayResult Result);
   void executeStep(const OpenRequestPtr &Request, const PlanStep &Step);
-  bool takeRetryToken(const std::string &Service);
+  bool takeRetryToken(const std::string &Service, RetryCause Cause);
   void endAttempt(OpenRequest &Request);
   static void updateMember(FleetMember &Member, const GatewayResult &Result,
                            Instant Now);
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -20,8 +20,6 @@
 /// Longest idle time of a connection that is reused for a request that is not
 /// idempotent. After that, the connection may be dead without being noticed.
 constexpr std::chrono::milliseconds MaxIdleIfNotIdempotent{1500};
-/// Pause in dispatching after the upstream rejected a request as overloaded.
-constexpr std::chrono::milliseconds OverloadPause{30};
 /// Transit time of a response from the upstream to the caller.
 constexpr std::chrono::milliseconds ResponseTransitTime{10};
 
@@ -315,12 +313,13 @@
                            : IsMisdirected ? RejectReason::Unavailable
                                            : RejectReason::Overloaded;
     if (!IsMisdirected)
-      Queue_.PausedUntil_ = Time_.now() + OverloadPause;
+      onUpstreamOverloaded(Queue_, Time_.now());
     return Result;
   }
   // Encoded bodies are never requested, so the response is not the upstream's.
   if (findHeader(Headers, "Content-Encoding") != nullptr)
     return Result;
+  onUpstreamAccepted(Queue_);
   Result.Outcome_ = Outcome::Ran;
   Result.Response_ = std::move(CallResult.Response_);
   return Result;
--- a/limits/admission_queue.cpp
+++ b/limits/admission_queue.cpp
@@ -95,6 +95,7 @@
   State.ProcessingTimeByObjective_.clear();
   State.ColdUntil_ = Instant::min();
   State.PausedUntil_ = Instant::min();
+  State.NextPause_ = Duration::zero();
   State.ReservedUntil_ = Instant::min();
 }
 
@@ -134,6 +135,26 @@
   }
 }
 
+void onUpstreamOverloaded(AdmissionQueue &State, Instant Now) {
+  // Several requests may be rejected for the same reason.
+  if (Now < State.PausedUntil_)
+    return;
+  const bool RunsOthers = State.Running_ > 1;
+  const Duration Pause =
+      RunsOthers ? State.Options_.BaseOverloadPause_
+                 : std::max<Duration>(State.NextPause_,
+                                      State.Options_.BaseOverloadPause_);
+  State.PausedUntil_ = Now + Pause;
+  if (RunsOthers)
+    return;
+  State.NextPause_ =
+      std::min<Duration>(Pause * 2, State.Options_.MaxOverloadPause_);
+}
+
+void onUpstreamAccepted(AdmissionQueue &State) {
+  State.NextPause_ = Duration::zero();
+}
+
 bool isCold(const AdmissionQueue &State, Instant Now) {
   return Now < State.ColdUntil_;
 }
@@ -216,7 +237,8 @@
   }
   const Duration SlotWait =
       ProcessingTime / std::max<std::uint32_t>(State.Slots_, 1);
-  return std::max(SlotWait, rateLimitWait(State, Ahead + 1, Now));
+  return std::max({SlotWait, rateLimitWait(State, Ahead + 1, Now),
+                   std::max(State.PausedUntil_, Now) - Now});
 }
 
 std::optional<Duration> timeToNextToken(const AdmissionQueue &State,
--- a/limits/admission_queue.h
+++ b/limits/admission_queue.h
@@ -34,6 +34,11 @@
   double MinStatedRate_ = 0.5;
   /// Maximum number of waiting requests.
   std::size_t MaxWaiting_ = 512;
+  /// Pause after the upstream itself rejected a request as overloaded. It
+  /// doubles while the upstream rejects requests although it runs none, so that
+  /// an upstream that rejects everything costs few retries.
+  std::chrono::milliseconds BaseOverloadPause_{30};
+  std::chrono::milliseconds MaxOverloadPause_{480};
   /// Requests with a shorter timeout can't be retried after a rejection. They
   /// may wait for as long as they can still be answered by their deadline. Most
   /// of them belong to work that has started elsewhere.
@@ -89,6 +94,9 @@
   /// No request is started before this time. Set when the upstream itself
   /// reports that it has no capacity.
   Instant PausedUntil_ = Instant::min();
+  /// The next pause if the upstream still rejects requests without running any;
+  /// zero before the first such rejection.
+  Duration NextPause_{};
   std::map<QueueOrder, QueuedRequest> Waiting_;
   /// Until then capacity is reserved for retries of rejected requests.
   Instant ReservedUntil_ = Instant::min();
@@ -123,6 +131,13 @@
 /// health check, against the rate limits.
 void chargeRateLimits(AdmissionQueue &State, Instant Now);
 
+/// Pauses the queue because the upstream itself has rejected a request as
+/// overloaded. To be called before finishRequest().
+void onUpstreamOverloaded(AdmissionQueue &State, Instant Now);
+
+/// Notes that the upstream has run a request.
+void onUpstreamAccepted(AdmissionQueue &State);
+
 /// Returns whether the upstream is cold.
 bool isCold(const AdmissionQueue &State, Instant Now);
 
--- a/limits/shared_retry_budget.h
+++ b/limits/shared_retry_budget.h
@@ -8,6 +8,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
+#include <string>
 
 namespace lagoonhitch {
 
@@ -41,6 +43,15 @@
                       const SharedRetryBudgetOptions &Options,
                       std::size_t Daemons, Instant Now);
 
+/// Takes one token of each service for the second run of a request. The run
+/// repeats the requests that its upstream sends to other services. If one of
+/// these rejects most requests, repeated runs multiply its load.
+/// \param Budgets the budgets by service.
+/// \returns false, without taking a token, if one of the budgets is exhausted.
+bool tryWithdrawRerun(std::map<std::string, SharedRetryBudget> &Budgets,
+                      const SharedRetryBudgetOptions &Options,
+                      std::size_t Daemons, Instant Now);
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_LIMITS_SHARED_RETRY_BUDGET_H
--- a/routing/request_plan.cpp
+++ b/routing/request_plan.cpp
@@ -71,7 +71,7 @@
 /// Returns whether a request that may have run can be run again, and takes a
 /// retry from the budget if so.
 bool tryRerun(const RequestPlan &Plan, const SpendRetry &Spend, Instant Now) {
-  return canRerun(Plan, Plan.Runs_, Now) && Spend();
+  return canRerun(Plan, Plan.Runs_, Now) && Spend(RetryCause::Rerun);
 }
 
 PlanStep afterRun(RequestPlan &Plan, const AttemptResult &Result,
@@ -132,7 +132,7 @@
                       "the key's owner has no room in time");
   // The upstream itself has handled the rejected request, so another attempt
   // counts as a retry.
-  if (Result.RejectedByUpstream_ && !Spend())
+  if (Result.RejectedByUpstream_ && !Spend(RetryCause::Rejected))
     return rejectStep(Plan, Result.RetryAfter_,
                       "no retry is left for the request");
   if (Result.RejectReason_ == RejectReason::KeyInTransition)
--- a/routing/request_plan.h
+++ b/routing/request_plan.h
@@ -78,9 +78,18 @@
   const char *Reason_ = "";
 };
 
+/// Why an attempt is repeated.
+enum class RetryCause {
+  /// The upstream has rejected it without running it.
+  Rejected,
+  /// It ran or may have run. The requests that the upstream sent for it, if
+  /// any, are repeated as well.
+  Rerun,
+};
+
 /// Takes one retry from the budget that all daemons share. Returns false if the
 /// budget is exhausted.
-using SpendRetry = std::function<bool()>;
+using SpendRetry = std::function<bool(RetryCause)>;
 
 /// Returns the next step after an attempt has ended.
 PlanStep onAttemptEnd(RequestPlan &Plan, const AttemptResult &Result,
--- a/tests/schedule/request_simulation.cpp
+++ b/tests/schedule/request_simulation.cpp
@@ -232,7 +232,7 @@
   Call &Current = Calls_[CallIndex];
   Current.Attempt_.Ended_ = true;
   const PlanStep Step = onAttemptEnd(
-      Current.Plan_, Result, [] { return true; }, Now_);
+      Current.Plan_, Result, [](RetryCause) { return true; }, Now_);
   if (Step.Kind_ == PlanStep::Kind::Reply)
     finishCall(Current, Outcome::Ran);
   else
--- a/tests/unit/door_test.cpp
+++ b/tests/unit/door_test.cpp
@@ -256,6 +256,76 @@
   BOOST_TEST(Withdrawn >= Options.Ratio_ * Requests * Daemons / 2);
 }
 
+/// Many requests run twice because the service that their upstreams call
+/// rejects half of its requests. Each second run repeats its calls, so it needs
+/// a token of that service as well.
+BOOST_AUTO_TEST_CASE(RerunNeedsATokenOfEachService) {
+  SharedRetryBudgetOptions Options;
+  std::map<std::string, SharedRetryBudget> Budgets;
+  for (int Request = 0; Request < 100; ++Request) {
+    depositRetryTokens(Budgets["calling"], Options);
+    depositRetryTokens(Budgets["called"], Options);
+  }
+  BOOST_TEST(tryWithdrawRerun(Budgets, Options, 10, Start));
+  while (tryWithdrawRetry(Budgets["called"], Options, 10, Start))
+    continue;
+  const double Before = Budgets["calling"].Tokens_;
+  BOOST_TEST(Before >= 1);
+  BOOST_TEST(!tryWithdrawRerun(Budgets, Options, 10, Start));
+  BOOST_TEST(Budgets["calling"].Tokens_ == Before);
+}
+
+/// An upstream rejects each request although it runs none.
+BOOST_AUTO_TEST_CASE(PausesLongerForAnUpstreamThatRejectsEverything) {
+  AdmissionQueue Queue = makeQueue(18);
+  int Sent = 0;
+  for (int Millis = 0; Millis < 5000; Millis += 5) {
+    const Instant Now = Start + milliseconds(Millis);
+    const QueuedRequest Request =
+        makeRequest(static_cast<std::uint64_t>(Millis + 1), Now);
+    if (submitRequest(Queue, Request, Now).Kind_ !=
+        AdmissionDecision::Kind::Start) {
+      cancelWaiting(Queue, Request);
+      continue;
+    }
+    ++Sent;
+    onUpstreamOverloaded(Queue, Now);
+    finishRequest(Queue, Request, std::nullopt);
+  }
+  BOOST_TEST(Sent <= 16);
+}
+
+/// An upstream that rejects one of two requests at random serves the others.
+BOOST_AUTO_TEST_CASE(PausesBrieflyForAnUpstreamThatRejectsSomeRequests) {
+  AdmissionQueue Queue = makeQueue(18);
+  int Sent = 0;
+  for (int Millis = 0; Millis < 5000; Millis += 5) {
+    const Instant Now = Start + milliseconds(Millis);
+    const QueuedRequest Request =
+        makeRequest(static_cast<std::uint64_t>(Millis + 1), Now);
+    if (submitRequest(Queue, Request, Now).Kind_ !=
+        AdmissionDecision::Kind::Start) {
+      cancelWaiting(Queue, Request);
+      continue;
+    }
+    if (++Sent % 2 == 0)
+      onUpstreamOverloaded(Queue, Now);
+    else
+      onUpstreamAccepted(Queue);
+    finishRequest(Queue, Request, std::nullopt);
+  }
+  BOOST_TEST(Sent >= 200);
+}
+
+/// A queue that has never been paused must not compute with the time of the
+/// last pause.
+BOOST_AUTO_TEST_CASE(ExpectsAShortWaitBeforeTheFirstPause) {
+  AdmissionQueue Queue = makeQueue(1);
+  submitRequest(Queue, makeRequest(1, Start), Start);
+  BOOST_TEST(
+      (expectedWait(Queue, makeRequest(2, Start), Start) < milliseconds(1000)));
+}
+
 /// Requests that keep arriving are started at the stated rate, those that can't
 /// be served in time are told when they can, and the rate is the same again
 /// after the limit has ended.
--- a/tests/unit/plan_test.cpp
+++ b/tests/unit/plan_test.cpp
@@ -45,7 +45,7 @@
 PlanStep endAttempt(RequestPlan &Plan, const AttemptResult &Result,
                     Instant Now) {
   return onAttemptEnd(
-      Plan, Result, [] { return true; }, Now);
+      Plan, Result, [](RetryCause) { return true; }, Now);
 }
 
 } // namespace
@@ -132,7 +132,7 @@
   Result.RejectedByUpstream_ = true;
   int Spent = 0;
   onAttemptEnd(
-      Plan, Result, [&Spent] { return ++Spent > 0; }, Start);
+      Plan, Result, [&Spent](RetryCause) { return ++Spent > 0; }, Start);
   BOOST_TEST(Spent == 0);
 }
 
