--- a/core/key_range.h
+++ b/core/key_range.h
@@ -4,6 +4,7 @@
 /// \file
 /// Keys and ranges of keys.
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -33,6 +34,12 @@
   return Left.First_ <= Right.Last_ && Right.First_ <= Left.Last_;
 }
 
+/// Returns the keys that are in both ranges; they must overlap.
+constexpr KeyRange intersection(const KeyRange &Left, const KeyRange &Right) {
+  return {std::max(Left.First_, Right.First_),
+          std::min(Left.Last_, Right.Last_)};
+}
+
 /// Returns the number of keys in the range.
 constexpr std::uint32_t sizeOf(const KeyRange &Range) {
   return Range.Last_ - Range.First_ + 1;
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -188,7 +188,7 @@
       HeartbeatServer_(Loop_, serverOptions(Settings_.HeartbeatAddress_),
                        [this](const HttpRequest &Request,
                               const std::shared_ptr<HttpExchange> &Exchange) {
-                         UpstreamManager_.handle(Request, *Exchange);
+                         UpstreamManager_.handle(Request, Exchange);
                        }),
       AdminServer_(Loop_, serverOptions(Settings_.AdminAddress_),
                    [this](const HttpRequest &Request,
@@ -211,7 +211,10 @@
 
 OwnershipCallbacks Daemon::Impl::ownershipCallbacks() {
   OwnershipCallbacks Callbacks;
-  Callbacks.OnChanged_ = [this] { Gateway_.onKeysChanged(); };
+  Callbacks.OnChanged_ = [this] {
+    Gateway_.onKeysChanged();
+    UpstreamManager_.onKeysChanged();
+  };
   Callbacks.OnTableAppended_ = [this](const KeyTable &Table) {
     const KeyTable Before =
         std::exchange(Site_.Tables_[Settings_.Service_], Table);
--- a/daemon/daemon_options.cpp
+++ b/daemon/daemon_options.cpp
@@ -69,6 +69,8 @@
   Options.Lease_ = Settings.Lease_;
   Options.RenewInterval_ = Settings.RenewInterval_;
   Options.Hold_ = std::min(Settings.Hold_, Settings.Bounds_.MaxHold_);
+  Options.DeclaredHold_ =
+      std::min(Options.DeclaredHold_, Settings.Bounds_.MaxHold_);
   Options.SuspectAfter_ = Settings.SuspectAfter_;
   return Options;
 }
@@ -81,6 +83,7 @@
     ServiceSpec Spec;
     Spec.Name_ = Service.Name_;
     Spec.Sharded_ = Service.Sharded_;
+    Spec.GrantMethod_ = Service.GrantMethod_;
     Result.Services_[Spec.Name_] = Spec;
   }
   return Result;
--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -5,6 +5,7 @@
 #include "platform/platform_codec.h"
 #include "store/store.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -52,7 +53,8 @@
       StartedAt_(Time.now()), DecayedAt_(StartedAt_) {
   State_.Host_ = Config_.Host_;
   State_.Options_ = Options;
-  State_.EarlierProcessGrantsEnd_ = StartedAt_ + State_.Options_.Hold_ * 2;
+  State_.EarlierProcessGrantsEnd_ =
+      StartedAt_ + std::max(Options.Hold_, Options.DeclaredHold_) * 2;
 }
 
 void OwnershipManager::onTable(const std::optional<KeyTable> &Table,
@@ -67,6 +69,35 @@
   tick();
 }
 
+void OwnershipManager::onHoldReport(const HoldReport &Report) {
+  lagoonhitch::onHoldReport(State_, Report);
+  tick();
+}
+
+std::optional<HoldDeclaration>
+OwnershipManager::declareHolds(Instant ReceivedAt) {
+  if (!usesHeartbeatReplies())
+    return std::nullopt;
+  const std::optional<HoldDeclaration> Declaration =
+      lagoonhitch::declareHolds(State_, ReceivedAt, Time_.now());
+  // Requests may wait for keys that are declared for the first time.
+  Callbacks_.OnChanged_();
+  return Declaration;
+}
+
+bool OwnershipManager::usesHeartbeatReplies() const {
+  return isSharded(Site_, Config_.Service_) &&
+         grantMethod(Site_, Config_.Service_) == GrantMethod::HeartbeatReplies;
+}
+
+bool OwnershipManager::needsDeclaration() const {
+  return lagoonhitch::needsDeclaration(State_, Time_.now());
+}
+
+void OwnershipManager::updateGrantMethod() {
+  State_.GrantMethod_ = grantMethod(Site_, Config_.Service_);
+}
+
 bool OwnershipManager::serves(KeyId Key) const {
   return canServeKey(State_, Key, Time_.now());
 }
@@ -134,6 +165,7 @@
   Ticking_ = true;
   const Instant Now = Time_.now();
   decayRates(Now);
+  updateGrantMethod();
   if (isSharded(Site_, Config_.Service_))
     execute(onKeyTick(State_, inputs(), Now));
   Ticking_ = false;
--- a/daemon/ownership_manager.h
+++ b/daemon/ownership_manager.h
@@ -7,6 +7,7 @@
 #include "core/clock.h"
 #include "core/event_catalog.h"
 #include "daemon/site_state.h"
+#include "ownership/declared_holds.h"
 #include "ownership/key_ownership.h"
 
 #include <functional>
@@ -57,6 +58,23 @@
   /// \param End where the topic ends.
   void onTable(const std::optional<KeyTable> &Table, Offset End);
 
+  /// Handles the keys that the local upstream reports in a heartbeat. Reports
+  /// are passed in the order in which the upstream sent them.
+  void onHoldReport(const HoldReport &Report);
+
+  /// Returns what the reply to a heartbeat declares; std::nullopt if the
+  /// upstream gets its keys by calls, or must keep what it holds.
+  /// \param ReceivedAt when the heartbeat was received.
+  std::optional<HoldDeclaration> declareHolds(Instant ReceivedAt);
+
+  /// Returns whether the local upstream gets its keys in the replies to its
+  /// heartbeats.
+  bool usesHeartbeatReplies() const;
+
+  /// Returns whether the upstream waits for keys, or has keys that it is to
+  /// release, so that a reply to its heartbeat should not be delayed.
+  bool needsDeclaration() const;
+
   /// Updates the state of the local upstream.
   void onUpstreamChanged(const LocalUpstream &Upstream);
 
@@ -94,6 +112,7 @@
   void grant(const KeyAction &Action);
   void release(const KeyAction &Action);
   void onOwnershipChanged();
+  void updateGrantMethod();
 
   const Clock &Time_;
   Store &KeyStore_;
--- a/daemon/site_state.h
+++ b/daemon/site_state.h
@@ -41,6 +41,15 @@
   return Spec != nullptr && Spec->Sharded_;
 }
 
+/// Returns how the upstreams of a service are told which keys they hold.
+inline GrantMethod grantMethod(const SiteState &Site,
+                               const std::string &Service) {
+  if (Site.Manifest_ == nullptr)
+    return GrantMethod::Calls;
+  const ServiceSpec *Spec = findService(*Site.Manifest_, Service);
+  return Spec == nullptr ? GrantMethod::Calls : Spec->GrantMethod_;
+}
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_DAEMON_SITE_STATE_H
--- a/daemon/site_watcher.cpp
+++ b/daemon/site_watcher.cpp
@@ -144,12 +144,13 @@
     Zones = Site_.Fleet_.EvacuatedZones_;
   for (const StoreRecord &Record : Records) {
     if (Record.Key_ == ManifestKey) {
-      std::optional<Manifest> Decoded = decodeManifest(Record.Value_);
+      std::string Fault;
+      std::optional<Manifest> Decoded = decodeManifest(Record.Value_, &Fault);
       if (Decoded)
         applyManifest(std::move(*Decoded));
       else
         Callbacks_.LogEvent_(EventId::ConfigUnreadable,
-                             std::to_string(Record.Offset_));
+                             std::to_string(Record.Offset_) + ": " + Fault);
       continue;
     }
     const std::optional<std::string> Zone = evacuatedZone(Record.Key_);
--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -48,7 +48,8 @@
     : Time_(Time), MemberStore_(MemberStore), UpstreamClient_(UpstreamClient),
       Site_(Site), Gateway_(Gateway), Ownership_(Ownership),
       Names_(std::move(Names)), Config_(std::move(Config)),
-      LogEvent_(std::move(LogEvent)), PushRecord_(std::move(PushRecord)) {}
+      LogEvent_(std::move(LogEvent)), PushRecord_(std::move(PushRecord)),
+      Responder_(Time, Ownership) {}
 
 const ServiceSpec *UpstreamManager::serviceSpec() const {
   if (Site_.Manifest_ == nullptr)
@@ -61,22 +62,22 @@
 }
 
 void UpstreamManager::handle(const HttpRequest &Request,
-                             HttpExchange &Exchange) {
+                             const std::shared_ptr<HttpExchange> &Exchange) {
   const std::optional<std::string> Upstream = upstreamFromPath(Request.Target_);
   if (!Upstream) {
-    Exchange.respond(errorResponse(404, "no such path"));
+    Exchange->respond(errorResponse(404, "no such path"));
     return;
   }
   if (Request.Method_ == "DELETE") {
     handleDeregistration(*Upstream);
-    Exchange.respond(jsonResponse(200, "{}"));
+    Exchange->respond(jsonResponse(200, "{}"));
     return;
   }
   const std::optional<UpstreamHeartbeat> Heartbeat =
       Request.Method_ == "PUT" ? decodeHeartbeat(*Upstream, Request.Body_)
                                : std::nullopt;
   if (!Heartbeat) {
-    Exchange.respond(errorResponse(400, "the heartbeat can't be read"));
+    Exchange->respond(errorResponse(400, "the heartbeat can't be read"));
     return;
   }
   handleHeartbeat(*Heartbeat, Exchange);
@@ -95,14 +96,15 @@
   onStateChanged();
 }
 
-void UpstreamManager::handleHeartbeat(const UpstreamHeartbeat &Heartbeat,
-                                      HttpExchange &Exchange) {
+void UpstreamManager::handleHeartbeat(
+    const UpstreamHeartbeat &Heartbeat,
+    const std::shared_ptr<HttpExchange> &Exchange) {
   const bool WasDraining = Incarnation_ && Incarnation_->Draining_;
   const HeartbeatResult Result =
       applyHeartbeat(Incarnation_, Heartbeat, Config_.Service_,
                      Config_.UpstreamAddress_, Time_.now());
   if (Result == HeartbeatResult::Mismatched) {
-    Exchange.respond(
+    Exchange->respond(
         errorResponse(400, "the heartbeat is of another service or address"));
     return;
   }
@@ -113,8 +115,13 @@
       LogEvent_(EventId::UpstreamDraining, Heartbeat.Upstream_);
     applyColdStart(Heartbeat.ColdRemaining_);
     onStateChanged();
+    if (Heartbeat.Keys_)
+      Ownership_.onHoldReport(*Heartbeat.Keys_);
+    Responder_.respondTo(Exchange, !Heartbeat.Draining_ && !HandingOver_);
+    return;
   }
-  Exchange.respond(jsonResponse(200, "{}"));
+  // An earlier heartbeat that arrives late must not change the keys.
+  Exchange->respond(jsonResponse(200, "{}"));
 }
 
 void UpstreamManager::onConnectionRefused() {
@@ -217,6 +224,7 @@
 }
 
 void UpstreamManager::tick() {
+  Responder_.tick();
   checkHealth();
   publishMember();
 }
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 #include "core/event_catalog.h"
+#include "daemon/heartbeat_responder.h"
 #include "daemon/site_state.h"
 #include "membership/upstream_incarnation.h"
 #include "net/header_names.h"
@@ -14,6 +15,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -63,7 +65,8 @@
                   EventCallback LogEvent, PushCallback PushRecord);
 
   /// Handles an HTTP request that carries a heartbeat or a deregistration.
-  void handle(const HttpRequest &Request, HttpExchange &Exchange);
+  void handle(const HttpRequest &Request,
+              const std::shared_ptr<HttpExchange> &Exchange);
 
   /// Marks the upstream as terminated: its address refuses connections.
   void onConnectionRefused();
@@ -72,6 +75,10 @@
   /// to terminate. Its heartbeats may not report that.
   void onLeavingStated();
 
+  /// Sends the keys to the upstream that it waits for, if that is possible
+  /// now.
+  void onKeysChanged() { Responder_.tick(); }
+
   /// Reevaluates admission after a change of the manifest or of the evacuated
   /// zones.
   void onSiteChanged();
@@ -96,7 +103,7 @@
 private:
   void handleDeregistration(const std::string &Upstream);
   void handleHeartbeat(const UpstreamHeartbeat &Heartbeat,
-                       HttpExchange &Exchange);
+                       const std::shared_ptr<HttpExchange> &Exchange);
   void onStateChanged();
   void recordCrash();
   std::string describeLostRun(const LostRun &Run) const;
@@ -120,6 +127,7 @@
   UpstreamManagerConfig Config_;
   EventCallback LogEvent_;
   PushCallback PushRecord_;
+  HeartbeatResponder Responder_;
   std::optional<UpstreamIncarnation> Incarnation_;
   /// The last deregistration of an upstream other than Incarnation_. It was
   /// acknowledged, so it also applies to heartbeats that arrive after it.
--- a/manifest/service_spec.h
+++ b/manifest/service_spec.h
@@ -4,6 +4,8 @@
 /// \file
 /// The services of a manifest.
 
+#include "core/grant_method.h"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -15,6 +17,8 @@
   std::string Name_;
   /// Whether the service is sharded by key; each key then has one owner.
   bool Sharded_ = false;
+  /// How the upstreams are told which keys they hold.
+  GrantMethod GrantMethod_ = GrantMethod::Calls;
   /// Path of the upstreams' health check.
   std::string HealthPath_ = "/health";
   /// Maximum number of connections to an upstream.
--- a/membership/upstream_heartbeat.h
+++ b/membership/upstream_heartbeat.h
@@ -4,8 +4,11 @@
 /// \file
 /// The heartbeat that an upstream sends to the daemon on its host.
 
+#include "ownership/hold_report.h"
+
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace lagoonhitch {
@@ -27,6 +30,8 @@
   std::int64_t StartMillis_ = 0;
   /// Increases with each heartbeat of one incarnation.
   std::uint64_t Sequence_ = 0;
+  /// The keys that it holds; std::nullopt if it does not report them.
+  std::optional<HoldReport> Keys_;
 };
 
 } // namespace lagoonhitch
--- a/ownership/key_holds.cpp
+++ b/ownership/key_holds.cpp
@@ -126,4 +126,34 @@
       [&Range](const KeyRow &Row) { return overlaps(Row.Range_, Range); });
 }
 
+bool isKeptByPendingAppend(const KeyOwnershipState &State, const KeyRow &Row) {
+  if (!State.PendingAppend_)
+    return true;
+  const std::vector<KeyRow> &Next = State.PendingAppend_->Table_.Rows_;
+  return std::all_of(Next.begin(), Next.end(), [&Row](const KeyRow &Other) {
+    return !overlaps(Other.Range_, Row.Range_) ||
+           (sameIncarnation(Other.Owner_, Row.Owner_) &&
+            Other.Fence_ == Row.Fence_);
+  });
+}
+
+Duration grantDuration(const KeyOwnershipState &State, Instant Now) {
+  const Duration Remaining =
+      std::chrono::duration_cast<Duration>(
+          (State.LeaseUntil_ - Now) * (1 - State.Options_.MaxClockDrift_)) -
+      State.Options_.PauseMargin_;
+  const std::chrono::milliseconds Hold =
+      State.GrantMethod_ == GrantMethod::Calls ? State.Options_.Hold_
+                                               : State.Options_.DeclaredHold_;
+  return std::min<Duration>(Hold, Remaining);
+}
+
+bool isBeingReleased(const KeyOwnershipState &State, KeyId Key) {
+  return std::any_of(State.Moves_.begin(), State.Moves_.end(),
+                     [Key](const KeyMove &Move) {
+                       return contains(Move.Range_, Key) &&
+                              Move.Phase_ != KeyMove::Phase::Draining;
+                     });
+}
+
 } // namespace lagoonhitch
--- a/ownership/key_holds.h
+++ b/ownership/key_holds.h
@@ -44,6 +44,19 @@
 /// still take effect.
 bool isGrantInFlight(const KeyOwnershipState &State, const KeyRange &Range);
 
+/// Returns whether keys keep their owner if the pending append, if any,
+/// succeeds. It may take effect at any time, so keys that it reassigns must not
+/// be granted again.
+bool isKeptByPendingAppend(const KeyOwnershipState &State, const KeyRow &Row);
+
+/// Returns the duration of a grant: as configured, but not beyond the end of
+/// the lease by the upstream's clock.
+Duration grantDuration(const KeyOwnershipState &State, Instant Now);
+
+/// Returns whether the upstream has been told to release a key, or has released
+/// it.
+bool isBeingReleased(const KeyOwnershipState &State, KeyId Key);
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_OWNERSHIP_KEY_HOLDS_H
--- a/ownership/key_ownership.cpp
+++ b/ownership/key_ownership.cpp
@@ -1,5 +1,6 @@
 #include "ownership/key_ownership.h"
 
+#include "ownership/declared_holds.h"
 #include "ownership/key_balance.h"
 #include "ownership/key_holds.h"
 #include "ownership/key_plan.h"
@@ -135,30 +136,6 @@
   static_cast<void>(Now);
 }
 
-/// Returns whether keys keep their owner if the pending append, if any,
-/// succeeds. It may take effect at any time, so keys that it reassigns must not
-/// be granted again.
-bool isKeptByPendingAppend(const KeyOwnershipState &State, const KeyRow &Row) {
-  if (!State.PendingAppend_)
-    return true;
-  const std::vector<KeyRow> &Next = State.PendingAppend_->Table_.Rows_;
-  return std::all_of(Next.begin(), Next.end(), [&Row](const KeyRow &Other) {
-    return !overlaps(Other.Range_, Row.Range_) ||
-           (sameIncarnation(Other.Owner_, Row.Owner_) &&
-            Other.Fence_ == Row.Fence_);
-  });
-}
-
-/// Returns the duration of a grant: as configured, but not beyond the end of
-/// the lease by the upstream's clock.
-Duration grantDuration(const KeyOwnershipState &State, Instant Now) {
-  const Duration Remaining =
-      std::chrono::duration_cast<Duration>(
-          (State.LeaseUntil_ - Now) * (1 - State.Options_.MaxClockDrift_)) -
-      State.Options_.PauseMargin_;
-  return std::min<Duration>(State.Options_.Hold_, Remaining);
-}
-
 void addGrants(KeyOwnershipState &State, KeyActions &Actions, Instant Now) {
   if (!hasLease(State, Now) || !isUpstreamAlive(State))
     return;
@@ -269,9 +246,14 @@
   updateTakeovers(State, Inputs, Actions, Now);
   startMoves(State, Inputs, Now);
   syncHolds(State);
-  advanceMoves(State, Actions, Now);
+  const bool Calls = State.GrantMethod_ == GrantMethod::Calls;
+  if (Calls)
+    advanceMoves(State, Actions, Now);
+  else
+    expireDeclaredHolds(State, Now);
   addTableAppend(State, Inputs, Actions, Now);
-  addGrants(State, Actions, Now);
+  if (Calls)
+    addGrants(State, Actions, Now);
   return Actions;
 }
 
@@ -401,7 +383,7 @@
 }
 
 bool canServeKey(const KeyOwnershipState &State, KeyId Key, Instant Now) {
-  if (Now >= State.LeaseUntil_ || isMoving(State, {Key, Key}))
+  if (Now >= State.LeaseUntil_ || isBeingReleased(State, Key))
     return false;
   const auto After = State.HeldKeys_.upper_bound(Key);
   if (After == State.HeldKeys_.begin())
--- a/ownership/key_ownership_options.h
+++ b/ownership/key_ownership_options.h
@@ -20,8 +20,14 @@
   std::chrono::milliseconds RenewRetryDelay_{300};
   /// How long the upstream may hold keys after one grant.
   std::chrono::milliseconds Hold_{2500};
+  /// How long the upstream may hold keys after one declaration in the reply to
+  /// a heartbeat. Several heartbeats may be lost in this time.
+  std::chrono::milliseconds DeclaredHold_{4000};
   /// Time between two grants of the same keys.
   std::chrono::milliseconds GrantInterval_{800};
+  /// Time from the sending of a heartbeat after which the upstream ignores the
+  /// reply.
+  std::chrono::milliseconds AcknowledgementTime_{1000};
   /// Fraction by which another clock, such as the upstream's, may run slower
   /// than this host's.
   double MaxClockDrift_ = 0.02;
--- a/ownership/key_ownership_state.h
+++ b/ownership/key_ownership_state.h
@@ -5,6 +5,8 @@
 /// The state of key ownership that a daemon keeps.
 
 #include "core/clock.h"
+#include "core/grant_method.h"
+#include "ownership/hold_report.h"
 #include "ownership/key_ownership_options.h"
 #include "ownership/key_table.h"
 
@@ -51,12 +53,21 @@
   Instant MayHoldUntil_ = Instant::min();
   /// When the next grant is due.
   Instant RenewAt_ = Instant::min();
+  /// When the last heartbeat was received whose reply declared the keys;
+  /// std::nullopt if there is none.
+  std::optional<Instant> DeclaredAt_;
+  /// Whether the upstream's last report had all of the keys.
+  bool Accepted_ = false;
+  /// Number of consecutive reports without the keys after a reply declared
+  /// them.
+  std::uint32_t MissingReports_ = 0;
 };
 
 /// A planned move of keys from this host to another one.
 struct KeyMove {
-  /// Draining waits for the results of grants in flight, Releasing for the
-  /// result of the release, Released for SafeAt_ and the next table.
+  /// Draining waits for the results of grants in flight, or for a heartbeat
+  /// whose reply can start the release; Releasing for the result of the
+  /// release, Released for SafeAt_ and the next table.
   enum class Phase { Draining, Releasing, Released };
   KeyRange Range_;
   /// The fencing token of the row when the move started.
@@ -68,6 +79,8 @@
   /// the release or not.
   Instant SafeAt_ = Instant::max();
   Instant StartedAt_;
+  /// The parts that the upstream has reported as released so far.
+  std::vector<ReportedRelease> ReleasedParts_;
 };
 
 /// The takeover of an unresponsive host's keys.
@@ -109,6 +122,7 @@
 struct KeyOwnershipState {
   std::string Host_;
   KeyOwnershipOptions Options_;
+  GrantMethod GrantMethod_ = GrantMethod::Calls;
   LocalUpstream Upstream_;
 
   /// This host's lease epoch.
--- a/settings/schema.cpp
+++ b/settings/schema.cpp
@@ -32,6 +32,7 @@
       "properties": {
         "prefix": {"type": "string", "pattern": "^/[a-z0-9-]+$"},
         "placement": {"enum": ["divided", "shared"]},
+        "grants": {"enum": ["calls", "heartbeat_replies"]},
         "shards": {"type": "integer", "minimum": 1, "maximum": 65536},
         "key": {
           "type": "object",
--- a/settings/service_settings.h
+++ b/settings/service_settings.h
@@ -4,6 +4,7 @@
 /// \file
 /// The settings of a service.
 
+#include "core/grant_method.h"
 #include "settings/request_rule.h"
 
 #include <string>
@@ -22,6 +23,8 @@
   /// Whether the service is sharded by key. Otherwise, any of its upstreams can
   /// handle any request.
   bool Sharded_ = false;
+  /// How the upstreams of a sharded service are told which keys they hold.
+  GrantMethod GrantMethod_ = GrantMethod::Calls;
   /// Number of shards of a sharded service.
   std::uint32_t ShardCount_ = 0;
   KeySource KeySource_ = KeySource::Path;
--- a/settings/settings_load.cpp
+++ b/settings/settings_load.cpp
@@ -55,6 +55,8 @@
   Service.Name_ = Name;
   Service.Prefix_ = Source.at("prefix").get<std::string>();
   Service.Sharded_ = Source.at("placement") == "divided";
+  if (Source.value("grants", "calls") == "heartbeat_replies")
+    Service.GrantMethod_ = GrantMethod::HeartbeatReplies;
   Service.ShardCount_ = Source.value("shards", 0U);
   Service.Internal_ = Source.value("internal", false);
   const Json Key = Source.value("key", Json::object());
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -56,7 +56,10 @@
     throw std::runtime_error("cannot create a temporary directory");
   Folder_ = Template;
   startStore();
-  writeFile("base.json", baseSettings());
+  Json Settings = baseSettings();
+  if (Options_.UseHeartbeatReplies_)
+    Settings["services"]["katalog"]["grants"] = "heartbeat_replies";
+  writeFile("base.json", Settings);
   writeFile("overlay.json", {{"site", "my-central"},
                              {"zones", {"kv-a", "kv-b", "kv-c"}},
                              {"store", StoreAddress_}});
@@ -155,6 +158,8 @@
     Arguments.push_back("--listen=" + Started.UpstreamAddress_);
   if (Started.Service_ == ServiceNames[0])
     Arguments.emplace_back("--divided");
+  if (Options_.UseHeartbeatReplies_)
+    Arguments.emplace_back("--keys_in_heartbeats");
   if (Options_.RecordRuns_)
     Arguments.push_back("--runs=" + file(Started.Name_ + ".runs"));
   Started.Upstream_ = std::make_unique<ChildProcess>(
--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -25,6 +25,9 @@
   std::uint32_t ServiceTimeMicros_ = 1000;
   /// Whether requests between daemons go through a TcpRelay per host.
   bool UseRelays_ = false;
+  /// Whether the upstreams of the sharded service get their keys in the replies
+  /// to their heartbeats, instead of by calls.
+  bool UseHeartbeatReplies_ = false;
   /// Whether upstreams record the requests they execute in files.
   bool RecordRuns_ = true;
 };
--- a/tests/process/site_fixture.cpp
+++ b/tests/process/site_fixture.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <map>
 #include <string>
 #include <thread>
@@ -21,11 +22,20 @@
 
 constexpr seconds StartTimeout{20};
 
+/// Upstreams get their keys in the replies to their heartbeats if the
+/// environment says so.
+SiteOptions withGrantMethod(SiteOptions Options) {
+  if (std::getenv("LAGOONHITCH_TEST_HEARTBEAT_REPLIES") != nullptr)
+    Options.UseHeartbeatReplies_ = true;
+  return Options;
+}
+
 } // namespace
 
 void sleepFor(milliseconds Span) { std::this_thread::sleep_for(Span); }
 
-SiteFixture::SiteFixture(const SiteOptions &Options) : Site_(Time_, Options) {
+SiteFixture::SiteFixture(const SiteOptions &Options)
+    : Site_(Time_, withGrantMethod(Options)) {
   BOOST_REQUIRE(Site_.waitUntilServing(StartTimeout));
 }
 
--- a/tests/schedule/key_schedule_test.cpp
+++ b/tests/schedule/key_schedule_test.cpp
@@ -7,6 +7,8 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
+#include <cstdlib>
+
 namespace lagoonhitch {
 
 namespace {
@@ -16,6 +18,14 @@
 constexpr int MaxFaultStartMillis = 9000;
 constexpr int MaxFaultDurationMillis = 9000;
 
+/// Returns how the simulated upstreams get their keys: in the replies to their
+/// heartbeats if the environment says so, else by calls.
+GrantMethod grantMethodUnderTest() {
+  return std::getenv("LAGOONHITCH_TEST_HEARTBEAT_REPLIES") == nullptr
+             ? GrantMethod::Calls
+             : GrantMethod::HeartbeatReplies;
+}
+
 rc::Gen<KeyFault> arbitraryFault() {
   return rc::gen::build<KeyFault>(
       rc::gen::set(&KeyFault::Kind_,
@@ -62,7 +72,7 @@
 RC_BOOST_PROP(SafetyHoldsUnderAnyFaults, ()) {
   const std::uint64_t Seed = *rc::gen::arbitrary<std::uint64_t>();
   const std::vector<KeyFault> Faults = arbitraryFaults(12);
-  KeySimulation Simulation(HostCount, Seed);
+  KeySimulation Simulation(HostCount, Seed, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(5), {});
   Simulation.run(std::chrono::seconds(22), Faults);
   RC_ASSERT(describeViolations(Simulation) == "");
@@ -71,7 +81,7 @@
 RC_BOOST_PROP(AllKeysAreServedAgainAfterFaults, ()) {
   const std::uint64_t Seed = *rc::gen::arbitrary<std::uint64_t>();
   const std::vector<KeyFault> Faults = arbitraryFaults(4);
-  KeySimulation Simulation(HostCount, Seed);
+  KeySimulation Simulation(HostCount, Seed, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(5), {});
   Simulation.run(std::chrono::seconds(45), Faults);
   RC_ASSERT(Simulation.heldKeyCount() == SampledKeyCount);
@@ -79,7 +89,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(KeysAreAssignedOnceWithoutFaults) {
-  KeySimulation Simulation(HostCount, 7);
+  KeySimulation Simulation(HostCount, 7, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(20), {});
   BOOST_TEST(Simulation.heldKeyCount() == SampledKeyCount);
   BOOST_TEST(Simulation.tableCount() == 1U);
@@ -87,7 +97,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(FailedHostIsTakenOverAfterItsLeaseExpires) {
-  KeySimulation Simulation(HostCount, 7);
+  KeySimulation Simulation(HostCount, 7, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(5), {});
   const std::chrono::milliseconds FaultDuration(60000);
   Simulation.run(std::chrono::seconds(9),
@@ -100,7 +110,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(KeysOfCrashedUpstreamMoveAtOnce) {
-  KeySimulation Simulation(HostCount, 7);
+  KeySimulation Simulation(HostCount, 7, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(5), {});
   Simulation.run(std::chrono::milliseconds(600),
                  {{KeyFaultKind::UpstreamCrash, std::chrono::milliseconds(0),
@@ -112,7 +122,7 @@
 /// Its peers suspect the host to have failed, but it still renews its lease and
 /// its upstream's holds.
 BOOST_AUTO_TEST_CASE(HostPartitionedFromPeersKeepsItsKeys) {
-  KeySimulation Simulation(HostCount, 7);
+  KeySimulation Simulation(HostCount, 7, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(5), {});
   Simulation.run(std::chrono::seconds(14),
                  {{KeyFaultKind::PeerPartition, std::chrono::milliseconds(0),
@@ -124,7 +134,7 @@
 /// The host can't renew its lease and has no contact with its peers, so that
 /// they take over its keys.
 BOOST_AUTO_TEST_CASE(HostPartitionedFromStoreAndPeersLosesItsKeys) {
-  KeySimulation Simulation(HostCount, 7);
+  KeySimulation Simulation(HostCount, 7, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(5), {});
   const std::chrono::milliseconds FaultDuration(60000);
   const std::chrono::milliseconds FaultStart(0);
@@ -141,7 +151,7 @@
 /// reply to the second append. Found with seed 3 (key_schedules_3).
 BOOST_AUTO_TEST_CASE(LateReplyResolvesOnlyItsOwnAppend) {
   using std::chrono::milliseconds;
-  KeySimulation Simulation(HostCount, 1338362356);
+  KeySimulation Simulation(HostCount, 1338362356, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(5), {});
   Simulation.run(
       std::chrono::seconds(22),
@@ -159,7 +169,7 @@
 BOOST_AUTO_TEST_CASE(KeysBeingReassignedAreNotGrantedAgain) {
   using std::chrono::milliseconds;
   for (std::uint64_t Seed = 0; Seed < 20; ++Seed) {
-    KeySimulation Simulation(HostCount, Seed);
+    KeySimulation Simulation(HostCount, Seed, grantMethodUnderTest());
     Simulation.run(std::chrono::seconds(5), {});
     Simulation.run(
         std::chrono::seconds(22),
@@ -176,7 +186,7 @@
 BOOST_AUTO_TEST_CASE(GrantInFlightCountsAsAHold) {
   using std::chrono::milliseconds;
   for (std::uint64_t Seed = 0; Seed < 40; ++Seed) {
-    KeySimulation Simulation(HostCount, Seed);
+    KeySimulation Simulation(HostCount, Seed, grantMethodUnderTest());
     Simulation.run(std::chrono::seconds(5), {});
     Simulation.run(
         std::chrono::seconds(22),
@@ -203,7 +213,7 @@
 /// take over the keys of all others.
 BOOST_AUTO_TEST_CASE(HostsKeepTheirKeysAfterTotalPowerLoss) {
   using std::chrono::milliseconds;
-  KeySimulation Simulation(HostCount, 7);
+  KeySimulation Simulation(HostCount, 7, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(5), {});
   const KeyTable Before = Simulation.latestTable();
   std::vector<KeyFault> Losses;
@@ -223,7 +233,7 @@
 BOOST_AUTO_TEST_CASE(ConcurrentTableChangesNeedFewStoreCalls) {
   using std::chrono::milliseconds;
   constexpr std::uint32_t ManyHosts = 24;
-  KeySimulation Simulation(ManyHosts, 7);
+  KeySimulation Simulation(ManyHosts, 7, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(12), {});
   std::vector<KeyFault> Crashes;
   for (std::uint32_t Host = 0; Host < ManyHosts; ++Host)
@@ -237,7 +247,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(RestartedDaemonKeepsItsKeys) {
-  KeySimulation Simulation(HostCount, 7);
+  KeySimulation Simulation(HostCount, 7, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(5), {});
   Simulation.run(std::chrono::seconds(3),
                  {{KeyFaultKind::KillDaemon, std::chrono::milliseconds(0),
--- a/tests/schedule/key_simulation.cpp
+++ b/tests/schedule/key_simulation.cpp
@@ -17,6 +17,8 @@
 /// Distance between two sampled keys.
 constexpr KeyId KeySampleStep = 257;
 
+} // namespace
+
 void removeRange(std::vector<SimulatedHold> &Holds, const KeyRange &Range) {
   std::vector<SimulatedHold> Remaining;
   for (const SimulatedHold &Hold : Holds) {
@@ -38,15 +40,15 @@
   Holds = std::move(Remaining);
 }
 
-} // namespace
-
-KeySimulation::KeySimulation(std::uint32_t HostCount, std::uint64_t Seed)
-    : Now_(std::chrono::hours(1)), Random_(Seed) {
+KeySimulation::KeySimulation(std::uint32_t HostCount, std::uint64_t Seed,
+                             GrantMethod Method)
+    : Method_(Method), Now_(std::chrono::hours(1)), Random_(Seed) {
   constexpr double MaxClockSlowdown = 0.02;
   for (std::uint32_t HostIndex = 0; HostIndex < HostCount; ++HostIndex) {
     SimulatedHost Host;
     Host.Name_ = "host" + std::to_string(HostIndex);
     Host.Ownership_.Host_ = Host.Name_;
+    Host.Ownership_.GrantMethod_ = Method_;
     Host.Upstream_.Id_ = "up" + std::to_string(HostIndex);
     Host.Upstream_.ClockSlowdown_ =
         1 + MaxClockSlowdown * static_cast<double>(Random_() % 100) / 100;
@@ -81,6 +83,9 @@
                  [this, HostIndex] { tickHost(HostIndex); });
       scheduleAt(Now_ + randomDelay(0, 50),
                  [this, HostIndex] { readTable(HostIndex); });
+      if (Method_ == GrantMethod::HeartbeatReplies)
+        scheduleAt(Now_ + randomDelay(0, 870),
+                   [this, HostIndex] { sendHeartbeat(HostIndex); });
     }
   for (const KeyFault &Fault : Faults)
     scheduleAt(Now_ + Fault.Start_, [this, Fault] { injectFault(Fault); });
@@ -311,6 +316,11 @@
       if (overlaps(Hold.Range_, Row.Range_) && Hold.ExpiresAt_ > Now_)
         Violations_.push_back(Host.Name_ + " and " + Other.Name_ +
                               " hold the same keys");
+    for (const SimulatedRelease &Release : Other.Upstream_.Releases_)
+      if (overlaps(Release.Range_, Row.Range_) &&
+          std::min(Release.WorkEndsAt_, Release.ExpiresAt_) > Now_)
+        Violations_.push_back(Host.Name_ + " holds keys for which requests " +
+                              "run at " + Other.Name_);
     for (const SimulatedHold &SeenFence : Other.Upstream_.HighestFences_)
       if (overlaps(SeenFence.Range_, Row.Range_) &&
           SeenFence.Fence_ >= Row.Fence_)
@@ -417,7 +427,10 @@
     Restarted.Ownership_ = KeyOwnershipState();
     Restarted.Ownership_.Host_ = Restarted.Name_;
     Restarted.Ownership_.Options_ = Options_;
-    Restarted.Ownership_.EarlierProcessGrantsEnd_ = Now_ + Options_.Hold_ * 2;
+    Restarted.Ownership_.GrantMethod_ = Method_;
+    Restarted.LastSequence_ = 0;
+    Restarted.Ownership_.EarlierProcessGrantsEnd_ =
+        Now_ + std::max(Options_.Hold_, Options_.DeclaredHold_) * 2;
   });
 }
 
@@ -435,6 +448,9 @@
         Restarted.StartMillis_ + 1, toMillis(Now_.time_since_epoch()).count());
     Restarted.Holds_.clear();
     Restarted.HighestFences_.clear();
+    Restarted.Releases_.clear();
+    Restarted.Sequence_ = 0;
+    Hosts_[HostIndex].LastSequence_ = 0;
   });
 }
 
--- a/tests/schedule/key_simulation.h
+++ b/tests/schedule/key_simulation.h
@@ -5,8 +5,10 @@
 /// A deterministic simulation of the daemons, upstreams and store of one
 /// sharded service, limited to key ownership.
 
+#include "ownership/declared_holds.h"
 #include "ownership/key_ownership.h"
 #include "tests/schedule/key_fault.h"
+#include "tests/schedule/simulated_holds.h"
 #include "tests/standin/store_model.h"
 
 #include <functional>
@@ -18,13 +20,6 @@
 
 namespace lagoonhitch {
 
-/// Keys that an upstream holds, or has held.
-struct SimulatedHold {
-  KeyRange Range_;
-  FencingToken Fence_ = 0;
-  Instant ExpiresAt_;
-};
-
 /// An upstream that checks fencing tokens and lets holds expire.
 struct SimulatedUpstream {
   std::string Id_;
@@ -39,6 +34,10 @@
   std::vector<SimulatedHold> Holds_;
   /// The highest fencing token seen for each key range.
   std::vector<SimulatedHold> HighestFences_;
+  /// Releases that no acknowledged heartbeat has reported yet.
+  std::vector<SimulatedRelease> Releases_;
+  /// Number of the last heartbeat.
+  std::uint64_t Sequence_ = 0;
 };
 
 /// A host with its daemon and upstream.
@@ -58,6 +57,8 @@
   bool StoreUnreachable_ = false;
   bool PeersUnreachable_ = false;
   bool LateGrants_ = false;
+  /// The number of the last heartbeat that the daemon has handled.
+  std::uint64_t LastSequence_ = 0;
   Offset ReadUntil_ = 0;
   Instant LastHeartbeatAt_;
   /// The epoch in the last heartbeat that its peers received.
@@ -69,7 +70,9 @@
 class KeySimulation {
 public:
   /// \param Seed determines all delays and the probabilistic faults.
-  KeySimulation(std::uint32_t HostCount, std::uint64_t Seed);
+  /// \param Method how the upstreams get their keys.
+  KeySimulation(std::uint32_t HostCount, std::uint64_t Seed,
+                GrantMethod Method = GrantMethod::Calls);
 
   /// Advances the simulated time by Span. The start times of the faults are
   /// relative to the start of this call.
@@ -118,11 +121,22 @@
   void checkTable(const KeyTable &Table);
   void checkGrant(const SimulatedHost &Host, const KeyRow &Row);
   void readTable(std::size_t HostIndex);
+  void sendHeartbeat(std::size_t HostIndex);
+  void receiveHeartbeat(std::size_t HostIndex,
+                        const SimulatedHeartbeat &Heartbeat);
+  void answerHeartbeat(std::size_t HostIndex,
+                       const SimulatedHeartbeat &Heartbeat, Instant ReceivedAt);
+  void applyDeclaration(std::size_t HostIndex,
+                        const SimulatedHeartbeat &Heartbeat,
+                        const std::optional<HoldDeclaration> &Declaration);
+  void releaseUndeclared(SimulatedUpstream &Upstream,
+                         const HoldDeclaration &Declaration);
   void injectFault(const KeyFault &Fault);
   void killDaemon(std::size_t HostIndex, std::chrono::milliseconds Downtime);
   void crashUpstream(std::size_t HostIndex, std::chrono::milliseconds Downtime);
   std::chrono::milliseconds randomDelay(int Low, int High);
 
+  GrantMethod Method_;
   Instant Now_;
   std::mt19937_64 Random_;
   std::multimap<Instant, Event> Events_;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -41,6 +41,8 @@
   SiteOptions Options;
   Options.Hosts_ = Hosts;
   Options.UseRelays_ = true;
+  // Both ways to grant keys are covered: odd seeds use heartbeat replies.
+  Options.UseHeartbeatReplies_ = Seed % 2 == 1;
   Site TestSite(Time, Options);
   constexpr std::chrono::seconds StartLimit{30};
   if (!TestSite.waitUntilServing(StartLimit))
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -22,6 +22,8 @@
 ABSL_FLAG(std::string, instance, "", "instance id of the upstream");
 ABSL_FLAG(std::string, zone, "z", "availability zone");
 ABSL_FLAG(bool, divided, false, "reject requests whose key is not held");
+ABSL_FLAG(bool, keys_in_heartbeats, false,
+          "report held keys in heartbeats and take keys from the replies");
 ABSL_FLAG(std::uint32_t, slots, 18, "maximum number of concurrent requests");
 ABSL_FLAG(std::uint32_t, service_us, 1000,
           "processing time of a request, in microseconds");
@@ -60,6 +62,7 @@
   Options.InstanceId_ = absl::GetFlag(FLAGS_instance);
   Options.Zone_ = absl::GetFlag(FLAGS_zone);
   Options.Sharded_ = absl::GetFlag(FLAGS_divided);
+  Options.KeysInHeartbeats_ = absl::GetFlag(FLAGS_keys_in_heartbeats);
   Options.Slots_ = absl::GetFlag(FLAGS_slots);
   Options.ServiceTime_ =
       std::chrono::microseconds(absl::GetFlag(FLAGS_service_us));
--- a/tests/standin/upstream_standin.cpp
+++ b/tests/standin/upstream_standin.cpp
@@ -1,6 +1,7 @@
 #include "tests/standin/upstream_standin.h"
 
-#include <absl/strings/numbers.h>
+#include "tests/standin/request_headers.h"
+
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
@@ -14,20 +15,10 @@
 using Json = nlohmann::json;
 
 constexpr std::chrono::milliseconds HeartbeatInterval{300};
-
-/// Returns the value of a numeric header, -1 if it is absent or malformed.
-std::int64_t headerNumber(const HttpRequest &Request, const char *Name) {
-  const std::string *Value = findHeader(Request.Headers_, Name);
-  std::int64_t Number = 0;
-  const bool IsNumber = Value != nullptr && absl::SimpleAtoi(*Value, &Number);
-  return IsNumber ? Number : -1;
-}
-
-/// Returns the value of a header, empty if it is absent.
-std::string headerText(const HttpRequest &Request, const char *Name) {
-  const std::string *Value = findHeader(Request.Headers_, Name);
-  return Value == nullptr ? std::string() : *Value;
-}
+/// The same if the replies declare keys.
+constexpr std::chrono::milliseconds DeclaringHeartbeatInterval{870};
+/// Interval of the heartbeats until a release of keys has been reported.
+constexpr std::chrono::milliseconds ReleaseHeartbeatInterval{100};
 
 std::int64_t microsOf(Instant At) {
   return std::chrono::duration_cast<std::chrono::microseconds>(
@@ -53,15 +44,17 @@
                                       const std::string &Daemon) {
   const double ColdSeconds =
       std::chrono::duration<double>(ColdUntil_ - Time_.now()).count();
-  const Json Body = {{"service", Options_.Service_},
-                     {"address", Address},
-                     {"zone", Options_.Zone_},
-                     {"version", "v1"},
-                     {"slots", Options_.Slots_},
-                     {"state", Draining_ ? "draining" : "ready"},
-                     {"cold-left-s", std::max(0.0, ColdSeconds)},
-                     {"sequence", ++Sequence_},
-                     {"born", StartMillis_}};
+  Json Body = {{"service", Options_.Service_},
+               {"address", Address},
+               {"zone", Options_.Zone_},
+               {"version", "v1"},
+               {"slots", Options_.Slots_},
+               {"state", Draining_ ? "draining" : "ready"},
+               {"cold-left-s", std::max(0.0, ColdSeconds)},
+               {"sequence", ++Sequence_},
+               {"born", StartMillis_}};
+  if (Options_.KeysInHeartbeats_)
+    reportKeys(Body);
   HttpRequest Request;
   Request.Method_ = "PUT";
   Request.Target_ = "/instances/" + Options_.InstanceId_;
@@ -69,12 +62,24 @@
   Request.Body_ = Body.dump();
   HttpCallOptions Options;
   Options.Timeout_ = std::chrono::seconds(1);
-  Client_.send(Daemon, std::move(Request), Options, [](const HttpResult &) {});
-  HeartbeatTimer_ = Loop_.after(HeartbeatInterval, [this, Address, Daemon] {
+  Client_.send(
+      Daemon, std::move(Request), Options,
+      [this, SentAt = Time_.now(),
+       Reported = UnreportedReleases_.size()](const HttpResult &Result) {
+        onHeartbeatReply(Result, SentAt, Reported);
+      });
+  HeartbeatTimer_ = Loop_.after(heartbeatInterval(), [this, Address, Daemon] {
     startHeartbeats(Address, Daemon);
   });
 }
 
+std::chrono::milliseconds UpstreamStandin::heartbeatInterval() const {
+  if (!Options_.KeysInHeartbeats_)
+    return HeartbeatInterval;
+  const bool Releasing = !EndingHolds_.empty() || !UnreportedReleases_.empty();
+  return Releasing ? ReleaseHeartbeatInterval : DeclaringHeartbeatInterval;
+}
+
 void UpstreamStandin::handle(const HttpRequest &Request,
                              const std::shared_ptr<HttpExchange> &Exchange) {
   if (Request.Target_ == "/_mode") {
@@ -118,90 +123,6 @@
   return Response;
 }
 
-void UpstreamStandin::handleGrant(const HttpRequest &Request,
-                                  HttpExchange &Exchange) {
-  const Json Body = Json::parse(Request.Body_, nullptr, false);
-  if (!Body.is_object()) {
-    Exchange.respond(makeResponse(Request, 400));
-    return;
-  }
-  Hold Granted;
-  Granted.Range_ = {Body.at("from").get<KeyId>(), Body.at("to").get<KeyId>()};
-  Granted.Fence_ = Body.at("fence").get<std::uint64_t>();
-  Granted.ExpiresAt_ =
-      Time_.now() +
-      std::chrono::duration_cast<Duration>(
-          std::chrono::duration<double>(Body.at("hold-s").get<double>()));
-  for (const Hold &SeenFence : HighestFences_)
-    if (overlaps(SeenFence.Range_, Granted.Range_) &&
-        SeenFence.Fence_ > Granted.Fence_) {
-      Exchange.respond(makeResponse(Request, 409));
-      return;
-    }
-  std::erase_if(Holds_, [&Granted](const Hold &Existing) {
-    return Existing.Range_ == Granted.Range_;
-  });
-  Holds_.insert(Holds_.begin(), Granted);
-  std::erase_if(HighestFences_, [&Granted](const Hold &Existing) {
-    return Existing.Range_ == Granted.Range_;
-  });
-  HighestFences_.push_back(Granted);
-  Exchange.respond(makeResponse(Request, 200));
-}
-
-void UpstreamStandin::handleRelease(
-    const HttpRequest &Request, const std::shared_ptr<HttpExchange> &Exchange) {
-  const Json Body = Json::parse(Request.Body_, nullptr, false);
-  if (!Body.is_object()) {
-    Exchange->respond(makeResponse(Request, 400));
-    return;
-  }
-  const KeyRange Range = {Body.at("from").get<KeyId>(),
-                          Body.at("to").get<KeyId>()};
-  std::vector<Hold> Remaining;
-  for (const Hold &Existing : Holds_) {
-    if (!overlaps(Existing.Range_, Range)) {
-      Remaining.push_back(Existing);
-      continue;
-    }
-    Hold Remainder = Existing;
-    if (Existing.Range_.First_ < Range.First_) {
-      Remainder.Range_ = {Existing.Range_.First_, Range.First_ - 1};
-      Remaining.push_back(Remainder);
-    }
-    if (Existing.Range_.Last_ > Range.Last_) {
-      Remainder.Range_ = {Range.Last_ + 1, Existing.Range_.Last_};
-      Remaining.push_back(Remainder);
-    }
-  }
-  Holds_ = std::move(Remaining);
-  Releases_.emplace_back(Range, Exchange);
-  completeReleases();
-}
-
-bool UpstreamStandin::isRunningKeysIn(const KeyRange &Range) const {
-  return std::any_of(
-      Running_.begin(), Running_.end(), [&Range](const auto &Entry) {
-        const std::int64_t Key =
-            headerNumber(Entry.second.Request_, "X-Shard-Key");
-        return Key >= 0 && contains(Range, static_cast<KeyId>(Key));
-      });
-}
-
-void UpstreamStandin::completeReleases() {
-  for (auto Pending = Releases_.begin(); Pending != Releases_.end();) {
-    if (isRunningKeysIn(Pending->first)) {
-      ++Pending;
-      continue;
-    }
-    HttpResponse Response;
-    Response.Headers_.push_back(
-        {"X-Handover", absl::StrCat("h-", Options_.InstanceId_)});
-    Pending->second->respond(std::move(Response));
-    Pending = Releases_.erase(Pending);
-  }
-}
-
 const UpstreamStandin::Hold *
 UpstreamStandin::findHold(const HttpRequest &Request) const {
   const std::int64_t Key = headerNumber(Request, "X-Shard-Key");
--- a/tests/standin/upstream_standin.h
+++ b/tests/standin/upstream_standin.h
@@ -15,6 +15,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
   std::string Zone_;
   /// Whether requests are rejected unless their key is held.
   bool Sharded_ = false;
+  /// Whether heartbeats report the held keys, and the replies declare them.
+  bool KeysInHeartbeats_ = false;
   /// Maximum number of requests that run at the same time.
   std::uint32_t Slots_ = 18;
   /// Maximum number of requests that wait for a slot. Further ones never get a
@@ -74,10 +77,18 @@
     std::uint64_t Fence_ = 0;
   };
 
+  std::chrono::milliseconds heartbeatInterval() const;
   void handleGrant(const HttpRequest &Request, HttpExchange &Exchange);
   void handleRelease(const HttpRequest &Request,
                      const std::shared_ptr<HttpExchange> &Exchange);
   void completeReleases();
+  void removeHolds(const KeyRange &Range);
+  void addHold(const Hold &Granted);
+  bool hasSeenHigherFence(const Hold &Granted) const;
+  void reportKeys(nlohmann::json &Heartbeat) const;
+  void onHeartbeatReply(const HttpResult &Result, Instant SentAt,
+                        std::size_t ReportedReleases);
+  void declareHolds(const nlohmann::json &Reply, Instant SentAt);
   bool isRunningKeysIn(const KeyRange &Range) const;
   const Hold *findHold(const HttpRequest &Request) const;
   void admit(const HttpRequest &Request,
@@ -102,6 +113,10 @@
   std::map<std::uint64_t, Run> Running_;
   std::list<std::pair<HttpRequest, std::shared_ptr<HttpExchange>>> Waiting_;
   std::list<std::pair<KeyRange, std::shared_ptr<HttpExchange>>> Releases_;
+  /// Keys that a declaration left out, while requests for them run.
+  std::vector<Hold> EndingHolds_;
+  /// Released keys that no acknowledged heartbeat has reported yet.
+  std::vector<KeyRange> UnreportedReleases_;
   std::list<std::shared_ptr<HttpExchange>> Unanswered_;
   std::map<std::uint64_t, std::shared_ptr<void>> Timers_;
   std::uint64_t LastRunId_ = 0;
--- a/tests/unit/manifest_test.cpp
+++ b/tests/unit/manifest_test.cpp
@@ -85,6 +85,89 @@
     BOOST_TEST(!decodeManifest(Malformed).has_value(), Malformed);
 }
 
+BOOST_AUTO_TEST_CASE(DecodesHowUpstreamsGetTheirKeys) {
+  BOOST_TEST((decodeTestManifest().Services_.at("a").GrantMethod_ ==
+              GrantMethod::Calls));
+  std::string Text = ManifestText;
+  const std::string Direct = R"("grants":"direct")";
+  Text.replace(Text.find(Direct), Direct.size(), R"("grants":"heartbeat")");
+  const std::optional<Manifest> Decoded = decodeManifest(Text);
+  BOOST_REQUIRE(Decoded.has_value());
+  BOOST_TEST((Decoded->Services_.at("a").GrantMethod_ ==
+              GrantMethod::HeartbeatReplies));
+}
+
+BOOST_AUTO_TEST_CASE(RejectsManifestsWithAnUnknownGrantMethod) {
+  std::string Text = ManifestText;
+  const std::string Direct = R"("grants":"direct")";
+  Text.replace(Text.find(Direct), Direct.size(), R"("grants":"pigeon")");
+  std::string Fault;
+  BOOST_TEST(!decodeManifest(Text, &Fault).has_value());
+  BOOST_TEST(Fault.find("\"pigeon\"") != std::string::npos);
+  BOOST_TEST(Fault.find("\"heartbeat\"") != std::string::npos);
+}
+
+namespace {
+
+std::optional<UpstreamHeartbeat> decodeWith(const std::string &Fields) {
+  return decodeHeartbeat("i-1",
+                         R"({"service":"s","address":"1.2.3.4:5","zone":"z",
+                 "version":"v1","slots":18,"state":"ready","cold-left-s":0,
+                 "sequence":4,"born":1773018966000)" +
+                             Fields + "}");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(DecodesTheKeysThatAnUpstreamReports) {
+  const auto Heartbeat =
+      decodeWith(R"(,"holds":[[0,4095,7]],"is-released":[[4096,8191,"5c0e"]])");
+  BOOST_REQUIRE(Heartbeat.has_value());
+  BOOST_REQUIRE(Heartbeat->Keys_.has_value());
+  BOOST_TEST((Heartbeat->Keys_->Holds_[0].Range_ == KeyRange{0, 4095}));
+  BOOST_TEST(Heartbeat->Keys_->Holds_[0].Fence_ == 7U);
+  BOOST_TEST((Heartbeat->Keys_->Releases_[0].Range_ == KeyRange{4096, 8191}));
+  BOOST_TEST(Heartbeat->Keys_->Releases_[0].Handover_ == "5c0e");
+  BOOST_TEST(!decodeWith("")->Keys_.has_value());
+  BOOST_TEST(decodeWith(R"(,"holds":[])")->Keys_.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RejectsHeartbeatsWithMalformedKeys) {
+  for (const char *Malformed :
+       {R"(,"holds":7)", R"(,"holds":[7])", R"(,"holds":[[0,1]])",
+        R"(,"holds":[[9,1,7]])", R"(,"holds":[[0,65536,7]])",
+        R"(,"holds":[[-1,5,7]])", R"(,"holds":[[0,1,"7"]])",
+        R"(,"holds":[[0,1,7.5]])", R"(,"holds":[[0,1,-7]])",
+        R"(,"holds":[[0,4294967297,7]])", R"(,"holds":null)",
+        R"(,"holds":[],"is-released":[[0,1,2]])",
+        R"(,"holds":[],"is-released":[[5,1,"h"]])",
+        R"(,"holds":[],"is-released":{"a":1})"})
+    BOOST_TEST(!decodeWith(Malformed).has_value(), Malformed);
+  std::string Huge = ",\"holds\":[[0,1,2]";
+  for (int Row = 0; Row < 5000; ++Row)
+    Huge += ",[0,1,2]";
+  BOOST_TEST(!decodeWith(Huge + "]").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(EncodesRepliesToHeartbeats) {
+  BOOST_TEST(encodeHeartbeatReply(std::nullopt) == "{}");
+  HoldDeclaration Declaration;
+  Declaration.Hold_ = std::chrono::milliseconds(3500);
+  for (KeyId First = 0; First < 64; ++First) {
+    KeyRow Row;
+    Row.Range_ = {60000 + First, 60000 + First};
+    Row.Fence_ = 4000000;
+    Row.Handover_ = "5c0e7a21d94b36f8";
+    Declaration.Rows_.push_back(Row);
+  }
+  const std::string Text = encodeHeartbeatReply(Declaration);
+  const nlohmann::json Reply = nlohmann::json::parse(Text);
+  BOOST_TEST(Reply.at("hold-s").get<double>() == 3.5);
+  BOOST_TEST((Reply.at("holds").at(1) ==
+              nlohmann::json({60001, 60001, 4000000, "5c0e7a21d94b36f8"})));
+  BOOST_TEST(Text.size() <= 4096U);
+}
+
 BOOST_AUTO_TEST_CASE(DecodesHeartbeatsAndRejectsMalformedOnes) {
   const std::string Good =
       R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1",
