Handle pipelined requests of a connection at the same time

Idempotent requests behind each other are now handled together, a request that is not idempotent alone. Responses go out in order; the one that closes the connection is always that of the last request handled, so those behind it can be sent again. The connection moved from http_server to http_session.

--- a/daemon/caller_interface.h
+++ b/daemon/caller_interface.h
@@ -48,6 +48,12 @@
   std::string CallerRequestId_;
 };
 
+/// Returns whether a request may run beside the earlier requests of its
+/// connection: it is idempotent, or it does not run at all.
+inline bool mayOverlap(const RoutedRequest &Request) {
+  return Request.Kind_ != RoutedRequest::Kind::Found || Request.Idempotent_;
+}
+
 /// Determines how callers' requests are routed and which headers their
 /// responses get.
 class CallerInterface {
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -200,6 +200,9 @@
           [this](HttpRequest Request,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             Router_.handle(std::move(Request), Exchange, *PublicInterface_);
+          },
+          [this](const HttpRequest &Request) {
+            return mayOverlap(PublicInterface_->route(Request, 0));
           }) {
   openOptionalServers();
   logStart();
@@ -301,6 +304,9 @@
         [this](HttpRequest Request,
                const std::shared_ptr<HttpExchange> &Exchange) {
           Router_.handle(std::move(Request), Exchange, *InternalInterface_);
+        },
+        [this](const HttpRequest &Request) {
+          return mayOverlap(InternalInterface_->route(Request, 0));
         });
 }
 
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -24,8 +24,16 @@
   using Handler =
       std::function<void(HttpRequest, const std::shared_ptr<HttpExchange> &)>;
 
+  /// Returns whether a request may be handled while requests that the client
+  /// sent before it on the same connection are not answered yet, provided that
+  /// this holds for them as well.
+  using OverlapRule = std::function<bool(const HttpRequest &)>;
+
   /// Opens the listening socket. Throws Error if the address can't be bound.
-  HttpServer(IoLoop &Loop, HttpServerOptions Options, Handler Handle);
+  /// \param MayOverlap if empty, the requests of a connection are handled one
+  /// after the other.
+  HttpServer(IoLoop &Loop, HttpServerOptions Options, Handler Handle,
+             OverlapRule MayOverlap = {});
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
--- /dev/null
+++ b/net/http_server_state.h
@@ -0,0 +1,38 @@
+#ifndef LAGOONHITCH_NET_HTTP_SERVER_STATE_H
+#define LAGOONHITCH_NET_HTTP_SERVER_STATE_H
+
+/// \file
+/// State that an HTTP server shares with its connections. Internal to net/.
+
+#include "net/http_server.h"
+#include "net/io_loop_impl.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <set>
+#include <utility>
+
+namespace lagoonhitch {
+
+class HttpSession;
+
+/// State that an HTTP server shares with its connections.
+struct HttpServer::Impl {
+  Impl(IoLoop &Loop, HttpServerOptions Options, Handler Handle,
+       OverlapRule MayOverlap)
+      : Options_(std::move(Options)), Handle_(std::move(Handle)),
+        MayOverlap_(std::move(MayOverlap)), Acceptor_(Loop.impl().Context_) {}
+
+  HttpServerOptions Options_;
+  Handler Handle_;
+  OverlapRule MayOverlap_;
+  boost::asio::ip::tcp::acceptor Acceptor_;
+  std::set<HttpSession *> Sessions_;
+  std::size_t OpenExchanges_ = 0;
+  bool KeepAliveDisabled_ = false;
+};
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_NET_HTTP_SERVER_STATE_H
--- /dev/null
+++ b/net/http_session.h
@@ -0,0 +1,123 @@
+#ifndef LAGOONHITCH_NET_HTTP_SESSION_H
+#define LAGOONHITCH_NET_HTTP_SESSION_H
+
+/// \file
+/// One connection to an HTTP server. Internal to net/.
+
+#include "net/http_server_state.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace lagoonhitch {
+
+/// One accepted connection. Keeps itself alive while an operation is pending.
+///
+/// A client may send further requests before the first is answered
+/// (pipelining). Requests are handled at the same time as far as the server's
+/// overlap rule allows, and answered in their order. The response that closes
+/// the connection is always the one to the last request that was handled:
+/// clients may send the requests behind it again.
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+public:
+  HttpSession(boost::asio::ip::tcp::socket Socket,
+              std::shared_ptr<HttpServer::Impl> Server);
+  ~HttpSession();
+  HttpSession(const HttpSession &) = delete;
+  HttpSession &operator=(const HttpSession &) = delete;
+
+  /// Starts to read requests.
+  void start() { readNext(); }
+
+  /// Responds to a request. Does nothing if it has a response already or its
+  /// client is gone.
+  void respond(std::uint64_t Number, HttpResponse Response);
+
+  /// Sets the callback that is called if the client closes the connection
+  /// before the request has a response.
+  void setOnAbandoned(std::uint64_t Number, std::function<void()> Callback);
+
+  /// Closes the connection if it waits for a request. A request that was
+  /// already read, or that arrives meanwhile, is still served: closing the
+  /// connection would lose it.
+  void closeIfIdle();
+
+private:
+  /// A request that was passed to the handler and is not answered completely.
+  struct PendingExchange {
+    std::uint64_t Number_ = 0;
+    /// Whether requests behind this one may be handled before it is answered.
+    bool Overlappable_ = false;
+    std::function<void()> OnAbandoned_;
+    std::optional<HttpResponse> Response_;
+  };
+
+  PendingExchange *findPending(std::uint64_t Number);
+  bool canRead() const;
+  void readNext();
+  void readRequest();
+  void closeUnlessDataPending();
+  void onRead(const boost::beast::error_code &Failure);
+  void onReadFailed(const boost::beast::error_code &Failure);
+  bool hasAmbiguousFraming() const;
+  void rejectRequest(unsigned Status);
+  bool mustWait() const;
+  void startWaitingRequest();
+  void startExchange(HttpRequest Request);
+  std::uint64_t addPending(bool Overlappable);
+  void writeNext();
+  void write(HttpResponse Source, bool KeepAlive);
+  void onWritten(const boost::beast::error_code &Failure, bool KeepAlive);
+  void readAhead();
+  void watchForInput();
+  void onReadable(const boost::beast::error_code &Failure);
+  void closeAfterResponse();
+  void discardInput();
+  void abandon();
+  void close();
+
+  boost::beast::tcp_stream Stream_;
+  std::shared_ptr<HttpServer::Impl> Server_;
+  boost::beast::flat_buffer Buffer_;
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::string_body>>
+      Parser_;
+  std::optional<boost::beast::http::response<boost::beast::http::string_body>>
+      Response_;
+  /// Requests without a complete response, in the order of their arrival.
+  std::deque<PendingExchange> Pending_;
+  /// The size of the responses in Pending_ that wait for an earlier one, in
+  /// bytes.
+  std::size_t WaitingBytes_ = 0;
+  /// A request that must wait until the ones before it are answered.
+  std::optional<HttpRequest> WaitingRequest_;
+  std::uint64_t LastNumber_ = 0;
+  bool Reading_ = false;
+  bool Writing_ = false;
+  bool Watching_ = false;
+  /// Whether no byte of a request has been received since the last one.
+  bool Idle_ = false;
+  /// Whether closeIfIdle() cancelled the pending read.
+  bool IdleReadCancelled_ = false;
+  /// Whether the client has sent a request before the one before it was
+  /// answered.
+  bool Pipelined_ = false;
+  /// Whether no further request is handled: the response to the last one in
+  /// Pending_ closes the connection.
+  bool LastRequestRead_ = false;
+  /// Whether the last response is sent and further input is discarded.
+  bool Discarding_ = false;
+  bool Closed_ = false;
+};
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_NET_HTTP_SESSION_H
