Spread the load of busy hosts over many lightly loaded ones

From 24 hosts on, an overloaded owner now fills several hosts that differ from owner to owner, each up to 1.25 times the mean load; its own load is counted live, corrected just after the first requests; rates of keys that have moved away are dropped; hosts that gained keys after their last digest are left out.

Also: an unexpected error in a handler no longer ends the process; it is logged as event 602 and the loop continues (it used to reach main).

--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -39,6 +39,7 @@
     {EventId::LinkSettled, EventLevel::Warn, "link-settled"},
     {EventId::RingFull, EventLevel::Error, "ring-full"},
     {EventId::LateTick, EventLevel::Warn, "late-tick"},
+    {EventId::HandlerFailed, EventLevel::Error, "handler-failed"},
     {EventId::RequestRefused, EventLevel::Info, "request-refused"},
     {EventId::RequestFailed, EventLevel::Warn, "request-failed"},
 };
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -47,6 +47,7 @@
   LinkSettled = 500,
   RingFull = 600,
   LateTick = 601,
+  HandlerFailed = 602,
   RequestRefused = 700,
   RequestFailed = 701,
 };
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -130,6 +130,9 @@
     : Time_(Time), Settings_(std::move(Settings)),
       ReadSettings_(std::move(ReadSettings)), Process_(Process),
       Events_(Time, Settings_.Host_), Random_(Process),
+      Loop_([this](const std::exception &Failure) {
+        logEvent(EventId::HandlerFailed, Failure.what());
+      }),
       PublicInterface_(makeCallerInterface(Settings_, Site_, false)),
       InternalInterface_(makeCallerInterface(Settings_, Site_, true)),
       UpstreamClient_(Loop_, Time,
@@ -375,14 +378,13 @@
 /// previous table read the complete one from the store.
 void Daemon::Impl::pushTable(const KeyTable &Before, const KeyTable &Table) {
   const std::string Topic = tableTopic(Settings_.Service_);
-  const StoreRecord Snapshot = {TableKey, encodeTable(Table), *Table.Offset_};
   const std::optional<std::string> Change = encodeChange(Before, Table);
-  if (!Change) {
-    pushRecord(Topic, Snapshot);
-    return;
-  }
-  Watcher_.onPushedRecord(Topic, Snapshot);
-  Digests_.pushRecord({Topic, {TableChangeKey, *Change, *Table.Offset_}});
+  Watcher_.applyTable(Settings_.Service_, Table);
+  if (Change)
+    Digests_.pushRecord({Topic, {TableChangeKey, *Change, *Table.Offset_}});
+  else
+    Digests_.pushRecord(
+        {Topic, {TableKey, encodeTable(Table), *Table.Offset_}});
 }
 
 /// Pushes a record to all peers and to this daemon's own followers.
--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -21,6 +21,8 @@
 /// Time constant of the exponential decay of request rates: without new
 /// requests a rate falls to about a third in this time.
 constexpr std::chrono::milliseconds RateDecayTime{2500};
+/// Shortest time over which request rates are averaged after the first request.
+constexpr std::chrono::milliseconds MinCountingTime{400};
 /// Keys with fewer requests per second are forgotten.
 constexpr double MinTrackedRate = 0.02;
 /// Time after a gain of keys until the host's load reflects them.
@@ -105,10 +107,28 @@
 void OwnershipManager::countRequest(KeyId Key) {
   const double PerSecond =
       1.0 / std::chrono::duration<double>(RateDecayTime).count();
+  if (!CountingSince_)
+    CountingSince_ = Time_.now();
   KeyRates_[Key] += PerSecond;
   TotalRate_ += PerSecond;
 }
 
+/// Returns by how much the averages are too low because counting began only a
+/// moment ago.
+double OwnershipManager::startUpCorrection(Instant Now) const {
+  if (!CountingSince_)
+    return 1;
+  const Duration Counted =
+      std::max<Duration>(Now - *CountingSince_, MinCountingTime);
+  return 1 /
+         (1 - std::exp(-std::chrono::duration<double>(Counted).count() /
+                       std::chrono::duration<double>(RateDecayTime).count()));
+}
+
+double OwnershipManager::requestRate() const {
+  return TotalRate_ * startUpCorrection(Time_.now());
+}
+
 void OwnershipManager::decayRates(Instant Now) {
   if (Now - DecayedAt_ < DecayInterval)
     return;
@@ -129,10 +149,18 @@
          Time_.now() - LastGainAt_ < LoadSettleTime;
 }
 
+/// Returns whether a host has gained keys with a table at or after an offset.
+/// The load in its last digest does not reflect them.
+bool OwnershipManager::gainedSince(const std::string &Host, Offset End) const {
+  const auto Gained = LastGains_.find(Host);
+  return Gained != LastGains_.end() && Gained->second > End;
+}
+
 KeyOwnershipInputs OwnershipManager::inputs() const {
   const Instant Now = Time_.now();
   KeyOwnershipInputs Inputs;
   Inputs.KeyRates_ = &KeyRates_;
+  Inputs.KeyRateFactor_ = startUpCorrection(Now);
   Inputs.Uptime_ = Now - StartedAt_;
   for (const auto &[Host, Member] : Site_.Fleet_.Members_) {
     if (Member.Record_.Service_ != Config_.Service_)
@@ -142,7 +170,8 @@
     Peer.Upstream_ = Member.Record_.Upstream_;
     Peer.StartMillis_ = Member.Record_.StartMillis_;
     Peer.Epoch_ = Member.Digest_.KeyEpoch_;
-    Peer.RecentlyGainedKeys_ = Member.Digest_.RecentlyGainedKeys_;
+    Peer.RecentlyGainedKeys_ = Member.Digest_.RecentlyGainedKeys_ ||
+                               gainedSince(Host, Member.Digest_.TableEnd_);
     Peer.AcceptsKeys_ =
         acceptsRequests(Site_.Fleet_, Member) && Member.Digest_.Accepting_ &&
         !Member.Digest_.Stopping_ && hasRecentDigest(Member, MaxDigestAge, Now);
@@ -151,8 +180,12 @@
     Peer.ContactTimeout_ = digestTimeout(Member, Duration());
     Peer.Rate_ = Member.Digest_.KeyRate_ * KeyRateUnit;
     Peer.Capacity_ = capacityOf(Member.Digest_);
-    if (Host == Config_.Host_)
+    if (Host == Config_.Host_) {
       Peer.Epoch_ = State_.Epoch_;
+      // The last digest may be seconds old on a large site.
+      Peer.Rate_ = requestRate();
+      Peer.RecentlyGainedKeys_ = recentlyGainedKeys();
+    }
     Inputs.Peers_.push_back(std::move(Peer));
   }
   return Inputs;
@@ -275,6 +308,28 @@
                        });
 }
 
+void OwnershipManager::onTableChanged() {
+  KnownTable_ = State_.Table_.Offset_;
+  dropRatesOfOtherOwners();
+  LastGains_.clear();
+  for (const KeyRow &Row : State_.Table_.Rows_) {
+    Offset &Last = LastGains_[Row.Owner_.Host_];
+    Last = std::max(Last, Row.Fence_);
+  }
+}
+
+/// Forgets the request rates of keys that other hosts own now. Otherwise, this
+/// host would seem to have their load for seconds, and move more keys.
+void OwnershipManager::dropRatesOfOtherOwners() {
+  std::erase_if(KeyRates_, [this](const auto &Entry) {
+    if (ownsKey(State_, Entry.first))
+      return false;
+    TotalRate_ -= Entry.second;
+    return true;
+  });
+  TotalRate_ = std::max(TotalRate_, 0.0);
+}
+
 void OwnershipManager::onOwnershipChanged() {
   std::size_t Owned = 0;
   for (const KeyRow &Row : rowsOf(State_.Table_, Config_.Host_))
@@ -282,6 +337,8 @@
   if (Owned > OwnedKeyCount_)
     LastGainAt_ = Time_.now();
   OwnedKeyCount_ = Owned;
+  if (KnownTable_ != State_.Table_.Offset_)
+    onTableChanged();
   Callbacks_.OnChanged_();
 }
 
--- a/daemon/ownership_manager.h
+++ b/daemon/ownership_manager.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lagoonhitch {
@@ -93,7 +94,7 @@
   void countRequest(KeyId Key);
 
   /// Returns the recent rate of requests with a key, in requests per second.
-  double requestRate() const { return TotalRate_; }
+  double requestRate() const;
 
   /// Returns whether this host has gained keys so recently that its load does
   /// not reflect them yet.
@@ -112,6 +113,10 @@
   void grant(const KeyAction &Action);
   void release(const KeyAction &Action);
   void onOwnershipChanged();
+  bool gainedSince(const std::string &Host, Offset End) const;
+  void onTableChanged();
+  double startUpCorrection(Instant Now) const;
+  void dropRatesOfOtherOwners();
   void updateGrantMethod();
 
   const Clock &Time_;
@@ -124,9 +129,14 @@
   Instant StartedAt_;
   std::map<KeyId, double> KeyRates_;
   double TotalRate_ = 0;
+  /// When the first request was counted.
+  std::optional<Instant> CountingSince_;
   Instant DecayedAt_;
   Instant LastGainAt_ = Instant::min();
   std::size_t OwnedKeyCount_ = 0;
+  /// The highest fencing token of each host in the table at KnownTable_.
+  std::map<std::string, FencingToken> LastGains_;
+  std::optional<Offset> KnownTable_;
   bool Ticking_ = false;
 };
 
--- a/daemon/site_watcher.cpp
+++ b/daemon/site_watcher.cpp
@@ -115,12 +115,11 @@
     if (Next == Changes.end())
       break;
     const Offset At = Next->first;
-    const std::optional<KeyTable> Updated =
-        applyChange(Known, Next->second, At);
+    std::optional<KeyTable> Updated = applyChange(Known, Next->second, At);
     Changes.erase(Next);
-    if (!Updated)
+    if (!Updated || !Follower.isLoaded())
       break;
-    Follower.onPushedRecord({TableKey, encodeTable(*Updated), At}, true);
+    storeTable(Service, std::move(*Updated));
   }
   while (Changes.size() > MaxPendingChanges)
     Changes.erase(Changes.begin());
@@ -215,6 +214,32 @@
   Callbacks_.OnChanged_();
 }
 
+void SiteWatcher::applyTable(const std::string &Service, KeyTable Table) {
+  storeTable(Service, std::move(Table));
+  applyPendingLater(Service);
+}
+
+/// Applies pending changes of a table after the current event.
+void SiteWatcher::applyPendingLater(const std::string &Service) {
+  if (PendingChanges_[Service].empty())
+    return;
+  Loop_.post([this, Service] {
+    applyPendingChanges(Service, *TableFollowers_.at(Service));
+  });
+}
+
+void SiteWatcher::storeTable(const std::string &Service, KeyTable Table) {
+  const auto Follower = TableFollowers_.find(Service);
+  if (Follower == TableFollowers_.end())
+    return;
+  Follower->second->skipRecord(TableKey, *Table.Offset_);
+  KeyTable &Known = Site_.Tables_[Service];
+  if (!Known.Offset_ || *Table.Offset_ > *Known.Offset_)
+    Known = std::move(Table);
+  Callbacks_.OnTable_(Service, Known, Follower->second->nextOffset());
+  Callbacks_.OnChanged_();
+}
+
 void SiteWatcher::onTableRecords(const std::string &Service,
                                  const std::vector<StoreRecord> &Records) {
   std::optional<KeyTable> Newest;
@@ -232,10 +257,7 @@
   Callbacks_.OnTable_(Service, Newest,
                       TableFollowers_.at(Service)->nextOffset());
   Callbacks_.OnChanged_();
-  if (!PendingChanges_[Service].empty())
-    Loop_.post([this, Service] {
-      applyPendingChanges(Service, *TableFollowers_.at(Service));
-    });
+  applyPendingLater(Service);
 }
 
 } // namespace lagoonhitch
--- a/daemon/site_watcher.h
+++ b/daemon/site_watcher.h
@@ -82,6 +82,10 @@
   /// Handles a record pushed by a peer, or written by this daemon.
   void onPushedRecord(const std::string &Topic, const StoreRecord &Record);
 
+  /// Applies a table that is known from elsewhere, such as one that this daemon
+  /// has appended.
+  void applyTable(const std::string &Service, KeyTable Table);
+
   /// Writes the known ends of the topics into a digest.
   void writeTopicEnds(LoadDigest &Digest, const std::string &OwnService) const;
 
@@ -94,6 +98,8 @@
   void onPushedCrashes(const StoreRecord &Record);
   void onPushedTable(const std::string &Service, TopicFollower &Follower,
                      const StoreRecord &Record);
+  void storeTable(const std::string &Service, KeyTable Table);
+  void applyPendingLater(const std::string &Service);
   void applyPendingChanges(const std::string &Service, TopicFollower &Follower);
   void followTables();
 
--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -75,6 +75,14 @@
   deliver({Record}, false);
 }
 
+void TopicFollower::skipRecord(const std::string &Key, Offset RecordOffset) {
+  if (!Loaded_)
+    return;
+  advanceTo(RecordOffset + 1);
+  Offset &Last = LastOffsets_[Key];
+  Last = std::max(Last, RecordOffset);
+}
+
 /// Advances NextOffset_ to an offset and past the pushed records that follow it
 /// without a gap.
 void TopicFollower::advanceTo(Offset Next) {
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -56,6 +56,10 @@
   /// that earlier records need not be read.
   void onPushedRecord(const StoreRecord &Record, bool Snapshot);
 
+  /// Notes that the record of a key is known from elsewhere and is the topic's
+  /// whole content.
+  void skipRecord(const std::string &Key, Offset RecordOffset);
+
   /// Returns the offset after the last record that is known without a gap.
   Offset nextOffset() const { return NextOffset_; }
 
--- a/net/io_loop.cpp
+++ b/net/io_loop.cpp
@@ -10,14 +10,23 @@
 
 namespace lagoonhitch {
 
-IoLoop::IoLoop() : Impl_(std::make_unique<Impl>()) {}
+IoLoop::IoLoop(ErrorHandler OnError)
+    : OnError_(std::move(OnError)), Impl_(std::make_unique<Impl>()) {}
 
 IoLoop::~IoLoop() = default;
 
 void IoLoop::run() {
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       Guard = boost::asio::make_work_guard(Impl_->Context_);
-  Impl_->Context_.run();
+  while (!Impl_->Context_.stopped()) {
+    try {
+      Impl_->Context_.run();
+    } catch (const std::exception &Failure) {
+      if (!OnError_)
+        throw;
+      OnError_(Failure);
+    }
+  }
 }
 
 void IoLoop::runUntilIdle() {
--- a/net/io_loop.h
+++ b/net/io_loop.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 
+#include <exception>
 #include <functional>
 #include <memory>
 
@@ -15,7 +16,12 @@
 /// called from other threads.
 class IoLoop {
 public:
-  IoLoop();
+  /// Receives what a task has thrown.
+  using ErrorHandler = std::function<void(const std::exception &)>;
+
+  /// \param OnError if empty, run() throws what a task throws. Otherwise, the
+  /// loop continues with the next task after it.
+  explicit IoLoop(ErrorHandler OnError = {});
   ~IoLoop();
   IoLoop(const IoLoop &) = delete;
   IoLoop &operator=(const IoLoop &) = delete;
@@ -46,6 +52,7 @@
   Impl &impl() { return *Impl_; }
 
 private:
+  ErrorHandler OnError_;
   std::unique_ptr<Impl> Impl_;
 };
 
--- a/ownership/key_balance.cpp
+++ b/ownership/key_balance.cpp
@@ -12,10 +12,22 @@
 /// Minimum number of keys per part when a range is split between hosts.
 constexpr std::uint32_t MinSplitKeys = 1024;
 
-/// Number of hosts per group of move targets (see isCandidateFor()). A host may
-/// also run one concurrent move per this many hosts, up to MaxConcurrentMoves.
-constexpr std::size_t PeersPerGroup = 8;
-constexpr std::size_t MaxConcurrentMoves = 6;
+/// A host may run one concurrent move per this many hosts, up to
+/// MaxConcurrentMoves.
+constexpr std::size_t PeersPerMove = 8;
+constexpr std::size_t MaxConcurrentMoves = 24;
+/// Hosts of a large site that are needed for a load of one capacity.
+constexpr double TargetsPerUnitOfLoad = 3;
+
+/// Number of hosts from which a busy host spreads its load over several hosts
+/// with a low load, instead of sharing it with the least loaded one.
+constexpr std::size_t MinPeersForSpreading = 24;
+/// The load to which such hosts are filled, relative to the mean load of all
+/// hosts, and its minimum.
+constexpr double FillAboveMean = 1.25;
+constexpr double MinLoadToFill = 0.5;
+/// Minimum difference between that load and the load of a host that is filled.
+constexpr double MinSpreadGap = 0.15;
 
 /// Requests per second assumed for the whole key space if no rates are known.
 constexpr double AssumedTotalRate = 100;
@@ -29,7 +41,8 @@
 
 double loadOf(const Candidate &Host) { return Host.Rate_ / Host.Capacity_; }
 
-double rateOf(const KeyRange &Range, const std::map<KeyId, double> *Rates) {
+double rateOf(const KeyRange &Range, const KeyOwnershipInputs &Inputs) {
+  const std::map<KeyId, double> *Rates = Inputs.KeyRates_;
   double Sum = AssumedTotalRate * sizeOf(Range) / (LastKey + 1.0);
   if (Rates == nullptr || Rates->empty())
     return Sum;
@@ -37,7 +50,7 @@
   for (auto At = Rates->lower_bound(Range.First_);
        At != Rates->end() && At->first <= Range.Last_; ++At)
     Sum += At->second;
-  return Sum;
+  return Sum * Inputs.KeyRateFactor_;
 }
 
 std::vector<Candidate> candidatesOf(const KeyOwnershipInputs &Inputs,
@@ -65,34 +78,87 @@
   return Parts;
 }
 
-/// Returns whether a host may receive keys from another one. On a large site
-/// each busy host considers only a subset of the hosts, so that not all busy
-/// hosts choose the same target.
-bool isCandidateFor(const KeyPeer &Peer, const std::string &From,
-                    std::size_t PeerCount) {
-  const std::size_t Groups =
-      std::clamp<std::size_t>(PeerCount / PeersPerGroup, 1, 4);
-  const XXH64_hash_t Seed = XXH3_64bits(From.data(), From.size());
-  return XXH3_64bits_withSeed(Peer.Host_.data(), Peer.Host_.size(), Seed) %
-             Groups ==
-         0;
+bool isLargeSite(const KeyOwnershipInputs &Inputs) {
+  return Inputs.Peers_.size() >= MinPeersForSpreading;
+}
+
+bool canReceive(const KeyPeer &Peer, const std::string &From) {
+  return Peer.AcceptsKeys_ && !Peer.RecentlyGainedKeys_ && Peer.Host_ != From;
 }
 
+double loadOf(const KeyPeer &Peer) { return Peer.Rate_ / Peer.Capacity_; }
+
 const KeyPeer *leastLoaded(const KeyOwnershipInputs &Inputs,
-                           const std::string &Except) {
+                           const std::string &From) {
+  const KeyPeer *Best = nullptr;
+  for (const KeyPeer &Peer : Inputs.Peers_)
+    if (canReceive(Peer, From) &&
+        (Best == nullptr || loadOf(Peer) < loadOf(*Best)))
+      Best = &Peer;
+  return Best;
+}
+
+/// Returns the load up to which hosts are filled with the keys of busier ones.
+double loadToFill(const KeyOwnershipInputs &Inputs) {
+  double Rate = 0;
+  double Capacity = 0;
+  for (const KeyPeer &Peer : Inputs.Peers_) {
+    if (!Peer.AcceptsKeys_)
+      continue;
+    Rate += Peer.Rate_;
+    Capacity += Peer.Capacity_;
+  }
+  const double Mean = Capacity > 0 ? Rate / Capacity : 0;
+  return std::max(Mean * FillAboveMean, MinLoadToFill);
+}
+
+/// Returns a host with a low load, which differs from one busy host to another:
+/// on a large site many hosts are busy at the same time, and would otherwise
+/// all choose the least loaded one.
+const KeyPeer *chooseSpreadTarget(const KeyOwnershipInputs &Inputs,
+                                  const std::string &From, double FillTo) {
+  const XXH64_hash_t Seed = XXH3_64bits(From.data(), From.size());
   const KeyPeer *Best = nullptr;
+  XXH64_hash_t BestRank = 0;
   for (const KeyPeer &Peer : Inputs.Peers_) {
-    if (!Peer.AcceptsKeys_ || Peer.RecentlyGainedKeys_ ||
-        Peer.Host_ == Except ||
-        !isCandidateFor(Peer, Except, Inputs.Peers_.size()))
+    if (!canReceive(Peer, From) || loadOf(Peer) > FillTo - MinSpreadGap)
       continue;
-    if (Best == nullptr ||
-        Peer.Rate_ / Peer.Capacity_ < Best->Rate_ / Best->Capacity_)
+    const XXH64_hash_t Rank =
+        XXH3_64bits_withSeed(Peer.Host_.data(), Peer.Host_.size(), Seed);
+    if (Best == nullptr || Rank < BestRank) {
       Best = &Peer;
+      BestRank = Rank;
+    }
   }
   return Best;
 }
 
+/// A host that receives keys and the requests per second that it should get.
+struct MoveTarget {
+  const KeyPeer *Peer_ = nullptr;
+  double Rate_ = 0;
+};
+
+MoveTarget chooseTarget(const KeyPeer &Self, const KeyOwnershipInputs &Inputs,
+                        const KeyOwnershipOptions &Options) {
+  if (isLargeSite(Inputs)) {
+    const double FillTo = loadToFill(Inputs);
+    if (const KeyPeer *Peer = chooseSpreadTarget(Inputs, Self.Host_, FillTo)) {
+      const double Excess = (loadOf(Self) - FillTo) * Self.Capacity_;
+      return {Peer,
+              std::min((FillTo - loadOf(*Peer)) * Peer->Capacity_, Excess)};
+    }
+  }
+  const KeyPeer *Peer = leastLoaded(Inputs, Self.Host_);
+  if (Peer == nullptr)
+    return {};
+  const double Gap = loadOf(Self) - loadOf(*Peer);
+  if (Gap < Options.RebalanceMinGap_)
+    return {};
+  return {Peer, Options.RebalanceFraction_ * Gap * Self.Capacity_ *
+                    Peer->Capacity_ / (Self.Capacity_ + Peer->Capacity_)};
+}
+
 /// A part at the edge of a row and its requests per second.
 struct Edge {
   KeyRange Range_;
@@ -101,8 +167,9 @@
 
 /// Extends a part from one edge of a row until it has about the target rate.
 /// \returns a part with rate 0 if the first key alone exceeds the target.
-Edge growEdge(const KeyRange &Row, const std::map<KeyId, double> &Rates,
+Edge growEdge(const KeyRange &Row, const KeyOwnershipInputs &Inputs,
               double TargetRate, bool FromStart) {
+  const std::map<KeyId, double> &Rates = *Inputs.KeyRates_;
   std::vector<std::pair<KeyId, double>> Keys(Rates.lower_bound(Row.First_),
                                              Rates.upper_bound(Row.Last_));
   if (!FromStart)
@@ -110,7 +177,8 @@
   Edge Result;
   const KeyId FarEnd = FromStart ? Row.Last_ : Row.First_;
   KeyId End = FarEnd;
-  for (const auto &[Key, Rate] : Keys) {
+  for (const auto &[Key, CountedRate] : Keys) {
+    const double Rate = CountedRate * Inputs.KeyRateFactor_;
     const bool ExceedsTarget = Result.Rate_ + Rate > TargetRate * 1.25;
     if (ExceedsTarget) {
       // The part ends before this key.
@@ -131,21 +199,23 @@
 }
 
 /// Returns how many moves may run at the same time. A host whose load is
-/// several times its capacity needs as many targets.
+/// several times its capacity needs several targets, and on a large site more
+/// of them, since each is filled only as far as its own load allows.
 std::size_t concurrentMoveLimit(const std::string &Host,
                                 const KeyOwnershipInputs &Inputs) {
   const KeyPeer *Self = findPeer(Inputs, Host);
-  const double Load = Self == nullptr ? 0 : Self->Rate_ / Self->Capacity_;
+  const double Load = Self == nullptr ? 0 : std::max(loadOf(*Self), 0.0);
+  const double TargetsPerLoad = isLargeSite(Inputs) ? TargetsPerUnitOfLoad : 1;
   const std::size_t Wanted =
-      std::max(Inputs.Peers_.size() / PeersPerGroup,
-               static_cast<std::size_t>(std::max(Load, 0.0)));
+      std::max(Inputs.Peers_.size() / PeersPerMove,
+               static_cast<std::size_t>(Load * TargetsPerLoad));
   return std::clamp<std::size_t>(Wanted, 1, MaxConcurrentMoves);
 }
 
 /// Adds the expected effect of a move to the predicted loads of both hosts.
 void applyToLoads(KeyOwnershipInputs &Predicted, const std::string &From,
                   const KeyPlacement &Move) {
-  const double Rate = rateOf(Move.Range_, Predicted.KeyRates_);
+  const double Rate = rateOf(Move.Range_, Predicted);
   for (KeyPeer &Peer : Predicted.Peers_) {
     if (Peer.Host_ == From)
       Peer.Rate_ -= Rate;
@@ -174,7 +244,7 @@
                             [](const Candidate &Left, const Candidate &Right) {
                               return loadOf(Left) < loadOf(Right);
                             });
-      Best.Rate_ += rateOf(Piece, Inputs.KeyRates_);
+      Best.Rate_ += rateOf(Piece, Inputs);
       const bool Extends = !Placements.empty() &&
                            Placements.back().Host_ == Best.Host_ &&
                            Placements.back().Range_.Last_ + 1 == Piece.First_;
@@ -192,32 +262,28 @@
                                      const KeyOwnershipInputs &Inputs,
                                      const KeyOwnershipOptions &Options) {
   const KeyPeer *Self = findPeer(Inputs, Host);
-  const KeyPeer *Target = leastLoaded(Inputs, Host);
-  if (Self == nullptr || Target == nullptr || Self->RecentlyGainedKeys_ ||
+  if (Self == nullptr || Self->RecentlyGainedKeys_ ||
       Inputs.KeyRates_ == nullptr)
     return std::nullopt;
-  const double Gap =
-      Self->Rate_ / Self->Capacity_ - Target->Rate_ / Target->Capacity_;
   const bool IsBusy =
       Self->Rate_ >= Options.RebalanceMinLoad_ * Self->Capacity_;
-  if (!IsBusy || Gap < Options.RebalanceMinGap_)
+  if (!IsBusy)
+    return std::nullopt;
+  const MoveTarget Target = chooseTarget(*Self, Inputs, Options);
+  if (Target.Peer_ == nullptr || Target.Rate_ <= 0)
     return std::nullopt;
-  const double TargetRate = Options.RebalanceFraction_ * Gap * Self->Capacity_ *
-                            Target->Capacity_ /
-                            (Self->Capacity_ + Target->Capacity_);
   Edge Best;
   for (const KeyRow &Row : OwnRows)
     for (const bool FromStart : {true, false}) {
-      const Edge Found =
-          growEdge(Row.Range_, *Inputs.KeyRates_, TargetRate, FromStart);
-      const bool IsCloser = std::abs(Found.Rate_ - TargetRate) <
-                            std::abs(Best.Rate_ - TargetRate);
+      const Edge Found = growEdge(Row.Range_, Inputs, Target.Rate_, FromStart);
+      const bool IsCloser = std::abs(Found.Rate_ - Target.Rate_) <
+                            std::abs(Best.Rate_ - Target.Rate_);
       if (Found.Rate_ > 0 && IsCloser)
         Best = Found;
     }
-  if (Best.Rate_ < TargetRate * 0.2)
+  if (Best.Rate_ < Target.Rate_ * 0.2)
     return std::nullopt;
-  return KeyPlacement{Best.Range_, Target->Host_};
+  return KeyPlacement{Best.Range_, Target.Peer_->Host_};
 }
 
 std::vector<KeyPlacement> findMoves(const std::vector<KeyRow> &OwnRows,
--- a/ownership/key_holds.cpp
+++ b/ownership/key_holds.cpp
@@ -10,10 +10,13 @@
 /// Returns the rows that the upstream should hold, split where moves start and
 /// end.
 std::vector<KeyRow> rowsToHold(const KeyOwnershipState &State) {
-  std::vector<KeyRow> Pieces;
   if (!isUpstreamAlive(State))
-    return Pieces;
-  KeyTable Split = State.Table_;
+    return {};
+  const KeyOwner Local = localOwner(State);
+  KeyTable Split;
+  for (const KeyRow &Row : State.Table_.Rows_)
+    if (Row.Owner_ == Local)
+      Split.Rows_.push_back(Row);
   for (const KeyMove &Move : State.Moves_) {
     const KeyRow *Row = findRow(Split, Move.Range_.First_);
     if (Row == nullptr)
@@ -22,10 +25,7 @@
     Piece.Range_ = Move.Range_;
     assignKeys(Split, Piece);
   }
-  for (const KeyRow &Row : Split.Rows_)
-    if (Row.Owner_ == localOwner(State))
-      Pieces.push_back(Row);
-  return Pieces;
+  return std::move(Split.Rows_);
 }
 
 /// Updates HeldKeys_ to match the table. Holds with an unchanged fencing token
--- a/ownership/key_ownership.cpp
+++ b/ownership/key_ownership.cpp
@@ -8,6 +8,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace lagoonhitch {
@@ -167,31 +169,46 @@
   return Highest;
 }
 
-bool isSuspected(const KeyOwnershipState &State,
-                 const KeyOwnershipInputs &Inputs, const std::string &Host) {
-  const KeyPeer *Peer = findPeer(Inputs, Host);
+/// Returns whether a host that owns keys is suspected to have failed.
+/// \param Peer the host, nullptr if it is not a member.
+bool isSuspected(const KeyOwnershipState &State, const KeyPeer *Peer,
+                 Duration Uptime, std::size_t Rank) {
   const Duration ContactTimeout =
       Peer == nullptr ? Duration() : Peer->ContactTimeout_;
   const Duration Limit =
       std::max<Duration>(State.Options_.SuspectAfter_, ContactTimeout) +
-      State.Options_.RankDelay_ * static_cast<int>(rankOf(State, Inputs));
-  return Peer != nullptr ? Peer->SinceLastContact_ > Limit
-                         : Inputs.Uptime_ > Limit;
+      State.Options_.RankDelay_ * static_cast<int>(Rank);
+  return Peer != nullptr ? Peer->SinceLastContact_ > Limit : Uptime > Limit;
+}
+
+/// Returns the other hosts that own keys and are suspected to have failed.
+std::set<std::string> suspectedOwners(const KeyOwnershipState &State,
+                                      const KeyOwnershipInputs &Inputs) {
+  std::set<std::string_view> Owners;
+  for (const KeyRow &Row : State.Table_.Rows_)
+    if (Row.Owner_.Host_ != State.Host_)
+      Owners.insert(Row.Owner_.Host_);
+  const std::size_t Rank = rankOf(State, Inputs);
+  std::set<std::string> Suspected;
+  for (const KeyPeer &Peer : Inputs.Peers_)
+    if (Owners.erase(Peer.Host_) > 0 &&
+        isSuspected(State, &Peer, Inputs.Uptime_, Rank))
+      Suspected.insert(Peer.Host_);
+  for (const std::string_view Unknown : Owners)
+    if (isSuspected(State, nullptr, Inputs.Uptime_, Rank))
+      Suspected.emplace(Unknown);
+  return Suspected;
 }
 
 void updateTakeovers(KeyOwnershipState &State, const KeyOwnershipInputs &Inputs,
                      KeyActions &Actions, Instant Now) {
-  std::erase_if(State.Takeovers_, [&](const auto &Entry) {
-    return !isSuspected(State, Inputs, Entry.first) ||
-           highestEpoch(State.Table_, Entry.first) == 0;
+  const std::set<std::string> Suspected = suspectedOwners(State, Inputs);
+  std::erase_if(State.Takeovers_, [&Suspected](const auto &Entry) {
+    return !Suspected.contains(Entry.first);
   });
-  for (const KeyRow &Row : State.Table_.Rows_) {
-    const std::string &Host = Row.Owner_.Host_;
-    const bool IsUntracked =
-        Host != State.Host_ && !State.Takeovers_.contains(Host);
-    if (IsUntracked && isSuspected(State, Inputs, Host))
+  for (const std::string &Host : Suspected)
+    if (!State.Takeovers_.contains(Host))
       State.Takeovers_[Host].Epoch_ = highestEpoch(State.Table_, Host) + 1;
-  }
   for (auto &[Host, Attempt] : State.Takeovers_) {
     const bool IsOutdated = highestEpoch(State.Table_, Host) >= Attempt.Epoch_;
     if (IsOutdated) {
--- a/ownership/key_peer.h
+++ b/ownership/key_peer.h
@@ -42,6 +42,8 @@
   std::vector<KeyPeer> Peers_;
   /// Requests per second for each key of this host, as far as known.
   const std::map<KeyId, double> *KeyRates_ = nullptr;
+  /// Factor by which the rates in KeyRates_ are higher than stated there.
+  double KeyRateFactor_ = 1;
   /// How long this process has been running.
   Duration Uptime_{};
 };
--- a/tests/unit/keys_test.cpp
+++ b/tests/unit/keys_test.cpp
@@ -149,6 +149,50 @@
   BOOST_TEST(Moved <= 270);
 }
 
+/// Busy keys lie close together, so that a few hosts of a large site get most
+/// of the load and many get none. One round must spread the load without making
+/// other hosts busy.
+BOOST_AUTO_TEST_CASE(SpreadsTheLoadOfOneHostOverManyIdleOnes) {
+  std::map<KeyId, double> Rates;
+  for (KeyId Key = 0; Key < 200; ++Key)
+    Rates[Key] = 1;
+  KeyOwnershipInputs Inputs;
+  Inputs.KeyRates_ = &Rates;
+  for (int Index = 0; Index < 100; ++Index)
+    Inputs.Peers_.push_back(peer("h" + std::to_string(Index), 2, 27));
+  Inputs.Peers_.front().Rate_ = 200;
+  const std::vector<KeyPlacement> Moves =
+      findMoves({row(0, 599, "h0")}, "h0", Inputs, KeyOwnershipOptions());
+  std::map<std::string, double> Gained;
+  double Total = 0;
+  for (const KeyPlacement &Move : Moves)
+    for (const auto &[Key, Rate] : Rates)
+      if (contains(Move.Range_, Key)) {
+        Gained[Move.Host_] += Rate;
+        Total += Rate;
+      }
+  BOOST_TEST(Total >= 170);
+  for (const auto &[Host, Rate] : Gained)
+    BOOST_TEST(Rate + 2 <= 0.7 * 27);
+}
+
+/// Averages are too low just after the first requests. The amounts to move are
+/// in corrected rates.
+BOOST_AUTO_TEST_CASE(MovesByCorrectedRates) {
+  std::map<KeyId, double> Rates;
+  for (KeyId Key = 0; Key < 100; ++Key)
+    Rates[Key] = 0.1;
+  KeyOwnershipInputs Inputs;
+  Inputs.KeyRates_ = &Rates;
+  Inputs.KeyRateFactor_ = 6;
+  Inputs.Peers_ = {peer("a", 60), peer("b", 0)};
+  const std::optional<KeyPlacement> Move =
+      findMove({row(0, 99, "a")}, "a", Inputs, KeyOwnershipOptions());
+  BOOST_REQUIRE(Move.has_value());
+  BOOST_TEST(sizeOf(Move->Range_) >= 30U);
+  BOOST_TEST(sizeOf(Move->Range_) <= 55U);
+}
+
 /// On a large site, busy hosts must not all move keys to the same few hosts.
 BOOST_AUTO_TEST_CASE(BusyHostsChooseDifferentTargets) {
   std::map<KeyId, double> Rates;
