Keep an upstream that has deregistered out of use after a restart of its daemon

Callers could get an upstream that had left: it deregisters once, its daemon is killed and started again, and the upstream's next heartbeat, which says ready, puts it back into use (188 and 265 runs in 4 s in the new process test). What the former process acknowledged was forgotten, though its member record in the store says so.

The daemon now reads its own record and applies its drain to the same incarnation. The test fails without that rule. Not covered: a kill within the few milliseconds between the acknowledgement and the append of the record.

--- a/daemon/site_state.h
+++ b/daemon/site_state.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
   CrashHistory Crashes_;
   /// The crashes of upstreams on this host, as its member record lists them.
   std::vector<UpstreamCrash> OwnCrashes_;
+  /// The record of this host as last read from the store; std::nullopt if there
+  /// is none. An earlier process of this daemon may have written it.
+  std::optional<MemberRecord> OwnRecord_;
   /// Whether the members have been read from the store.
   bool MembersRead_ = false;
 };
--- a/daemon/site_watcher.cpp
+++ b/daemon/site_watcher.cpp
@@ -210,6 +210,7 @@
     }
     for (const UpstreamCrash &Crash : Member->Crashes_)
       mergeCrash(Site_.OwnCrashes_, Crash);
+    Site_.OwnRecord_ = *Member;
   }
   Callbacks_.OnChanged_();
 }
--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -115,6 +115,7 @@
       LogEvent_(EventId::UpstreamDraining, Heartbeat.Upstream_);
     applyColdStart(Heartbeat.ColdRemaining_);
     onStateChanged();
+    applyRecordedDrain();
     if (Heartbeat.Keys_)
       Ownership_.onHoldReport(*Heartbeat.Keys_);
     Responder_.respondTo(Exchange, !Heartbeat.Draining_ && !HandingOver_);
@@ -223,7 +224,25 @@
   Ownership_.onUpstreamChanged(Known);
 }
 
+/// Marks the upstream as draining if an earlier process of this daemon has
+/// acknowledged that. The upstream may report it only once.
+void UpstreamManager::applyRecordedDrain() {
+  if (!Incarnation_ || Incarnation_->Draining_ || !Site_.OwnRecord_)
+    return;
+  const MemberRecord &Recorded = *Site_.OwnRecord_;
+  const UpstreamHeartbeat &Heartbeat = Incarnation_->LastHeartbeat_;
+  const bool WasDraining = Recorded.State_ == UpstreamState::Draining &&
+                           Recorded.Upstream_ == Heartbeat.Upstream_ &&
+                           Recorded.StartMillis_ == Heartbeat.StartMillis_;
+  if (!WasDraining)
+    return;
+  Incarnation_->Draining_ = true;
+  LogEvent_(EventId::UpstreamDraining, Heartbeat.Upstream_);
+  onStateChanged();
+}
+
 void UpstreamManager::tick() {
+  applyRecordedDrain();
   Responder_.tick();
   checkHealth();
   publishMember();
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -105,6 +105,7 @@
   void handleHeartbeat(const UpstreamHeartbeat &Heartbeat,
                        const std::shared_ptr<HttpExchange> &Exchange);
   void onStateChanged();
+  void applyRecordedDrain();
   void recordCrash();
   std::string describeLostRun(const LostRun &Run) const;
   void updateAdmission();
--- a/tests/process/leaving_upstream_test.cpp
+++ b/tests/process/leaving_upstream_test.cpp
@@ -92,4 +92,25 @@
              0U);
 }
 
+/// An upstream deregisters once and still runs. Its daemon is killed; the new
+/// process learns only from the store that the upstream has left.
+BOOST_AUTO_TEST_CASE(DeregisteredUpstreamStaysOutAfterARestartOfItsDaemon) {
+  SiteFixture Fixture(LeavingSite::options());
+  LoadGeneratorOptions Load;
+  Load.Workers_ = 96;
+  Fixture.startLoad(Load);
+  const std::vector<std::uint32_t> Leaving = {Fixture.findOwner(),
+                                              LeavingSite::SharedHost};
+  for (const std::uint32_t Host : Leaving)
+    BOOST_TEST(Fixture.Site_.deregisterUpstream(Host) == 200U);
+  sleepFor(milliseconds(300));
+  for (const std::uint32_t Host : Leaving)
+    Fixture.Site_.killAndRestartDaemon(Host);
+  const Instant RestartedAt = Fixture.Time_.now();
+  sleepFor(seconds(4));
+  Fixture.finishAndCheck();
+  for (const std::uint32_t Host : Leaving)
+    BOOST_TEST(Fixture.countRuns(Host, RestartedAt) == 0U);
+}
+
 } // namespace lagoonhitch
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -178,6 +178,15 @@
                           {"daemon", Hosts_[Index].HeartbeatAddress_}});
 }
 
+unsigned Site::deregisterUpstream(std::uint32_t Index) const {
+  HttpRequest Request;
+  Request.Method_ = "DELETE";
+  Request.Target_ = "/instances/" + upstreamName(Index);
+  return callBlocking(Time_, Hosts_[Index].HeartbeatAddress_,
+                      std::move(Request), CallTimeout)
+      .Response_.Status_;
+}
+
 void Site::restartUpstream(std::uint32_t Index) {
   Hosts_[Index].Upstream_->signal(SIGKILL);
   Hosts_[Index].Upstream_->wait();
--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -92,6 +92,10 @@
   /// Kills a host's daemon and starts it again.
   void killAndRestartDaemon(std::uint32_t Host);
 
+  /// Deregisters a host's upstream at the host's daemon. Returns the status of
+  /// the response. The upstream continues to send heartbeats.
+  unsigned deregisterUpstream(std::uint32_t Host) const;
+
   /// Makes a host's upstream send heartbeats to the host's daemon.
   void startHeartbeats(std::uint32_t Host);
 
