Don't take a late copy of a rejection for the response to the next request

A rejection without the request's ID was accepted on a connection that had been used before. A second copy of an earlier one, late, would have been reported as not run for the next request, which the upstream may run: it would be sent again. On a used connection such a response now ends the call with an unknown outcome; on a new one it is still accepted.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -36,6 +36,8 @@
   Instant IdleSince_;
   /// When the idle connection was last checked for unexpected data.
   Instant CheckedAt_;
+  /// Whether it has carried an earlier request.
+  bool Reused_ = false;
 };
 
 struct Pool {
@@ -275,6 +277,7 @@
       Connection_->Stream_.expires_never();
       Connection_->IdleSince_ = Client_->Time_.now();
       Connection_->CheckedAt_ = Connection_->IdleSince_;
+      Connection_->Reused_ = true;
       Client_->pool(Address_).Idle_.push_back(std::move(Connection_));
     }
     closeConnection();
@@ -293,7 +296,10 @@
         findHeader(Response.Headers_, Options_.EchoHeader_);
     if (Echo != nullptr)
       return *Echo == ExpectedEcho_;
-    return findHeader(Response.Headers_, Options_.NotRunHeader_) != nullptr;
+    // A rejection without the request's ID may be a second copy of an earlier
+    // one if the connection has been used before.
+    return !Connection_->Reused_ &&
+           findHeader(Response.Headers_, Options_.NotRunHeader_) != nullptr;
   }
 
   void finishFailed(error_code Failure, std::size_t BytesSent) {
