--- a/tests/process/process_test.cpp
+++ b/tests/process/process_test.cpp
@@ -13,6 +13,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
+#include <vector>
 
 namespace lagoonhitch {
 
@@ -163,6 +164,23 @@
   Fixture.checkAllRan();
 }
 
+/// Requests may be on their way between two daemons that both stop.
+BOOST_AUTO_TEST_CASE(GracefulShutdownOfSeveralDaemonsFailsNoRequest) {
+  SiteFixture Fixture;
+  LoadGeneratorOptions Load;
+  Load.Workers_ = 32;
+  Fixture.startLoad(Load);
+  const std::uint32_t Owner = Fixture.findOwner();
+  const std::vector<std::uint32_t> Stopped = {Owner, 3, 5};
+  for (const std::uint32_t Host : Stopped)
+    Fixture.Site_.daemon(Host).signal(SIGTERM);
+  for (const std::uint32_t Host : Stopped)
+    BOOST_TEST(Fixture.Site_.daemon(Host).wait() == 0);
+  sleepFor(seconds(2));
+  Fixture.finishAndCheck();
+  Fixture.checkAllRan();
+}
+
 /// A request that a peer sent on an open connection may arrive after the last
 /// other one has been answered. It must not be lost with the connection.
 BOOST_AUTO_TEST_CASE(StoppingDaemonAnswersLateRequestsOfPeers) {
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -76,6 +76,9 @@
 Site::~Site() {
   Hosts_.clear();
   Store_.reset();
+  // The logs of a failed run can be kept.
+  if (std::getenv("LAGOONHITCH_KEEP_FILES") != nullptr)
+    return;
   std::error_code Ignored;
   std::filesystem::remove_all(Folder_, Ignored);
 }
--- a/tests/standin/upstream_standin.cpp
+++ b/tests/standin/upstream_standin.cpp
@@ -68,8 +68,14 @@
        Reported = UnreportedReleases_.size()](const HttpResult &Result) {
         onHeartbeatReply(Result, SentAt, Reported);
       });
-  HeartbeatTimer_ = Loop_.after(heartbeatInterval(), [this, Address, Daemon] {
-    startHeartbeats(Address, Daemon);
+  HeartbeatAddress_ = Address;
+  Daemon_ = Daemon;
+  scheduleHeartbeat();
+}
+
+void UpstreamStandin::scheduleHeartbeat() {
+  HeartbeatTimer_ = Loop_.after(heartbeatInterval(), [this] {
+    startHeartbeats(HeartbeatAddress_, Daemon_);
   });
 }
 
--- a/tests/standin/upstream_standin.h
+++ b/tests/standin/upstream_standin.h
@@ -77,6 +77,7 @@
     std::uint64_t Fence_ = 0;
   };
 
+  void scheduleHeartbeat();
   std::chrono::milliseconds heartbeatInterval() const;
   void handleGrant(const HttpRequest &Request, HttpExchange &Exchange);
   void handleRelease(const HttpRequest &Request,
@@ -132,6 +133,9 @@
   Instant ColdUntil_;
   std::list<Instant> ColdArrivals_;
   std::shared_ptr<void> HeartbeatTimer_;
+  /// Own address and the daemon's, for the next heartbeat.
+  std::string HeartbeatAddress_;
+  std::string Daemon_;
 };
 
 } // namespace lagoonhitch
--- a/tests/standin/upstream_standin_keys.cpp
+++ b/tests/standin/upstream_standin_keys.cpp
@@ -174,6 +174,9 @@
     if (!hasSeenHigherFence(Granted))
       addHold(Granted);
   completeReleases();
+  // Releases are reported soon.
+  if (!EndingHolds_.empty() || !UnreportedReleases_.empty())
+    scheduleHeartbeat();
 }
 
 } // namespace lagoonhitch
