--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -80,7 +80,7 @@
 OwnershipManager::declareHolds(Instant ReceivedAt) {
   if (!usesHeartbeatReplies())
     return std::nullopt;
-  const std::optional<HoldDeclaration> Declaration =
+  std::optional<HoldDeclaration> Declaration =
       lagoonhitch::declareHolds(State_, ReceivedAt, Time_.now());
   // Requests may wait for keys that are declared for the first time.
   Callbacks_.OnChanged_();
