--- a/tests/unit/door_test.cpp
+++ b/tests/unit/door_test.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 
 namespace lagoonhitch {
@@ -275,45 +276,45 @@
   BOOST_TEST(Budgets["calling"].Tokens_ == Before);
 }
 
-/// An upstream rejects each request although it runs none.
-BOOST_AUTO_TEST_CASE(PausesLongerForAnUpstreamThatRejectsEverything) {
-  AdmissionQueue Queue = makeQueue(18);
-  int Sent = 0;
-  for (int Millis = 0; Millis < 5000; Millis += 5) {
-    const Instant Now = Start + milliseconds(Millis);
-    const QueuedRequest Request =
-        makeRequest(static_cast<std::uint64_t>(Millis + 1), Now);
-    if (submitRequest(Queue, Request, Now).Kind_ !=
-        AdmissionDecision::Kind::Start) {
-      cancelWaiting(Queue, Request);
-      continue;
-    }
-    ++Sent;
-    onUpstreamOverloaded(Queue, Now);
-    finishRequest(Queue, Request, std::nullopt);
-  }
-  BOOST_TEST(Sent <= 16);
-}
+namespace {
 
-/// An upstream that rejects one of two requests at random serves the others.
-BOOST_AUTO_TEST_CASE(PausesBrieflyForAnUpstreamThatRejectsSomeRequests) {
+/// Submits a request every 5 ms for 5 s to the queue of an upstream that itself
+/// rejects some of the requests that it gets.
+/// \param Rejects whether the upstream rejects the request with a number,
+/// counted from 1.
+/// \returns how many requests the upstream got.
+int sentToRejectingUpstream(const std::function<bool(int)> &Rejects) {
   AdmissionQueue Queue = makeQueue(18);
+  std::uint64_t Submitted = 0;
   int Sent = 0;
   for (int Millis = 0; Millis < 5000; Millis += 5) {
     const Instant Now = Start + milliseconds(Millis);
-    const QueuedRequest Request =
-        makeRequest(static_cast<std::uint64_t>(Millis + 1), Now);
+    const QueuedRequest Request = makeRequest(++Submitted, Now);
     if (submitRequest(Queue, Request, Now).Kind_ !=
         AdmissionDecision::Kind::Start) {
       cancelWaiting(Queue, Request);
       continue;
     }
-    if (++Sent % 2 == 0)
+    if (Rejects(++Sent))
       onUpstreamOverloaded(Queue, Now);
     else
       onUpstreamAccepted(Queue);
     finishRequest(Queue, Request, std::nullopt);
   }
+  return Sent;
+}
+
+} // namespace
+
+/// An upstream rejects each request although it runs none.
+BOOST_AUTO_TEST_CASE(PausesLongerForAnUpstreamThatRejectsEverything) {
+  BOOST_TEST(sentToRejectingUpstream([](int) { return true; }) <= 16);
+}
+
+/// An upstream that rejects one of two requests serves the others.
+BOOST_AUTO_TEST_CASE(PausesBrieflyForAnUpstreamThatRejectsSomeRequests) {
+  const int Sent =
+      sentToRejectingUpstream([](int Number) { return Number % 2 == 0; });
   BOOST_TEST(Sent >= 200);
 }
 
