Wait for a host's first digest as long as its digests are apart

Cause: a daemon that has just started has no digest of most hosts and so no interval; it took hosts for failed after 2.5 s, though a site of 142 owners sends digests every 2.8 s.

Until a host's first digest, the timeout is that of the daemon's own digests. After a pause of the process the wait starts anew, as digests may wait in the socket. HostWithoutDigestsIsSilentForTheUsualDigestInterval needs the new function; before, the timeout of such a host was zero.

--- a/daemon/ownership_manager.h
+++ b/daemon/ownership_manager.h
@@ -105,6 +105,7 @@
 
 private:
   KeyOwnershipInputs inputs() const;
+  void noteTick(Instant Now);
   void decayRates(Instant Now);
   void execute(const KeyActions &Actions);
   void appendEpoch(const KeyAction &Action);
@@ -127,6 +128,9 @@
   OwnershipCallbacks Callbacks_;
   KeyOwnershipState State_;
   Instant StartedAt_;
+  /// Since when this process has handled digests without a long pause.
+  Instant ListeningSince_;
+  Instant LastTickAt_;
   std::map<KeyId, double> KeyRates_;
   double TotalRate_ = 0;
   /// When the first request was counted.
--- a/membership/fleet.cpp
+++ b/membership/fleet.cpp
@@ -66,6 +66,15 @@
   return std::max(Minimum, Timeout);
 }
 
+Duration contactTimeout(const FleetMember *Member, const FleetMember *Own) {
+  const bool HasDigest =
+      Member != nullptr && Member->LastDigestAt_ != Instant::min();
+  if (HasDigest)
+    return digestTimeout(*Member, Duration::zero());
+  return Own == nullptr ? Duration::zero()
+                        : digestTimeout(*Own, Duration::zero());
+}
+
 bool hasRecentDigest(const FleetMember &Member, Duration MaxAge, Instant Now) {
   return Member.LastDigestAt_ != Instant::min() &&
          Now - Member.LastDigestAt_ <= digestTimeout(Member, MaxAge);
--- a/membership/fleet.h
+++ b/membership/fleet.h
@@ -66,6 +66,13 @@
 /// but not less than Minimum.
 Duration digestTimeout(const FleetMember &Member, Duration Minimum);
 
+/// Returns how long a host may send no digest to this daemon before it is
+/// suspected to have failed. If no digest of the host has stated an interval
+/// yet, its digests are expected at the interval of this daemon's own.
+/// \param Member the host, nullptr if it is not a member.
+/// \param Own this daemon's host, nullptr if it is not a member.
+Duration contactTimeout(const FleetMember *Member, const FleetMember *Own);
+
 /// Returns whether a member's load is known from a load report not older than
 /// MaxAge or from a recent digest.
 bool hasRecentLoad(const FleetMember &Member, Duration MaxAge, Instant Now);
--- a/ownership/key_peer.h
+++ b/ownership/key_peer.h
@@ -44,8 +44,11 @@
   const std::map<KeyId, double> *KeyRates_ = nullptr;
   /// Factor by which the rates in KeyRates_ are higher than stated there.
   double KeyRateFactor_ = 1;
-  /// How long this process has been running.
+  /// How long this daemon has been able to receive digests without a pause.
   Duration Uptime_{};
+  /// Minimum time without contact before a host that is not a member is
+  /// suspected to have failed.
+  Duration ContactTimeout_{};
 };
 
 /// Returns a host of the service, nullptr if it is not a member.
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -434,6 +434,27 @@
       !hasRecentDigest(Member, milliseconds(1500), Start + milliseconds(3100)));
 }
 
+/// On a large site, a daemon that has just started took hosts for failed before
+/// their first digest was due.
+BOOST_AUTO_TEST_CASE(HostWithoutDigestsIsSilentForTheUsualDigestInterval) {
+  constexpr milliseconds Interval(2800);
+  Fleet State;
+  MemberRecord Record;
+  Record.Host_ = "new";
+  applyRecord(State, Record, Start);
+  addHost(State, "own", "z1", 3);
+  LoadDigest Digest;
+  Digest.Host_ = "own";
+  Digest.Process_ = 1;
+  Digest.Sequence_ = 2;
+  Digest.IntervalMillis_ = Interval.count();
+  applyDigest(State, Digest, Start);
+  const FleetMember *Own = findMember(State, "own");
+  BOOST_TEST((contactTimeout(findMember(State, "new"), Own) >= Interval * 2));
+  BOOST_TEST((contactTimeout(nullptr, Own) >= Interval * 2));
+  BOOST_TEST((contactTimeout(nullptr, nullptr) == Duration::zero()));
+}
+
 /// The process of a daemon without digests is known from its member record.
 BOOST_AUTO_TEST_CASE(UpdatesTheProcessFromRecordsAndDigests) {
   Fleet State;
