Let few hosts take over the keys of one host, in an order of its own

A takeover lasts as long as the lease, 8 s, and hosts shared six ranks 0.4 s apart: at 142 owners, 24 hosts appended an epoch at once and 141 within the lease. Six hosts act now, in an order that depends on the failed host; the next six only after the time that a takeover needs. FewHostsTakeOverTheKeysOfOneHost failed before with 24 and 141 hosts.

A takeover whose host got a higher epoch in the table while an append was in flight was never continued, since the reply to that append is ignored (found by reading, docs/DESIGN.md, section 6). TakeoverContinuesAfterTheHostsEpochHasRisen failed before.

--- a/ownership/key_ownership_options.h
+++ b/ownership/key_ownership_options.h
@@ -39,7 +39,9 @@
   /// Time without contact after which a host is suspected to have failed.
   std::chrono::milliseconds SuspectAfter_{2500};
   /// Delay per rank that keeps hosts from acting at the same time, and the
-  /// number of ranks. With more hosts than ranks, hosts share ranks.
+  /// number of ranks. With more hosts than ranks, hosts share ranks when they
+  /// append the first table, and act in groups of that size when they take over
+  /// keys.
   std::chrono::milliseconds RankDelay_{400};
   std::size_t RankCount_ = 6;
   /// Delay before a failed table append or a failed grant is retried.
--- a/ownership/key_takeover.cpp
+++ b/ownership/key_takeover.cpp
@@ -1,7 +1,8 @@
 #include "ownership/key_takeover.h"
 
 #include "ownership/key_ownership.h"
-#include "ownership/key_plan.h"
+
+#include <xxhash.h>
 
 #include <algorithm>
 #include <set>
@@ -12,16 +13,44 @@
 
 namespace {
 
-/// Returns whether a host that owns keys is suspected to have failed.
-/// \param Peer the host, nullptr if it is not a member.
-bool isSuspected(const KeyOwnershipState &State, const KeyPeer *Peer,
-                 Duration Uptime, std::size_t Rank) {
-  const Duration ContactTimeout =
-      Peer == nullptr ? Duration() : Peer->ContactTimeout_;
+/// Returns this host's place in the order in which the hosts take over the keys
+/// of a failed one. The order differs from one failed host to another.
+std::size_t takeoverRank(const KeyOwnershipState &State,
+                         const KeyOwnershipInputs &Inputs,
+                         const std::string &Failed) {
+  const XXH64_hash_t Seed = XXH3_64bits(Failed.data(), Failed.size());
+  const auto HashOf = [Seed](const std::string &Host) {
+    return XXH3_64bits_withSeed(Host.data(), Host.size(), Seed);
+  };
+  const XXH64_hash_t Own = HashOf(State.Host_);
+  const auto Before = std::count_if(
+      Inputs.Peers_.begin(), Inputs.Peers_.end(), [&](const KeyPeer &Peer) {
+        return Peer.AcceptsKeys_ && HashOf(Peer.Host_) < Own;
+      });
+  return static_cast<std::size_t>(Before);
+}
+
+/// Returns how much later than the first host a host takes over keys. Each
+/// group of hosts leaves the one before it the time that a takeover needs, so
+/// that the store gets few appends for a failed host on a large site.
+Duration takeoverDelay(const KeyOwnershipOptions &Options, std::size_t Rank) {
+  const int Group = static_cast<int>(Rank / Options.RankCount_);
+  const int RankInGroup = static_cast<int>(Rank % Options.RankCount_);
+  return Options.RankDelay_ * RankInGroup +
+         (Options.Lease_ + Options.SuspectAfter_) * Group;
+}
+
+/// Returns whether this host is to take over the keys of another one.
+/// \param Silence time since the last contact.
+bool isTakeoverDue(const KeyOwnershipState &State,
+                   const KeyOwnershipInputs &Inputs, const std::string &Host,
+                   Duration Silence, Duration ContactTimeout) {
   const Duration Limit =
-      std::max<Duration>(State.Options_.SuspectAfter_, ContactTimeout) +
-      State.Options_.RankDelay_ * static_cast<int>(Rank);
-  return Peer != nullptr ? Peer->SinceLastContact_ > Limit : Uptime > Limit;
+      std::max<Duration>(State.Options_.SuspectAfter_, ContactTimeout);
+  if (Silence <= Limit)
+    return false;
+  const std::size_t Rank = takeoverRank(State, Inputs, Host);
+  return Silence > Limit + takeoverDelay(State.Options_, Rank);
 }
 
 /// Returns the other hosts that own keys and are suspected to have failed.
@@ -31,15 +60,19 @@
   for (const KeyRow &Row : State.Table_.Rows_)
     if (Row.Owner_.Host_ != State.Host_)
       Owners.insert(Row.Owner_.Host_);
-  const std::size_t Rank = rankOf(State, Inputs);
   std::set<std::string> Suspected;
   for (const KeyPeer &Peer : Inputs.Peers_)
     if (Owners.erase(Peer.Host_) > 0 &&
-        isSuspected(State, &Peer, Inputs.Uptime_, Rank))
+        isTakeoverDue(State, Inputs, Peer.Host_, Peer.SinceLastContact_,
+                      Peer.ContactTimeout_))
       Suspected.insert(Peer.Host_);
-  for (const std::string_view Unknown : Owners)
-    if (isSuspected(State, nullptr, Inputs.Uptime_, Rank))
-      Suspected.emplace(Unknown);
+  // The others are not members.
+  for (const std::string_view Owner : Owners) {
+    const std::string Host(Owner);
+    if (isTakeoverDue(State, Inputs, Host, Inputs.Uptime_,
+                      Inputs.ContactTimeout_))
+      Suspected.insert(Host);
+  }
   return Suspected;
 }
 
@@ -67,6 +100,8 @@
     if (IsOutdated) {
       Attempt.Epoch_ = highestEpoch(State.Table_, Host) + 1;
       Attempt.AcknowledgedAt_.reset();
+      // The reply to an append of the previous epoch is ignored.
+      Attempt.AppendInFlight_ = false;
     }
     if (Attempt.AcknowledgedAt_ || Attempt.AppendInFlight_ ||
         Now < Attempt.NextAppendAt_)
