--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -29,9 +29,6 @@
 constexpr std::chrono::milliseconds LoadSettleTime{1500};
 /// Age of the last load digest from which a host gets no keys.
 constexpr std::chrono::milliseconds MaxDigestAge{1500};
-/// Time between two calls of tick() from which the process is taken to have
-/// been suspended.
-constexpr std::chrono::milliseconds MaxTickGap{700};
 /// Digests carry rates in hundredths of a request per second.
 constexpr double KeyRateUnit = 0.01;
 
@@ -55,8 +52,8 @@
                                    OwnershipCallbacks Callbacks)
     : Time_(Time), KeyStore_(KeyStore), UpstreamClient_(UpstreamClient),
       Site_(Site), Config_(std::move(Config)), Callbacks_(std::move(Callbacks)),
-      StartedAt_(Time.now()), ListeningSince_(StartedAt_),
-      LastTickAt_(StartedAt_), DecayedAt_(StartedAt_) {
+      StartedAt_(Time.now()), ContactClock_{StartedAt_, StartedAt_},
+      DecayedAt_(StartedAt_) {
   State_.Host_ = Config_.Host_;
   State_.Options_ = Options;
   State_.EarlierProcessGrantsEnd_ =
@@ -166,7 +163,7 @@
   Inputs.KeyRates_ = &KeyRates_;
   Inputs.KeyRateFactor_ = startUpCorrection(Now);
   const FleetMember *Own = findMember(Site_.Fleet_, Config_.Host_);
-  Inputs.Uptime_ = Now - ListeningSince_;
+  Inputs.Uptime_ = Now - ContactClock_.ListeningSince_;
   Inputs.ContactTimeout_ = contactTimeout(nullptr, Own);
   for (const auto &[Host, Member] : Site_.Fleet_.Members_) {
     if (Member.Record_.Service_ != Config_.Service_)
@@ -181,9 +178,7 @@
     Peer.AcceptsKeys_ =
         acceptsRequests(Site_.Fleet_, Member) && Member.Digest_.Accepting_ &&
         !Member.Digest_.Stopping_ && hasRecentDigest(Member, MaxDigestAge, Now);
-    Peer.SinceLastContact_ =
-        Now -
-        std::max({Member.LastDigestAt_, Member.FirstSeenAt_, ListeningSince_});
+    Peer.SinceLastContact_ = silenceOf(ContactClock_, Member, Now);
     Peer.ContactTimeout_ = contactTimeout(&Member, Own);
     Peer.Rate_ = Member.Digest_.KeyRate_ * KeyRateUnit;
     Peer.Capacity_ = capacityOf(Member.Digest_);
@@ -198,21 +193,13 @@
   return Inputs;
 }
 
-/// Restarts the wait for digests if this process has been suspended or very
-/// slow: digests that have arrived meanwhile may not have been handled yet.
-void OwnershipManager::noteTick(Instant Now) {
-  if (Now - LastTickAt_ > MaxTickGap)
-    ListeningSince_ = Now;
-  LastTickAt_ = Now;
-}
-
 void OwnershipManager::tick() {
   // An action may complete at once and call tick() again.
   if (Ticking_)
     return;
   Ticking_ = true;
   const Instant Now = Time_.now();
-  noteTick(Now);
+  tickContactClock(ContactClock_, Now);
   decayRates(Now);
   updateGrantMethod();
   if (isSharded(Site_, Config_.Service_))
--- a/daemon/ownership_manager.h
+++ b/daemon/ownership_manager.h
@@ -7,6 +7,7 @@
 #include "core/clock.h"
 #include "core/event_catalog.h"
 #include "daemon/site_state.h"
+#include "membership/contact_clock.h"
 #include "ownership/declared_holds.h"
 #include "ownership/key_ownership.h"
 
@@ -105,7 +106,6 @@
 
 private:
   KeyOwnershipInputs inputs() const;
-  void noteTick(Instant Now);
   void decayRates(Instant Now);
   void execute(const KeyActions &Actions);
   void appendEpoch(const KeyAction &Action);
@@ -128,9 +128,7 @@
   OwnershipCallbacks Callbacks_;
   KeyOwnershipState State_;
   Instant StartedAt_;
-  /// Since when this process has handled digests without a long pause.
-  Instant ListeningSince_;
-  Instant LastTickAt_;
+  ContactClock ContactClock_;
   std::map<KeyId, double> KeyRates_;
   double TotalRate_ = 0;
   /// When the first request was counted.
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -3,6 +3,7 @@
 /// choice of hosts.
 
 #define BOOST_TEST_MODULE fleet
+#include "membership/contact_clock.h"
 #include "membership/digest_recipients.h"
 #include "membership/fleet.h"
 #include "membership/upstream_incarnation.h"
@@ -455,6 +456,21 @@
   BOOST_TEST((contactTimeout(nullptr, nullptr) == Duration::zero()));
 }
 
+/// A daemon that was suspended for longer than the timeouts of all hosts took
+/// them for failed when it continued.
+BOOST_AUTO_TEST_CASE(HostsAreNotSilentWhileThisDaemonIsSuspended) {
+  Fleet State;
+  addHost(State, "a", "z1", 3);
+  const FleetMember &Member = *findMember(State, "a");
+  ContactClock Contact{Start, Start};
+  Instant Now = Start;
+  for (int Tick = 0; Tick < 20; ++Tick)
+    tickContactClock(Contact, Now += milliseconds(50));
+  BOOST_TEST((silenceOf(Contact, Member, Now) == milliseconds(1000)));
+  tickContactClock(Contact, Now += std::chrono::seconds(9));
+  BOOST_TEST((silenceOf(Contact, Member, Now) == Duration::zero()));
+}
+
 /// The process of a daemon without digests is known from its member record.
 BOOST_AUTO_TEST_CASE(UpdatesTheProcessFromRecordsAndDigests) {
   Fleet State;
