Continue a takeover while other hosts return

After the loss of many hosts, those that returned pushed a host that had begun a takeover back in the order, and it gave the takeover up. TakeoverContinuesWhileOtherHostsReturn fails without the rule.

--- a/ownership/key_takeover.cpp
+++ b/ownership/key_takeover.cpp
@@ -40,7 +40,8 @@
          (Options.Lease_ + Options.SuspectAfter_) * Group;
 }
 
-/// Returns whether this host is to take over the keys of another one.
+/// Returns whether this host is to take over the keys of another one, or is to
+/// continue to do so.
 /// \param Silence time since the last contact.
 bool isTakeoverDue(const KeyOwnershipState &State,
                    const KeyOwnershipInputs &Inputs, const std::string &Host,
@@ -49,6 +50,9 @@
       std::max<Duration>(State.Options_.SuspectAfter_, ContactTimeout);
   if (Silence <= Limit)
     return false;
+  // Its rank may grow meanwhile, as other hosts return.
+  if (State.Takeovers_.contains(Host))
+    return true;
   const std::size_t Rank = takeoverRank(State, Inputs, Host);
   return Silence > Limit + takeoverDelay(State.Options_, Rank);
 }
--- a/tests/unit/takeover_test.cpp
+++ b/tests/unit/takeover_test.cpp
@@ -128,6 +128,22 @@
   BOOST_TEST(Takers >= 10U);
 }
 
+/// After the loss of many hosts, a takeover was given up when hosts returned
+/// that are to act earlier.
+BOOST_AUTO_TEST_CASE(TakeoverContinuesWhileOtherHostsReturn) {
+  const KeyOwnershipOptions Options;
+  const Duration Silence = Options.SuspectAfter_ + milliseconds(1);
+  for (std::size_t Number = 1; Number < HostCount; ++Number) {
+    KeyOwnershipInputs Inputs = inputsAfter(Silence);
+    for (KeyPeer &Peer : Inputs.Peers_)
+      Peer.AcceptsKeys_ = false;
+    KeyOwnershipState State = stateOf(hostName(Number));
+    BOOST_TEST(startsTakeover(onKeyTick(State, Inputs, Start)));
+    static_cast<void>(onKeyTick(State, inputsAfter(Silence), Start));
+    BOOST_TEST(State.Takeovers_.contains(Failed));
+  }
+}
+
 /// The store may have acknowledged a takeover's epoch late, after the table has
 /// shown a higher one of that host. The takeover was never continued then.
 BOOST_AUTO_TEST_CASE(TakeoverContinuesAfterTheHostsEpochHasRisen) {
