--- a/ownership/key_takeover.cpp
+++ b/ownership/key_takeover.cpp
@@ -50,7 +50,7 @@
       std::max<Duration>(State.Options_.SuspectAfter_, ContactTimeout);
   if (Silence <= Limit)
     return false;
-  // Its rank may grow meanwhile, as other hosts return.
+  // This host's rank may have grown since, as other hosts returned.
   if (State.Takeovers_.contains(Host))
     return true;
   const std::size_t Rank = takeoverRank(State, Inputs, Host);
