Report how manifests are received and how late the serving loop is

Event 314 has the size, receiving and decoding time, repeated reads and the age of the first announcement; event 601 and a histogram the lag of the loop.

--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -24,6 +24,7 @@
     {EventId::LogRestored, EventLevel::Info, "log-restored"},
     {EventId::LogGap, EventLevel::Warn, "log-gap"},
     {EventId::ConfigApplied, EventLevel::Info, "config-applied"},
+    {EventId::ConfigReceived, EventLevel::Info, "config-received"},
     {EventId::ConfigUnreadable, EventLevel::Error, "config-unreadable"},
     {EventId::EvacuationChanged, EventLevel::Info, "evacuation-changed"},
     {EventId::RecordUnreadable, EventLevel::Warn, "record-unreadable"},
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -44,6 +44,7 @@
   ConfigUnreadable = 311,
   EvacuationChanged = 312,
   RecordUnreadable = 313,
+  ConfigReceived = 314,
   LinkSettled = 500,
   RingFull = 600,
   LateTick = 601,
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "daemon/crash_record.h"
 #include "daemon/daemon_options.h"
 #include "daemon/digest_exchange.h"
+#include "daemon/loop_lag.h"
 #include "daemon/manifest_caller_interface.h"
 #include "daemon/ownership_manager.h"
 #include "daemon/peer_service.h"
@@ -81,6 +82,7 @@
   void pushTable(const KeyTable &Before, const KeyTable &Table);
   std::string chooseRelay();
   void tick();
+  void measureLoopLag();
   void startShutdown();
   void continueShutdown();
   void enterPhase(ShutdownPhase Phase);
@@ -122,6 +124,7 @@
 
   std::uint64_t DigestSequence_ = 0;
   std::shared_ptr<void> TickTimer_;
+  LoopLag Lag_;
   std::optional<ShutdownPlan> Shutdown_;
 };
 
@@ -406,6 +409,7 @@
 }
 
 void Daemon::Impl::tick() {
+  measureLoopLag();
   TickTimer_ = Loop_.after(TickInterval, [this] { tick(); });
   UpstreamManager_.tick();
   Digests_.tick();
@@ -418,6 +422,14 @@
     continueShutdown();
 }
 
+void Daemon::Impl::measureLoopLag() {
+  const std::optional<Duration> Reported =
+      measureLag(Lag_, TickInterval, Time_.now());
+  Metrics_.observeLoopLag(Lag_.Last_);
+  if (Reported)
+    logEvent(EventId::LateTick, std::to_string(toMillis(*Reported).count()));
+}
+
 void Daemon::Impl::startShutdown() {
   if (Shutdown_) {
     Loop_.stop();
--- a/daemon/site_watcher.cpp
+++ b/daemon/site_watcher.cpp
@@ -5,6 +5,8 @@
 #include "ownership/table_change.h"
 #include "platform/platform_codec.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <set>
 #include <utility>
 
@@ -19,6 +21,16 @@
   return Text;
 }
 
+std::string describeReading(std::uint64_t Version, const ReadStatistics &Read,
+                            Duration DecodingTime) {
+  return absl::StrCat(
+      "version ", Version, ": ", Read.Bytes_, " bytes received in ",
+      toMillis(Read.ReceivingTime_).count(), " ms, decoded in ",
+      toMillis(DecodingTime).count(), " ms, ", Read.RepeatedReads_,
+      " repeated reads, announced by a peer ",
+      toMillis(Read.SinceHint_).count(), " ms before");
+}
+
 } // namespace
 
 std::string tableTopic(const std::string &Service) {
@@ -143,13 +155,7 @@
     Zones = Site_.Fleet_.EvacuatedZones_;
   for (const StoreRecord &Record : Records) {
     if (Record.Key_ == ManifestKey) {
-      std::string Fault;
-      std::optional<Manifest> Decoded = decodeManifest(Record.Value_, &Fault);
-      if (Decoded)
-        applyManifest(std::move(*Decoded));
-      else
-        Callbacks_.LogEvent_(EventId::ConfigUnreadable,
-                             std::to_string(Record.Offset_) + ": " + Fault);
+      onManifestRecord(Record);
       continue;
     }
     const std::optional<std::string> Zone = evacuatedZone(Record.Key_);
@@ -167,6 +173,23 @@
   Callbacks_.OnEvacuationsChanged_();
 }
 
+void SiteWatcher::onManifestRecord(const StoreRecord &Record) {
+  const Instant StartedAt = Time_.now();
+  std::string Fault;
+  std::optional<Manifest> Decoded = decodeManifest(Record.Value_, &Fault);
+  if (!Decoded) {
+    Callbacks_.LogEvent_(EventId::ConfigUnreadable,
+                         std::to_string(Record.Offset_) + ": " + Fault);
+    return;
+  }
+  const std::uint64_t Version = Decoded->Version_;
+  const Duration DecodingTime = Time_.now() - StartedAt;
+  applyManifest(std::move(*Decoded));
+  Callbacks_.LogEvent_(
+      EventId::ConfigReceived,
+      describeReading(Version, OperatorFollower_.statistics(), DecodingTime));
+}
+
 void SiteWatcher::applyManifest(Manifest Decoded) {
   const bool Newer = Site_.Manifest_ == nullptr ||
                      Decoded.Version_ > Site_.Manifest_->Version_;
--- a/daemon/site_watcher.h
+++ b/daemon/site_watcher.h
@@ -90,6 +90,7 @@
   void writeTopicEnds(LoadDigest &Digest, const std::string &OwnService) const;
 
 private:
+  void onManifestRecord(const StoreRecord &Record);
   void onOperatorRecords(const std::vector<StoreRecord> &Records,
                          bool Snapshot);
   void onMemberRecords(const std::vector<StoreRecord> &Records);
--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -45,6 +45,8 @@
   const bool Behind = Loaded_ && HintedEnd_ > NextOffset_;
   if (!Behind)
     return;
+  if (!HintedAt_)
+    HintedAt_ = Time_.now();
   if (Mode_ == FollowMode::Pushed) {
     // The pushed record itself may still be on its way.
     if (!Reading_ && !HintTimer_)
@@ -119,6 +121,7 @@
 
 void TopicFollower::readNext() {
   const std::uint64_t Number = ++ReadNumber_;
+  ++ReadsSinceNew_;
   ReadStartedAt_ = Time_.now();
   Reading_ = true;
   const std::chrono::milliseconds Wait = Mode_ == FollowMode::LongPoll
@@ -142,6 +145,7 @@
     return;
   }
   Failures_ = 0;
+  updateStatistics(Reply);
   advanceTo(Reply.End_);
   Loaded_ = true;
   deliver(std::move(Reply.Records_), true);
@@ -160,6 +164,7 @@
     return;
   }
   Failures_ = 0;
+  updateStatistics(Reply);
   advanceTo(Reply.End_);
   if (!Reply.Records_.empty())
     deliver(std::move(Reply.Records_), false);
@@ -173,10 +178,23 @@
 void TopicFollower::onEarlierRead(ReadReply Reply) {
   if (Reply.Kind_ != ReadReply::Kind::Done || Reply.End_ <= NextOffset_)
     return;
+  updateStatistics(Reply);
   advanceTo(Reply.End_);
   deliver(std::move(Reply.Records_), false);
 }
 
+/// Records how a reply was received, before NextOffset_ advances past it.
+void TopicFollower::updateStatistics(const ReadReply &Reply) {
+  if (Reply.End_ <= NextOffset_)
+    return;
+  const std::uint32_t Repeated = ReadsSinceNew_ > 0 ? ReadsSinceNew_ - 1 : 0;
+  const Duration SinceHint =
+      HintedAt_ ? Time_.now() - *HintedAt_ : Duration::zero();
+  Statistics_ = {Reply.Bytes_, Reply.ReceivingTime_, Repeated, SinceHint};
+  ReadsSinceNew_ = 0;
+  HintedAt_.reset();
+}
+
 void TopicFollower::deliver(std::vector<StoreRecord> Records, bool Snapshot) {
   std::erase_if(Records, [this](const StoreRecord &Record) {
     const auto Found = LastOffsets_.find(Record.Key_);
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,19 @@
   Pushed,
 };
 
+/// How the last records of a topic were received.
+struct ReadStatistics {
+  /// Size of the reply that contained them.
+  std::size_t Bytes_ = 0;
+  /// Time from the first received byte of that reply to its end.
+  Duration ReceivingTime_{};
+  /// Reads that were repeated before a reply with new records arrived.
+  std::uint32_t RepeatedReads_ = 0;
+  /// Time since a peer first reported that the topic extends beyond what was
+  /// known; zero if none did.
+  Duration SinceHint_{};
+};
+
 /// Reads the newest record of each key, then follows the topic. A record that
 /// is not newer than one already delivered for its key is dropped, so a stale
 /// read has no effect.
@@ -63,6 +77,10 @@
   /// Returns the offset after the last record that is known without a gap.
   Offset nextOffset() const { return NextOffset_; }
 
+  /// Returns how the last new records were received. Valid while records are
+  /// delivered.
+  const ReadStatistics &statistics() const { return Statistics_; }
+
   /// Returns whether the topic has been read at least once.
   bool isLoaded() const { return Loaded_; }
 
@@ -75,6 +93,7 @@
   void onRead(ReadReply Reply);
   void onEarlierRead(ReadReply Reply);
   void advanceTo(Offset Next);
+  void updateStatistics(const ReadReply &Reply);
   void deliver(std::vector<StoreRecord> Records, bool Snapshot);
   void schedule(Duration Delay, void (TopicFollower::*Step)());
 
@@ -98,6 +117,11 @@
   /// Age of the last read from which a hint causes another one.
   Duration RereadDelay_;
   std::uint32_t Failures_ = 0;
+  ReadStatistics Statistics_;
+  /// Reads since new records last arrived.
+  std::uint32_t ReadsSinceNew_ = 0;
+  /// When a peer first reported an end beyond NextOffset_.
+  std::optional<Instant> HintedAt_;
   /// Offset of the last delivered record, by key.
   std::map<std::string, Offset> LastOffsets_;
   std::shared_ptr<void> Timer_;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -219,6 +219,8 @@
   }
 
   void onReceived(error_code Failure, std::size_t Size) {
+    if (!FirstByteAt_)
+      FirstByteAt_ = Client_->Time_.now();
     const bool Ended = Failure == boost::asio::error::eof;
     if (Failure && !Ended) {
       // Part of the request may have been sent already.
@@ -268,6 +270,7 @@
     HttpResult Result;
     Result.Status_ = HttpCallStatus::Completed;
     Result.Response_ = Reader_->release();
+    Result.ReceivingTime_ = Client_->Time_.now() - *FirstByteAt_;
     setReceivingBytes(0);
     if (!matchesRequest(Result.Response_)) {
       finish(HttpCallStatus::ConnectionLost);
@@ -351,6 +354,7 @@
   std::optional<ResponseReader> Reader_;
   /// Size of the incomplete response.
   std::size_t ReceivingBytes_ = 0;
+  std::optional<Instant> FirstByteAt_;
   std::unique_ptr<Connection> Connection_;
   std::unique_ptr<Connection> ClosedConnection_;
   /// The value that the echoed header must have; empty if it is not checked.
--- a/net/http_result.h
+++ b/net/http_result.h
@@ -4,6 +4,7 @@
 /// \file
 /// The result of an HTTP call.
 
+#include "core/clock.h"
 #include "net/http_message.h"
 
 namespace lagoonhitch {
@@ -28,6 +29,8 @@
   /// Whether the connection was refused, which means that no process listens on
   /// the address.
   bool ConnectionRefused_ = false;
+  /// Time from the first received byte of the response to its end.
+  Duration ReceivingTime_{};
 };
 
 } // namespace lagoonhitch
--- a/observe/metrics.cpp
+++ b/observe/metrics.cpp
@@ -54,6 +54,12 @@
           .Name("lagoonhitch_upstream_requests_sent")
           .Help("Requests sent to the upstream since the daemon's start")
           .Register(Registry_);
+  prometheus::Histogram &LoopLag_ =
+      prometheus::BuildHistogram()
+          .Name("lagoonhitch_loop_lag_seconds")
+          .Help("How late the serving loop runs its timers")
+          .Register(Registry_)
+          .Add({}, LatencyBuckets);
   prometheus::Gauge &OwnedShards_ = prometheus::BuildGauge()
                                         .Name("lagoonhitch_owned_shards")
                                         .Help("Shards that this daemon owns")
@@ -89,6 +95,10 @@
   Impl_->UpstreamSent_.Add({{"service", Service}}).Set(Sent);
 }
 
+void Metrics::observeLoopLag(Duration Lag) {
+  Impl_->LoopLag_.Observe(std::chrono::duration<double>(Lag).count());
+}
+
 void Metrics::setOwnedShards(std::size_t Count) {
   Impl_->OwnedShards_.Set(static_cast<double>(Count));
 }
--- a/observe/metrics.h
+++ b/observe/metrics.h
@@ -40,6 +40,9 @@
   /// \param Sent the number of requests sent to it since the daemon's start.
   void setUpstreamRate(const std::string &Service, double Limit, double Sent);
 
+  /// Records how late the serving loop ran a timer.
+  void observeLoopLag(Duration Lag);
+
   /// Sets the number of shards that the daemon owns.
   void setOwnedShards(std::size_t Count);
 
--- a/store/store_reply.h
+++ b/store/store_reply.h
@@ -4,9 +4,11 @@
 /// \file
 /// Replies of the store to calls.
 
+#include "core/clock.h"
 #include "core/types.h"
 #include "store/store_record.h"
 
+#include <cstddef>
 #include <vector>
 
 namespace lagoonhitch {
@@ -42,6 +44,10 @@
   std::vector<StoreRecord> Records_;
   /// The offset at which the topic ends as far as it was read.
   Offset End_ = 0;
+  /// Size of the reply.
+  std::size_t Bytes_ = 0;
+  /// Time from the first received byte of the reply to its end.
+  Duration ReceivingTime_{};
 };
 
 } // namespace lagoonhitch
