Drop requests of clients that have left while the serving loop is late

Cause: a request that waits in its socket for several turns of a late loop is read and passed on though the caller's close is in the socket behind it; the close is only noticed a turn later. Evidence: RequestOfAClientThatHasLeftIsNotHandled fails without the check (1 request handled). The check is one system call a request, so it is made only while the loop is late by 50 ms or was in the last two seconds. It applies to callers and to forwarding peers, which close a connection to cancel.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -426,6 +426,11 @@
   const std::optional<Duration> Reported =
       measureLag(Lag_, TickInterval, Time_.now());
   Metrics_.observeLoopLag(Lag_.Last_);
+  const bool Busy = isBusy(Lag_, Time_.now());
+  CallerServer_.checkClients(Busy);
+  PeerServer_.checkClients(Busy);
+  if (InternalServer_)
+    InternalServer_->checkClients(Busy);
   if (Reported)
     logEvent(EventId::LateTick, std::to_string(toMillis(*Reported).count()));
 }
--- a/daemon/loop_lag.h
+++ b/daemon/loop_lag.h
@@ -21,6 +21,8 @@
   /// Highest lag since the last report.
   Duration Highest_{};
   Instant LastReportAt_ = Instant::min();
+  /// When the loop last was late enough for requests to wait noticeably.
+  std::optional<Instant> BusyAt_;
 };
 
 /// Measures the lag in a timer's callback.
@@ -30,6 +32,10 @@
 std::optional<Duration> measureLag(LoopLag &Lag, Duration Interval,
                                    Instant Now);
 
+/// Returns whether the loop is or was late a moment ago, so that requests which
+/// are read now may have waited long.
+bool isBusy(const LoopLag &Lag, Instant Now);
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_DAEMON_LOOP_LAG_H
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -95,6 +95,8 @@
   Impl_->Options_.Address_ = Address;
 }
 
+void HttpServer::checkClients(bool Enabled) { Impl_->ChecksClients_ = Enabled; }
+
 void HttpServer::disableKeepAlive() { Impl_->KeepAliveDisabled_ = true; }
 
 void HttpServer::stopAccepting() {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -44,6 +44,11 @@
   /// Replaces the limits and timeouts. The address is ignored.
   void setLimits(const HttpServerOptions &Limits);
 
+  /// Sets whether a request is dropped if its client has closed the connection
+  /// before the request is handled. It costs a system call for each request,
+  /// and is of use while requests wait long to be read.
+  void checkClients(bool Enabled);
+
   /// Closes each connection after its next response, with `Connection: close`.
   /// New connections are still accepted.
   void disableKeepAlive();
--- a/net/http_server_state.h
+++ b/net/http_server_state.h
@@ -31,6 +31,8 @@
   std::set<HttpSession *> Sessions_;
   std::size_t OpenExchanges_ = 0;
   bool KeepAliveDisabled_ = false;
+  /// Whether requests of clients that have left are dropped.
+  bool ChecksClients_ = false;
 };
 
 } // namespace lagoonhitch
--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -199,6 +199,10 @@
   WaitingRequest_ = requestFromBeast(Parser_->release());
   LastRequestRead_ = !KeepAlive;
   Pipelined_ = Pipelined_ || !Pending_.empty();
+  if (Server_->ChecksClients_ && peekInput() == InputState::Ended) {
+    abandon();
+    return;
+  }
   startWaitingRequest();
 }
 
@@ -355,20 +359,30 @@
 void HttpSession::onReadable(const error_code &Failure) {
   if (Failure || Reading_ || Closed_ || Pending_.empty())
     return;
-  char Byte = 0;
-  error_code PeekFailure;
-  Stream_.socket().non_blocking(true, PeekFailure);
-  Stream_.socket().receive(boost::asio::buffer(&Byte, 1),
-                           tcp::socket::message_peek, PeekFailure);
-  if (!PeekFailure) {
+  switch (peekInput()) {
+  case InputState::Data:
     readNext();
     return;
-  }
-  if (PeekFailure == boost::asio::error::would_block) {
+  case InputState::None:
     watchForInput();
     return;
+  case InputState::Ended:
+    abandon();
+    return;
   }
-  abandon();
+}
+
+/// Returns what the socket holds, without reading it.
+HttpSession::InputState HttpSession::peekInput() {
+  char Byte = 0;
+  error_code Failure;
+  Stream_.socket().non_blocking(true, Failure);
+  Stream_.socket().receive(boost::asio::buffer(&Byte, 1),
+                           tcp::socket::message_peek, Failure);
+  if (!Failure)
+    return InputState::Data;
+  return Failure == boost::asio::error::would_block ? InputState::None
+                                                    : InputState::Ended;
 }
 
 /// Closes the connection after its last response. If requests behind it may
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -60,6 +60,14 @@
     std::optional<HttpResponse> Response_;
   };
 
+  /// What a socket holds.
+  enum class InputState {
+    Data,
+    None,
+    /// The client has closed the connection, and all its data was read.
+    Ended,
+  };
+
   PendingExchange *findPending(std::uint64_t Number);
   bool canRead() const;
   void readNext();
@@ -79,6 +87,7 @@
   void readAhead();
   void watchForInput();
   void onReadable(const boost::beast::error_code &Failure);
+  InputState peekInput();
   void closeAfterResponse();
   void discardInput();
   void abandon();
--- a/tests/unit/loop_lag_test.cpp
+++ b/tests/unit/loop_lag_test.cpp
@@ -42,4 +42,16 @@
   BOOST_TEST(toMillis(*Second).count() == 700);
 }
 
+BOOST_AUTO_TEST_CASE(LoopIsBusyForAWhileAfterALag) {
+  LoopLag Lag;
+  Instant Now;
+  measureLag(Lag, Interval, Now);
+  BOOST_TEST(!isBusy(Lag, Now));
+  Now += Interval + milliseconds(60);
+  measureLag(Lag, Interval, Now);
+  BOOST_TEST(isBusy(Lag, Now));
+  BOOST_TEST(isBusy(Lag, Now + milliseconds(1900)));
+  BOOST_TEST(!isBusy(Lag, Now + milliseconds(2000)));
+}
+
 } // namespace lagoonhitch
--- a/tests/unit/server_test.cpp
+++ b/tests/unit/server_test.cpp
@@ -171,6 +171,32 @@
   BOOST_TEST(Counter.Turns_ <= MaxTurns);
 }
 
+/// A busy daemon would pass it on to an upstream long after its caller has
+/// left.
+BOOST_AUTO_TEST_CASE(RequestOfAClientThatHasLeftIsNotHandled) {
+  ServerFixture Fixture;
+  Fixture.Server_.checkClients(true);
+  Fixture.runFor(milliseconds(30));
+  Fixture.sendRequest();
+  Fixture.Client_.close();
+  Fixture.runFor(milliseconds(30));
+  BOOST_TEST(Fixture.Served_ == 0);
+  BOOST_TEST(Fixture.Server_.openConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(
+    RequestsOfConnectedClientsAreHandledWhileClientsAreChecked) {
+  ServerFixture Fixture;
+  bool Closed = false;
+  Fixture.Server_.checkClients(true);
+  Fixture.sendRequest();
+  Fixture.sendRequest();
+  Fixture.runFor(milliseconds(30));
+  BOOST_TEST(Fixture.Served_ == 2);
+  BOOST_TEST(Fixture.read(Closed).starts_with("HTTP/1.1 200"));
+  BOOST_TEST(!Closed);
+}
+
 BOOST_AUTO_TEST_CASE(ClosesIdleConnectionsWhileDraining) {
   ServerFixture Fixture;
   bool Closed = false;
