A read whose reply is arriving is not repeated

At the first digest that announced a newer end, a follower of the operators' topic repeated its read: the age of the long poll, seconds, always exceeds the delay that was meant to protect a slow reply. The reply to that long poll was usually on its way already. Each repeated read takes the same bytes again from the host's link and from the store, so a manifest of 379 KB arrived up to three times later; two repeats were typical.

Store::read() returns a handle, and receivedBytes() how much of its reply has arrived. A reply of which nothing arrives is noticed as early as before.

RepeatsNoReadWhoseReplyIsArriving failed before (two reads too many). RepeatsAReadWhoseReplyStopsArriving fails if any received byte, not only a further one, counts as progress. The existing tests are unchanged; their store returns a handle now and can answer its long polls.

--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -53,13 +53,28 @@
       HintTimer_ = Loop_.after(HintDelay, [this] { readIfBehind(); });
     return;
   }
-  // The reply may only be slow, because it is large or the link is full.
-  if (Time_.now() - ReadStartedAt_ < RereadDelay_)
+  // The reply may only be slow, because it is large or the link is full. A
+  // second one would take the same bytes from the link once more.
+  if (Time_.now() - std::max(ReadStartedAt_, ReceivedAt_) < RereadDelay_)
+    return;
+  if (noteReceivedBytes())
     return;
   RereadDelay_ = std::min<Duration>(RereadDelay_ * 2, MaxRereadDelay);
   readNext();
 }
 
+/// Returns whether a part of a reply has arrived since the last call.
+bool TopicFollower::noteReceivedBytes() {
+  std::size_t Received = 0;
+  for (const auto &[Number, Read] : OpenReads_)
+    Received += Source_.receivedBytes(Read);
+  const bool Arriving = Received > 0 && Received != ReceivedBytes_;
+  ReceivedBytes_ = Received;
+  if (Arriving)
+    ReceivedAt_ = Time_.now();
+  return Arriving;
+}
+
 void TopicFollower::readIfBehind() {
   HintTimer_.reset();
   if (!Reading_ && HintedEnd_ > NextOffset_)
@@ -127,12 +142,14 @@
   const std::chrono::milliseconds Wait = Mode_ == FollowMode::LongPoll
                                              ? LongPollTimeout
                                              : std::chrono::milliseconds(0);
-  Source_.read(Topic_, NextOffset_, Wait, [this, Number](ReadReply Reply) {
-    if (Number == ReadNumber_)
-      onRead(std::move(Reply));
-    else
-      onEarlierRead(std::move(Reply));
-  });
+  OpenReads_[Number] =
+      Source_.read(Topic_, NextOffset_, Wait, [this, Number](ReadReply Reply) {
+        OpenReads_.erase(Number);
+        if (Number == ReadNumber_)
+          onRead(std::move(Reply));
+        else
+          onEarlierRead(std::move(Reply));
+      });
 }
 
 void TopicFollower::onNewest(ReadReply Reply) {
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -88,6 +88,7 @@
   void readNewest();
   void readNext();
   void readIfBehind();
+  bool noteReceivedBytes();
   void continueReading();
   void onNewest(ReadReply Reply);
   void onRead(ReadReply Reply);
@@ -114,7 +115,14 @@
   /// records in them.
   std::uint64_t ReadNumber_ = 0;
   Instant ReadStartedAt_ = Instant::min();
-  /// Age of the last read from which a hint causes another one.
+  /// Reads without a reply, by their number.
+  std::map<std::uint64_t, Store::ReadHandle> OpenReads_;
+  /// How much of the replies to them had arrived when last looked at.
+  std::size_t ReceivedBytes_ = 0;
+  /// When a part of a reply was last seen to have arrived.
+  Instant ReceivedAt_ = Instant::min();
+  /// Time without a read and without a part of a reply from which a hint causes
+  /// another read.
   Duration RereadDelay_;
   std::uint32_t Failures_ = 0;
   ReadStatistics Statistics_;
--- a/store/store.h
+++ b/store/store.h
@@ -8,8 +8,10 @@
 #include "store/store_reply.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -22,6 +24,8 @@
 public:
   using AppendDone = std::function<void(AppendReply)>;
   using ReadDone = std::function<void(ReadReply)>;
+  /// Refers to a read. The read continues if the handle is destroyed.
+  using ReadHandle = std::shared_ptr<void>;
 
   virtual ~Store() = default;
 
@@ -38,8 +42,13 @@
                            AppendDone Done) = 0;
 
   /// Reads the records from an offset on. Waits up to Timeout for the first.
-  virtual void read(const std::string &Topic, Offset From,
-                    std::chrono::milliseconds Timeout, ReadDone Done) = 0;
+  virtual ReadHandle read(const std::string &Topic, Offset From,
+                          std::chrono::milliseconds Timeout, ReadDone Done) = 0;
+
+  /// Returns how much of the reply to a read has arrived, as a number of bytes
+  /// that changes while the reply arrives. It is zero before the first byte and
+  /// once the read has ended.
+  virtual std::size_t receivedBytes(const ReadHandle &Read) const = 0;
 
   /// Reads the newest record of each key in a topic.
   virtual void readNewest(const std::string &Topic, ReadDone Done) = 0;
--- a/tests/unit/follower_test.cpp
+++ b/tests/unit/follower_test.cpp
@@ -36,17 +36,62 @@
 
   void appendEpoch(const std::string &, std::uint64_t, AppendDone) override {}
 
-  void read(const std::string &TopicName, Offset At, milliseconds Wait,
-            ReadDone Done) override {
+  ReadHandle read(const std::string &TopicName, Offset At, milliseconds Wait,
+                  ReadDone Done) override {
     ++Reads_;
+    const std::shared_ptr<std::size_t> Received =
+        std::make_shared<std::size_t>(0);
+    reply(TopicName, At, Wait, std::move(Done), Received);
+    return Received;
+  }
+
+  std::size_t receivedBytes(const ReadHandle &Read) const override {
+    return *std::static_pointer_cast<std::size_t>(Read);
+  }
+
+  /// Lets the replies to the long polls that wait arrive piece by piece.
+  /// \param LostPieces how many pieces at the end never arrive.
+  void answerLongPolls(int Pieces, milliseconds Pause, int LostPieces = 0) {
+    for (const LongPoll &Poll : LongPolls_)
+      sendPieces(Poll, Pieces, Pause, LostPieces);
+    LongPolls_.clear();
+  }
+
+private:
+  struct LongPoll {
+    std::string Topic_;
+    Offset From_ = 0;
+    ReadDone Done_;
+    std::shared_ptr<std::size_t> Received_;
+  };
+
+  void sendPieces(const LongPoll &Poll, int Pieces, milliseconds Pause,
+                  int LostPieces) {
+    for (int Piece = 0; Piece < Pieces - LostPieces; ++Piece)
+      Timers_.push_back(
+          Loop_.after(Pause * Piece, [Poll] { ++*Poll.Received_; }));
+    if (LostPieces > 0)
+      return;
+    const ReadReply Reply = readRecords(State_, Poll.Topic_, Poll.From_);
+    Timers_.push_back(Loop_.after(Pause * Pieces, [Poll, Reply] {
+      *Poll.Received_ = 0;
+      Poll.Done_(Reply);
+    }));
+  }
+
+  void reply(const std::string &TopicName, Offset At, milliseconds Wait,
+             ReadDone Done, std::shared_ptr<std::size_t> Received) {
     const ReadReply Reply = readRecords(State_, TopicName, At);
     if (LostReplies_ > 0) {
       --LostReplies_;
       return;
     }
-    // A long poll without new records never ends in these tests.
-    if (Reply.Records_.empty() && Wait.count() > 0)
+    // A long poll without new records ends only by answerLongPolls().
+    if (Reply.Records_.empty() && Wait.count() > 0) {
+      LongPolls_.push_back(
+          {TopicName, At, std::move(Done), std::move(Received)});
       return;
+    }
     if (ReplyDelay_.count() == 0) {
       Loop_.post([Done, Reply] { Done(Reply); });
       return;
@@ -54,6 +99,7 @@
     Timers_.push_back(Loop_.after(ReplyDelay_, [Done, Reply] { Done(Reply); }));
   }
 
+public:
   void readNewest(const std::string &TopicName, ReadDone Done) override {
     ++Reads_;
     ReadReply Reply =
@@ -69,6 +115,7 @@
   /// How long the reply to a read takes.
   milliseconds ReplyDelay_{0};
   std::vector<std::shared_ptr<void>> Timers_;
+  std::vector<LongPoll> LongPolls_;
   int Reads_ = 0;
 };
 
@@ -197,6 +244,37 @@
   BOOST_TEST(Fixture.Source_.Reads_ - ReadsBefore <= 4);
 }
 
+/// Reading a record once more while it arrives would double its time on the
+/// link.
+BOOST_AUTO_TEST_CASE(RepeatsNoReadWhoseReplyIsArriving) {
+  FollowerFixture Fixture(FollowMode::LongPoll);
+  Fixture.Follower_.start();
+  Fixture.runFor(milliseconds(200));
+  const int ReadsBefore = Fixture.Source_.Reads_;
+  Fixture.appendRecord("k", "v0");
+  Fixture.Source_.answerLongPolls(20, milliseconds(50));
+  for (int Hint = 0; Hint < 10; ++Hint) {
+    Fixture.runFor(milliseconds(90));
+    Fixture.Follower_.hintEnd(1);
+  }
+  BOOST_TEST(Fixture.Source_.Reads_ == ReadsBefore);
+  Fixture.runFor(milliseconds(200));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+}
+
+BOOST_AUTO_TEST_CASE(RepeatsAReadWhoseReplyStopsArriving) {
+  FollowerFixture Fixture(FollowMode::LongPoll);
+  Fixture.Follower_.start();
+  Fixture.runFor(milliseconds(200));
+  Fixture.appendRecord("k", "v0");
+  Fixture.Source_.answerLongPolls(20, milliseconds(50), 12);
+  for (int Hint = 0; Hint < 10; ++Hint) {
+    Fixture.runFor(milliseconds(90));
+    Fixture.Follower_.hintEnd(1);
+  }
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+}
+
 /// A new manifest must be in force within two seconds.
 BOOST_AUTO_TEST_CASE(DeliversARecordInTimeAfterLostReplies) {
   FollowerFixture Fixture(FollowMode::LongPoll);
