Bytes that wait in the socket count as received

While the serving loop is late, a response that is arriving waits in the socket. HttpClient::receivedBytes() counted only what the loop had read, so a read of the store was repeated, and the status of a request was queried, although the answer had begun to arrive.

CountsReceivedBytesThatTheLoopHasNotRead failed before (0 bytes).

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -135,7 +135,11 @@
   }
 
   std::size_t receivedBytes() const {
-    return Connection_ && Reader_ ? Reader_->bytes() : 0;
+    if (!Connection_ || !Reader_)
+      return 0;
+    error_code Failure;
+    const std::size_t Unread = Connection_->Stream_.socket().available(Failure);
+    return Reader_->bytes() + (Failure ? 0 : Unread);
   }
 
 private:
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -76,8 +76,9 @@
   /// Cancels a call and closes its connection. The callback is not called.
   void cancel(const std::shared_ptr<void> &Call);
 
-  /// Returns how much of a call's response has been received, as a number of
-  /// bytes that grows with it. It is zero once the call has ended.
+  /// Returns how much of a call's response has arrived, as a number of bytes
+  /// that grows with it; bytes that wait in the socket count as well. It is
+  /// zero once the call has ended.
   static std::size_t receivedBytes(const std::shared_ptr<void> &Call);
 
   /// Overrides the maximum number of connections to one address.
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -18,6 +18,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <ostream>
 #include <string>
 #include <thread>
@@ -105,14 +106,18 @@
     return Options;
   }
 
-  void send(const std::string &EchoHeader = "") {
-    HttpRequest Request;
-    Request.Headers_.push_back({"X-Request-Id", "1"});
+  std::shared_ptr<void> send(const std::string &EchoHeader = "") {
     HttpCallOptions Call;
     Call.Timeout_ = CallTimeout;
     Call.EchoHeader_ = EchoHeader;
     Call.NotRunHeader_ = "X-Not-Executed";
-    Client_.send(
+    return send(Call);
+  }
+
+  std::shared_ptr<void> send(const HttpCallOptions &Call) {
+    HttpRequest Request;
+    Request.Headers_.push_back({"X-Request-Id", "1"});
+    return Client_.send(
         Server_.address(), std::move(Request), Call,
         [this](HttpResult Result) { Results_.push_back(std::move(Result)); });
   }
@@ -323,6 +328,25 @@
   }
 }
 
+/// While the loop is late, received bytes wait in the socket. A caller that did
+/// not count them would take a response that is arriving for a lost one.
+BOOST_AUTO_TEST_CASE(CountsReceivedBytesThatTheLoopHasNotRead) {
+  ServerScript Script{Ok + "Content-Length: 100000\r\n\r\n",
+                      std::string(10 * Kilobyte, 'a'), milliseconds(20)};
+  Script.PauseAfterHead_ = milliseconds(200);
+  ClientFixture Fixture(Script);
+  const std::shared_ptr<void> Call = Fixture.send();
+  Fixture.runFor(milliseconds(100));
+  BOOST_TEST(HttpClient::receivedBytes(Call) == 0U);
+  std::this_thread::sleep_for(milliseconds(200));
+  const std::size_t First = HttpClient::receivedBytes(Call);
+  BOOST_TEST(First > 0U);
+  std::this_thread::sleep_for(milliseconds(100));
+  BOOST_TEST(HttpClient::receivedBytes(Call) > First);
+  Fixture.runUntilEnded(1);
+  BOOST_TEST(HttpClient::receivedBytes(Call) == 0U);
+}
+
 /// A response that ends early is not complete.
 BOOST_AUTO_TEST_CASE(TruncatedResponsesFail) {
   for (const std::string &Text :
