A large response is read in few turns of the loop

A response was read in pieces of 8 KB, each of which waited for a turn of the serving loop: the library queues the completion behind all other tasks even if the bytes are there. With turns of 50 to 100 ms, the 47 turns of a manifest of 379 KB take seconds. After a full piece, the client now reads on without waiting, up to 256 KB a turn. The pieces, and so the memory, stay as they were, and the limit of all responses is checked after each of them. A small response costs no further system call, as a short read ends the turn.

ReadsALargeResponseInFewTurnsOfTheLoop failed before with 52 turns for 380 KB; its bound is the two seconds in which a manifest must be in force, in turns of 100 ms. ResponseReadInOneTurnKeepsTheSharedLimit fails without the check of the limit.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -24,6 +24,9 @@
 namespace {
 
 constexpr unsigned SwitchingProtocols = 101;
+/// Maximum size of what one call reads in one turn of the loop, so that a large
+/// response does not delay other tasks for long.
+constexpr std::size_t MaxTurnBytes = std::size_t{256} * 1024;
 /// Time between two checks of an idle connection for unexpected data. Each
 /// check is a system call.
 constexpr std::chrono::milliseconds IdleCheckInterval{500};
@@ -222,31 +225,58 @@
         });
   }
 
+  /// Handles what was read, and reads what else has arrived. A turn of the loop
+  /// for each chunk would make a large response late while the loop is busy.
   void onReceived(error_code Failure, std::size_t Size) {
     if (!FirstByteAt_)
       FirstByteAt_ = Client_->Time_.now();
+    std::size_t TurnBytes = Size;
+    while (handleReceived(Failure, Size)) {
+      const bool MayHaveMore = Size == ResponseReader::ReadChunkBytes;
+      if (!MayHaveMore || TurnBytes >= MaxTurnBytes ||
+          !readArrived(Failure, Size)) {
+        readSome();
+        return;
+      }
+      TurnBytes += Size;
+    }
+  }
+
+  /// Reads without waiting. Returns false if nothing has arrived.
+  bool readArrived(error_code &Failure, std::size_t &Size) {
+    tcp::socket &Socket = Connection_->Stream_.socket();
+    if (!Socket.non_blocking())
+      Socket.non_blocking(true, Failure);
+    if (!Failure)
+      Size = Socket.read_some(Reader_->prepare(), Failure);
+    return Failure != boost::asio::error::would_block;
+  }
+
+  /// Handles what was read. Returns whether the response is incomplete; if not,
+  /// the call has ended.
+  bool handleReceived(error_code Failure, std::size_t Size) {
     const bool Ended = Failure == boost::asio::error::eof;
     if (Failure && !Ended) {
       // Part of the request may have been sent already.
       finishFailed(Failure, 1);
-      return;
+      return false;
     }
     switch (Ended ? Reader_->onEndOfStream() : Reader_->onReceived(Size)) {
     case ResponseReader::Progress::Complete:
       finishCompleted();
-      return;
+      return false;
     case ResponseReader::Progress::Failed:
       finish(HttpCallStatus::ConnectionLost);
-      return;
+      return false;
     case ResponseReader::Progress::Incomplete:
       break;
     }
     setReceivingBytes(Reader_->bytes());
     if (exceedsSharedLimit()) {
       finish(HttpCallStatus::ConnectionLost);
-      return;
+      return false;
     }
-    readSome();
+    return true;
   }
 
   /// Returns whether all responses together are too large, and this one is not
--- a/net/response_reader.h
+++ b/net/response_reader.h
@@ -38,6 +38,10 @@
     Failed,
   };
 
+  /// Size of the prepared buffer. A read that doesn't fill it has taken all
+  /// that had arrived.
+  static constexpr std::size_t ReadChunkBytes = 8192;
+
   /// \param ToHead whether the request's method is HEAD, so that the response
   /// has no body.
   ResponseReader(ResponseLimits Limits, bool ToHead);
@@ -71,7 +75,6 @@
   void discard() { Parser_.reset(); }
 
 private:
-  static constexpr std::size_t ReadChunkBytes = 8192;
   /// Bytes received for each byte of a body; more than one because of chunk
   /// headers.
   static constexpr std::size_t MaxBytesPerBodyByte = 2;
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -18,6 +18,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <ostream>
 #include <string>
@@ -347,6 +348,48 @@
   BOOST_TEST(HttpClient::receivedBytes(Call) == 0U);
 }
 
+/// A new manifest must be in force within two seconds, and a turn of a busy
+/// loop takes up to 100 ms. So a large response must take few turns.
+BOOST_AUTO_TEST_CASE(ReadsALargeResponseInFewTurnsOfTheLoop) {
+  constexpr std::size_t MaxTurns = 20;
+  const std::string Body(380 * Kilobyte, 'b');
+  ClientFixture Fixture({Ok + "Content-Length: " + std::to_string(Body.size()) +
+                             "\r\n\r\n" + Body,
+                         ""});
+  std::size_t Turns = 0;
+  const std::function<void()> TakeTurn = [&] {
+    ++Turns;
+    std::this_thread::sleep_for(milliseconds(20));
+    if (Fixture.Results_.empty())
+      Fixture.Loop_.post(TakeTurn);
+  };
+  Fixture.Loop_.post(TakeTurn);
+  Fixture.send();
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Response_.Body_ == Body));
+  BOOST_TEST(Turns <= MaxTurns);
+}
+
+/// What is read in one turn of the loop counts for the limit of all responses
+/// as well.
+BOOST_AUTO_TEST_CASE(ResponseReadInOneTurnKeepsTheSharedLimit) {
+  HttpClientOptions Options = ClientFixture::clientOptions();
+  Options.MaxReceivingBytes_ = 80 * Kilobyte;
+  const std::string Body(100 * Kilobyte, 'b');
+  ClientFixture Fixture({Ok + "Content-Length: " + std::to_string(Body.size()) +
+                             "\r\n\r\n" + Body,
+                         ""},
+                        Options);
+  Fixture.send();
+  const std::shared_ptr<void> Late = Fixture.Loop_.after(
+      milliseconds(20), [] { std::this_thread::sleep_for(milliseconds(100)); });
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::ConnectionLost));
+  BOOST_TEST(Fixture.Client_.receivingBytes() == 0U);
+}
+
 /// A response that ends early is not complete.
 BOOST_AUTO_TEST_CASE(TruncatedResponsesFail) {
   for (const std::string &Text :
