Wait for grants of an earlier process before released keys get another owner

A daemon is replaced while grants are in flight, its upstream then drains or its load is moved, and two upstreams hold the same keys: the upstream may apply an earlier grant after it has answered the release. After an answered release only the process's own grants without a reply were awaited; the end of the earlier process's grants counted only without an answer.

Why it works: the keys are given on only after the last grant of the earlier process has run out. That process can only have granted rows that the table had when the topic was first read, so keys gained since move as before.

--- a/ownership/key_holds.cpp
+++ b/ownership/key_holds.cpp
@@ -111,6 +111,11 @@
   return End;
 }
 
+Instant earlierGrantsEnd(const KeyOwnershipState &State, FencingToken Fence) {
+  return Fence <= State.FirstTopicEnd_ ? State.EarlierProcessGrantsEnd_
+                                       : Instant::min();
+}
+
 Instant holdsEnd(const KeyOwnershipState &State, const KeyRange &Range) {
   Instant End =
       std::max(residualGrantsEnd(State, Range), State.EarlierProcessGrantsEnd_);
--- a/ownership/key_holds.h
+++ b/ownership/key_holds.h
@@ -36,6 +36,10 @@
 Instant residualGrantsEnd(const KeyOwnershipState &State,
                           const KeyRange &Range);
 
+/// Returns the time from which no grant of an earlier process of this daemon
+/// can be in effect or take effect for a row; Instant::min() if it made none.
+Instant earlierGrantsEnd(const KeyOwnershipState &State, FencingToken Fence);
+
 /// Returns the time from which the upstream is guaranteed to hold none of these
 /// keys.
 Instant holdsEnd(const KeyOwnershipState &State, const KeyRange &Range);
--- a/ownership/key_ownership.cpp
+++ b/ownership/key_ownership.cpp
@@ -110,6 +110,10 @@
   }
   if (Now < State.NextRebalanceAt_ || !State.Moves_.empty())
     return;
+  // Their keys would have no owner until the earlier grants have ended.
+  std::erase_if(Own, [&State, Now](const KeyRow &Row) {
+    return Now < earlierGrantsEnd(State, Row.Fence_);
+  });
   const std::vector<KeyPlacement> Found =
       findMoves(Own, State.Host_, Inputs, State.Options_);
   if (Found.empty())
@@ -167,6 +171,8 @@
 
 void onTable(KeyOwnershipState &State, const std::optional<KeyTable> &Table,
              Offset End, Instant /*Now*/) {
+  if (!State.TopicRead_)
+    State.FirstTopicEnd_ = std::max(End, Table ? *Table->Offset_ + 1 : 0);
   State.TopicRead_ = true;
   if (End < State.TopicEnd_)
     return;
@@ -299,7 +305,9 @@
       continue;
     Move.Phase_ = KeyMove::Phase::Released;
     Move.Handover_ = Handover.value_or("");
-    Move.SafeAt_ = Handover ? residualGrantsEnd(State, Move.Range_)
+    // The upstream may apply a grant of an earlier process after the release.
+    Move.SafeAt_ = Handover ? std::max(residualGrantsEnd(State, Move.Range_),
+                                       earlierGrantsEnd(State, Move.Fence_))
                             : holdsEnd(State, Move.Range_);
   }
   static_cast<void>(Now);
--- a/ownership/key_ownership_state.h
+++ b/ownership/key_ownership_state.h
@@ -163,6 +163,9 @@
   /// Until when the upstream may hold keys because of grants by an earlier
   /// process of this daemon.
   Instant EarlierProcessGrantsEnd_ = Instant::min();
+  /// Where the table's topic ended when it was first read. An earlier process
+  /// can only have granted rows with fencing tokens up to this offset.
+  Offset FirstTopicEnd_ = 0;
   /// Earliest time of the next moves for load balance.
   Instant NextRebalanceAt_ = Instant::min();
   /// Since when the number of hosts that accept keys is unchanged, and that
--- a/tests/schedule/key_schedule_test.cpp
+++ b/tests/schedule/key_schedule_test.cpp
@@ -198,6 +198,24 @@
   }
 }
 
+/// A daemon is replaced while grants are in flight, and its upstream then
+/// drains. The grants may be applied after the upstream has answered the
+/// release.
+BOOST_AUTO_TEST_CASE(GrantsOfAnEarlierProcessAreAwaitedAfterARelease) {
+  using std::chrono::milliseconds;
+  for (std::uint64_t Seed = 0; Seed < 60; ++Seed) {
+    KeySimulation Simulation(HostCount, Seed, grantMethodUnderTest());
+    Simulation.run(std::chrono::seconds(5), {});
+    Simulation.run(
+        std::chrono::seconds(22),
+        {{KeyFaultKind::LateGrants, milliseconds(0), milliseconds(1000), 1},
+         {KeyFaultKind::KillDaemon, milliseconds(1000), milliseconds(50), 1},
+         {KeyFaultKind::DrainUpstream, milliseconds(1150), milliseconds(9000),
+          1}});
+    BOOST_TEST(describeViolations(Simulation) == "");
+  }
+}
+
 namespace {
 
 std::size_t keyCountOf(const KeyTable &Table, const std::string &Host) {
--- /dev/null
+++ b/tests/unit/key_holds_test.cpp
@@ -0,0 +1,127 @@
+/// \file
+/// Tests of when the keys of an upstream are free for another one.
+
+#define BOOST_TEST_MODULE key_holds
+#include "ownership/key_ownership.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lagoonhitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Instant Start{std::chrono::hours(1)};
+/// Until when grants of an earlier process may be in effect.
+constexpr Instant EarlierGrantsEnd = Start + milliseconds(8000);
+
+/// A host that owns the lower half of the keys, and another host.
+struct TwoHosts {
+  KeyOwnershipState State_;
+  KeyOwnershipInputs Inputs_;
+
+  TwoHosts() {
+    State_.Host_ = "a";
+    Inputs_.Uptime_ = std::chrono::minutes(1);
+    for (const char *Host : {"a", "b"}) {
+      KeyPeer Peer;
+      Peer.Host_ = Host;
+      Peer.Upstream_ = std::string("up-") + Host;
+      Peer.StartMillis_ = 7;
+      Peer.Epoch_ = 1;
+      Peer.AcceptsKeys_ = true;
+      Peer.Capacity_ = 60;
+      Inputs_.Peers_.push_back(std::move(Peer));
+    }
+    setUpstream(LocalUpstream::State::Serving);
+  }
+
+  void setUpstream(LocalUpstream::State Value) {
+    LocalUpstream Upstream;
+    Upstream.State_ = Value;
+    Upstream.Id_ = "up-a";
+    Upstream.StartMillis_ = 7;
+    onUpstream(State_, Upstream);
+  }
+
+  /// Returns a table in which the host owns its keys with its current epoch.
+  KeyTable table(Offset At, FencingToken Fence) const {
+    KeyTable Table;
+    for (const KeyPeer &Peer : Inputs_.Peers_) {
+      KeyRow Row;
+      const bool Own = Peer.Host_ == State_.Host_;
+      Row.Range_ = Own ? KeyRange{0, 999} : KeyRange{1000, LastKey};
+      Row.Owner_ = {Peer.Host_, Peer.Upstream_, Peer.StartMillis_,
+                    Own ? State_.Epoch_ : Peer.Epoch_};
+      Row.Fence_ = Fence;
+      Table.Rows_.push_back(std::move(Row));
+    }
+    Table.Offset_ = At;
+    return Table;
+  }
+
+  /// Acknowledges the current epoch.
+  void renewLease(Instant Now) {
+    onEpochReply(State_, State_.Epoch_, AppendReply::Kind::Done, Now, Now);
+  }
+
+  KeyActions tick(Instant Now) { return onKeyTick(State_, Inputs_, Now); }
+
+  /// Returns the actions of one kind that are due.
+  KeyActions tick(Instant Now, KeyAction::Kind Kind) {
+    KeyActions Actions = tick(Now);
+    std::erase_if(Actions, [Kind](const KeyAction &Action) {
+      return Action.Kind_ != Kind;
+    });
+    return Actions;
+  }
+
+  /// Starts with the keys owned, and their grant in flight.
+  /// \returns the grant.
+  KeyAction startWithGrant() {
+    onTable(State_, table(4, 5), 5, Start);
+    renewLease(Start);
+    onTable(State_, table(5, 5), 6, Start);
+    const KeyActions Grants = tick(Start, KeyAction::Kind::Grant);
+    BOOST_REQUIRE(Grants.size() == 1U);
+    return Grants.front();
+  }
+
+  /// Drains the upstream and releases its keys.
+  void release(Instant Now) {
+    setUpstream(LocalUpstream::State::Draining);
+    const KeyActions Releases = tick(Now, KeyAction::Kind::Release);
+    BOOST_REQUIRE(Releases.size() == 1U);
+    onReleaseReply(State_, Releases.front().Row_, "handover", Now);
+  }
+
+  /// Returns whether the released keys are given to the other host.
+  bool reassigns(Instant Now) {
+    return !tick(Now, KeyAction::Kind::AppendTable).empty();
+  }
+};
+
+} // namespace
+
+/// The process was replaced while a grant was in flight. The upstream may apply
+/// it after it has answered the release.
+BOOST_AUTO_TEST_CASE(GrantOfAnEarlierProcessCountsAfterARelease) {
+  TwoHosts Hosts;
+  Hosts.State_.EarlierProcessGrantsEnd_ = EarlierGrantsEnd;
+  const KeyAction Grant = Hosts.startWithGrant();
+  onGrantReply(Hosts.State_, Grant.Row_, GrantResult::Granted, Start,
+               Grant.Hold_, Start);
+  Hosts.release(Start + milliseconds(100));
+  BOOST_TEST(!Hosts.reassigns(Start + milliseconds(200)));
+  Hosts.renewLease(Start + milliseconds(7900));
+  BOOST_TEST(!Hosts.reassigns(EarlierGrantsEnd - milliseconds(1)));
+  BOOST_TEST(Hosts.reassigns(EarlierGrantsEnd));
+}
+
+} // namespace lagoonhitch
