Keep keys reserved until the table shows whether a repeated append was applied

Two upstreams hold the same keys: the append that gives away the keys of an upstream without contact is applied, but its reply is lost or late; its repetition then conflicts with it. The conflict counted as proof that nothing was appended, and so did a topic that had grown without the table being known. The upstream, in contact again, was granted the keys until the table was read, while their new owner had them too.

Why it works: the append stays pending, and is not sent again, until a table at or after its place is known, which shows who owns the keys. Nothing could be appended before that in any case, as an append needs the table at the end of the topic.

--- a/ownership/key_ownership.cpp
+++ b/ownership/key_ownership.cpp
@@ -54,7 +54,9 @@
   if (Now < State.NextTableAppendAt_)
     return;
   if (State.PendingAppend_) {
-    if (!State.PendingAppend_->OutcomeUnknown_)
+    const bool Superseded =
+        State.TopicEnd_ > State.PendingAppend_->ExpectedEnd_;
+    if (!State.PendingAppend_->OutcomeUnknown_ || Superseded)
       return;
     // Retry the same append. At most one of the two can take effect, since both
     // expect the topic to end at the same offset.
@@ -161,6 +163,17 @@
   }
 }
 
+/// Drops the pending append once a table at or after its place is known. Until
+/// then the topic may have grown by this append itself, also if its repetition
+/// conflicts.
+void resolvePendingAppend(KeyOwnershipState &State) {
+  const bool Resolved =
+      State.PendingAppend_ && State.Table_.Offset_ &&
+      *State.Table_.Offset_ >= State.PendingAppend_->ExpectedEnd_;
+  if (Resolved)
+    State.PendingAppend_.reset();
+}
+
 void dropExpiredGrants(KeyOwnershipState &State, Instant Now) {
   std::erase_if(State.ResidualGrants_, [Now](const ResidualGrant &Grant) {
     return Grant.Until_ <= Now;
@@ -176,13 +189,12 @@
   State.TopicRead_ = true;
   if (End < State.TopicEnd_)
     return;
-  if (State.PendingAppend_ && End > State.PendingAppend_->ExpectedEnd_)
-    State.PendingAppend_.reset();
   State.TopicEnd_ = End;
   if (!Table ||
       (State.Table_.Offset_ && *Table->Offset_ <= *State.Table_.Offset_))
     return;
   State.Table_ = *Table;
+  resolvePendingAppend(State);
   if (!State.EpochAcknowledged_ && !State.RenewalInFlight_)
     State.Epoch_ =
         std::max(State.Epoch_, highestEpoch(State.Table_, State.Host_) + 1);
@@ -253,7 +265,7 @@
     return;
   case AppendReply::Kind::Conflict:
     State.TopicEnd_ = std::max(State.TopicEnd_, Reply.End_);
-    State.PendingAppend_.reset();
+    State.PendingAppend_->OutcomeUnknown_ = true;
     State.NextTableAppendAt_ = Now + conflictDelay(State);
     ++State.ConsecutiveConflicts_;
     return;
--- a/ownership/key_ownership_state.h
+++ b/ownership/key_ownership_state.h
@@ -111,8 +111,9 @@
   KeyTable Table_;
   /// Offset at which the topic must end for the append to succeed.
   Offset ExpectedEnd_ = 0;
-  /// Whether the call has ended without success or conflict. The append may
-  /// still take effect and is sent again.
+  /// Whether the call has ended without success. The append may have taken
+  /// effect, or may still do so. It is sent again until the topic has grown,
+  /// and resolved by a table at or after ExpectedEnd_.
   bool OutcomeUnknown_ = false;
   /// Distinguishes replies to this append from those to earlier ones.
   std::uint64_t AppendId_ = 0;
--- a/tests/schedule/key_schedule_test.cpp
+++ b/tests/schedule/key_schedule_test.cpp
@@ -198,6 +198,28 @@
   }
 }
 
+/// The append that reassigns the keys of an unreachable upstream is applied,
+/// its reply is lost, and reads are slow, so that its repetition conflicts with
+/// it before the table is known. The upstream, reachable again, must not be
+/// granted the keys.
+BOOST_AUTO_TEST_CASE(ConflictWithTheOwnAppendGrantsNothingAgain) {
+  using std::chrono::milliseconds;
+  for (std::uint64_t Seed = 0; Seed < 200; ++Seed) {
+    KeySimulation Simulation(HostCount, Seed, grantMethodUnderTest());
+    Simulation.run(std::chrono::seconds(5), {});
+    Simulation.run(std::chrono::seconds(22),
+                   {{KeyFaultKind::UpstreamUnreachable, milliseconds(0),
+                     milliseconds(3600), 0},
+                    {KeyFaultKind::StoreLosesReplies, milliseconds(2000),
+                     milliseconds(3000), 0},
+                    {KeyFaultKind::StoreAppliesLate, milliseconds(2000),
+                     milliseconds(5000), 0},
+                    {KeyFaultKind::StaleReads, milliseconds(2000),
+                     milliseconds(7000), 0}});
+    BOOST_TEST(describeViolations(Simulation) == "");
+  }
+}
+
 /// A daemon is replaced while grants are in flight, and its upstream then
 /// drains. The grants may be applied after the upstream has answered the
 /// release.
--- a/tests/unit/key_holds_test.cpp
+++ b/tests/unit/key_holds_test.cpp
@@ -124,4 +124,48 @@
   BOOST_TEST(Hosts.reassigns(EarlierGrantsEnd));
 }
 
+/// An append that gives away the keys of an upstream without contact is
+/// applied, its reply is lost, and its repetition conflicts with it. The
+/// upstream must not be granted the keys again before the table is known.
+BOOST_AUTO_TEST_CASE(ConflictOfARepeatedAppendGrantsNothingThatItReassigned) {
+  TwoHosts Hosts;
+  const KeyAction Grant = Hosts.startWithGrant();
+  onGrantReply(Hosts.State_, Grant.Row_, GrantResult::Granted, Start,
+               Grant.Hold_, Start);
+  Hosts.setUpstream(LocalUpstream::State::Lost);
+  const Instant Later = Start + milliseconds(3000);
+  Hosts.renewLease(Later);
+  const KeyActions Appends = Hosts.tick(Later, KeyAction::Kind::AppendTable);
+  BOOST_REQUIRE(Appends.size() == 1U);
+  onTableReply(Hosts.State_, Appends.front().AppendId_, AppendReply(), Later);
+  Hosts.setUpstream(LocalUpstream::State::Serving);
+  const Instant Again = Later + milliseconds(1000);
+  BOOST_TEST(Hosts.tick(Again, KeyAction::Kind::AppendTable).size() == 1U);
+  AppendReply Conflict;
+  Conflict.Kind_ = AppendReply::Kind::Conflict;
+  Conflict.End_ = 7;
+  onTableReply(Hosts.State_, Appends.front().AppendId_, Conflict, Again);
+  BOOST_TEST(Hosts.tick(Again, KeyAction::Kind::Grant).empty());
+  // Another host's append came first, so this host keeps its keys.
+  onTable(Hosts.State_, Hosts.table(6, 5), 7, Again);
+  BOOST_TEST(Hosts.tick(Again, KeyAction::Kind::Grant).size() == 1U);
+}
+
+/// The end of the topic is known before the table at that end.
+BOOST_AUTO_TEST_CASE(EndOfTheTopicAloneDoesNotResolveAnAppend) {
+  TwoHosts Hosts;
+  const KeyAction Grant = Hosts.startWithGrant();
+  onGrantReply(Hosts.State_, Grant.Row_, GrantResult::Granted, Start,
+               Grant.Hold_, Start);
+  Hosts.setUpstream(LocalUpstream::State::Lost);
+  const Instant Later = Start + milliseconds(3000);
+  Hosts.renewLease(Later);
+  BOOST_TEST(Hosts.tick(Later, KeyAction::Kind::AppendTable).size() == 1U);
+  Hosts.setUpstream(LocalUpstream::State::Serving);
+  onTable(Hosts.State_, std::nullopt, 7, Later);
+  BOOST_TEST(Hosts.tick(Later, KeyAction::Kind::Grant).empty());
+  onTable(Hosts.State_, Hosts.table(6, 5), 7, Later);
+  BOOST_TEST(Hosts.tick(Later, KeyAction::Kind::Grant).size() == 1U);
+}
+
 } // namespace lagoonhitch
