Reject entries nested deeper than 64 levels: one heartbeat or member record ended the process

A heartbeat of a megabyte with 500,000 levels of arrays in a row of "holds" ended the daemon, and a member record in the store with such a list of crashes would have ended every daemon that reads it, again after each restart. The JSON library parses and destroys deep values without recursion, but copies them recursively, and both decoders copy lists (the rows of a heartbeat, the crashes of a member).

Manifests and tables were accepted with such a value in an unused field, which did no harm.

--- /dev/null
+++ b/core/received_json.h
@@ -0,0 +1,58 @@
+#ifndef LAGOONHITCH_CORE_RECEIVED_JSON_H
+#define LAGOONHITCH_CORE_RECEIVED_JSON_H
+
+/// \file
+/// Reads JSON that other processes have written, which may be hostile.
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <stdexcept>
+#include <string>
+
+namespace lagoonhitch {
+
+/// Maximum number of arrays and objects within each other.
+inline constexpr std::size_t MaxJsonDepth = 64;
+
+/// Parses a JSON text. Throws an exception derived from std::exception if the
+/// text is malformed or exceeds MaxJsonDepth.
+nlohmann::json parseReceivedJson(const std::string &Text);
+
+/// Reads a non-negative integer. Throws std::invalid_argument if the value is
+/// another one, or exceeds the type.
+template <typename Unsigned>
+Unsigned decodeUnsigned(const nlohmann::json &Source) {
+  if (!Source.is_number_unsigned() ||
+      Source.get<std::uint64_t>() > std::numeric_limits<Unsigned>::max())
+    throw std::invalid_argument("a value is not a non-negative integer");
+  return Source.get<Unsigned>();
+}
+
+/// Reads an optional field that is a non-negative integer.
+template <typename Unsigned>
+Unsigned unsignedOrDefault(const nlohmann::json &Source, const char *Name,
+                           Unsigned Default) {
+  const auto Found = Source.find(Name);
+  return Found == Source.end() ? Default : decodeUnsigned<Unsigned>(*Found);
+}
+
+/// Reads a number of milliseconds since the Unix epoch. Throws
+/// std::invalid_argument if it is no integer, is negative, or so large that
+/// sums with it could overflow.
+std::int64_t decodeUnixMillis(const nlohmann::json &Source);
+
+/// Reads a number of seconds, possibly with a fraction. Throws
+/// std::invalid_argument if it is no number, or so large that sums with it
+/// could overflow.
+std::chrono::milliseconds decodeSeconds(const nlohmann::json &Source);
+
+/// Writes JSON. Bytes that are not valid UTF-8 are replaced, since messages may
+/// quote received data.
+std::string dumpReplacingInvalid(const nlohmann::json &Source);
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_CORE_RECEIVED_JSON_H
--- a/membership/member_record.cpp
+++ b/membership/member_record.cpp
@@ -1,5 +1,7 @@
 #include "membership/member_record.h"
 
+#include "core/received_json.h"
+
 #include <nlohmann/json.hpp>
 
 namespace lagoonhitch {
@@ -84,7 +86,7 @@
 
 std::optional<MemberRecord> decodeMember(const std::string &Encoded) {
   try {
-    const Json Fields = Json::parse(Encoded);
+    const Json Fields = parseReceivedJson(Encoded);
     MemberRecord Record;
     Fields.at("host").get_to(Record.Host_);
     Fields.at("zone").get_to(Record.Zone_);
@@ -98,7 +100,7 @@
     Record.State_ = parseState(Fields.at("state").get<std::string>());
     Record.Crashes_ = decodeCrashes(Fields.value("crashes", Json::array()));
     return Record;
-  } catch (const Json::exception &) {
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
--- a/ownership/key_table.cpp
+++ b/ownership/key_table.cpp
@@ -1,5 +1,7 @@
 #include "ownership/key_table.h"
 
+#include "core/received_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -145,7 +147,7 @@
 std::optional<KeyTable> decodeTable(const std::string &Text,
                                     Offset RecordOffset) {
   try {
-    const Json Source = Json::parse(Text);
+    const Json Source = parseReceivedJson(Text);
     std::vector<KeyOwner> Owners;
     for (const Json &Owner : Source.at("owners"))
       Owners.push_back(decodeOwner(Owner));
--- /dev/null
+++ b/tests/unit/odd_entry_test.cpp
@@ -0,0 +1,188 @@
+/// \file
+/// Tests that one odd entry of another writer (nested very deeply, with numbers
+/// or ports out of range) neither ends the process nor hides the entries
+/// around it.
+
+#define BOOST_TEST_MODULE odd_entry
+#include "daemon/site_watcher.h"
+#include "membership/member_record.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/io_loop.h"
+#include "observe/event_log.h"
+#include "ownership/key_table.h"
+#include "platform/monotonic_clock.h"
+#include "platform/platform_codec.h"
+#include "platform/store_client.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonhitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// More levels than any reader needs, in an entry of about a megabyte.
+constexpr std::size_t Levels = 500000;
+
+std::string nested(const std::string &Open, const std::string &Close) {
+  std::string Text;
+  for (std::size_t Level = 0; Level < Levels; ++Level)
+    Text += Open;
+  Text += "1";
+  for (std::size_t Level = 0; Level < Levels; ++Level)
+    Text += Close;
+  return Text;
+}
+
+std::string replace(std::string Text, const std::string &Old,
+                    const std::string &New) {
+  const std::size_t At = Text.find(Old);
+  BOOST_REQUIRE(At != std::string::npos);
+  return Text.replace(At, Old.size(), New);
+}
+
+const std::string ValidHeartbeat =
+    R"({"service":"s","address":"1.2.3.4:5","slots":18,"state":"ready",
+        "cold-left-s":1.5,"sequence":4,"born":1773018966000,
+        "holds":[[0,4095,7]],"is-released":[[4096,8191,"5c0e"]]})";
+
+const std::string ValidManifest =
+    R"({"version":"0000000c","services":[{"name":"a","cold-start-s":3.0,
+        "cold-per-s":17.0,"max-connections":9}],
+        "limits":{"max-header-bytes":9000,"idle-timeout-s":15},
+        "virtual-hosts":[{"hostname":"x","paths":[{"name":"r",
+        "path-prefix":"/p/","kind":"idempotent","timeout-s":2.5,
+        "priority":1,"attempts":2,
+        "weighted-clusters":[{"service":"a","weight":9}]}]}]})";
+
+const std::string ValidMember =
+    R"({"host":"h1","zone":"z","service":"s","peer":"127.0.0.1:1",
+        "digest":"127.0.0.1:2","upstream":"u","born":1773018966000,
+        "slots":18,"process":7,"state":"ready","crashes":[{"upstream":"u",
+        "born":1773018966000,"at":1773018967000,"requests":["0a"]}]})";
+
+const std::string ValidTable =
+    R"({"owners":[["h1","u",1773018966000,3]],"rows":[[0,65535,0,9]]})";
+
+bool acceptsHeartbeat(const std::string &Text) {
+  return decodeHeartbeat("u", Text).has_value();
+}
+
+bool acceptsManifest(const std::string &Text) {
+  return decodeManifest(Text).has_value();
+}
+
+bool acceptsMember(const std::string &Text) {
+  return decodeMember(Text).has_value();
+}
+
+bool acceptsTable(const std::string &Text) {
+  return decodeTable(Text, 9).has_value();
+}
+
+/// Runs a loop for a time and counts what its handlers throw.
+struct LoopFixture {
+  LoopFixture() : Loop_([this](const std::exception &) { ++Failures_; }) {}
+
+  void runFor(milliseconds Span) {
+    const std::shared_ptr<void> End =
+        Loop_.after(Span, [this] { Loop_.stop(); });
+    Loop_.restart();
+    Loop_.run();
+  }
+
+  MonotonicClock Time_;
+  int Failures_ = 0;
+  IoLoop Loop_;
+};
+
+/// A store that answers each call with the same text.
+struct FixedStore : LoopFixture {
+  FixedStore()
+      : Server_(Loop_, options(),
+                [this](const HttpRequest &,
+                       const std::shared_ptr<HttpExchange> &Exchange) {
+                  HttpResponse Response;
+                  Response.Status_ = Status_;
+                  Response.Body_ = Body_;
+                  Exchange->respond(Response);
+                }),
+        Client_(Loop_, Time_, HttpClientOptions()),
+        Store_(Client_, Client_, Server_.address(),
+               [] { return std::string(); }) {}
+
+  static HttpServerOptions options() {
+    HttpServerOptions Options;
+    Options.Address_ = "127.0.0.1:0";
+    return Options;
+  }
+
+  std::optional<AppendReply> append(unsigned Status, const std::string &Body) {
+    Status_ = Status;
+    Body_ = Body;
+    std::optional<AppendReply> Result;
+    Store_.append("t", "k", "v", std::nullopt,
+                  [&Result](const AppendReply &Reply) { Result = Reply; });
+    runFor(milliseconds(100));
+    return Result;
+  }
+
+  std::optional<ReadReply> readNewest(const std::string &Body) {
+    Status_ = 200;
+    Body_ = Body;
+    std::optional<ReadReply> Result;
+    Store_.readNewest("t",
+                      [&Result](const ReadReply &Reply) { Result = Reply; });
+    runFor(milliseconds(300));
+    return Result;
+  }
+
+  std::optional<ReadReply> read(const std::string &Body) {
+    Status_ = 200;
+    Body_ = Body;
+    std::optional<ReadReply> Result;
+    Store_.read("t", 5, milliseconds(0),
+                [&Result](const ReadReply &Reply) { Result = Reply; });
+    runFor(milliseconds(100));
+    return Result;
+  }
+
+  unsigned Status_ = 200;
+  std::string Body_;
+  HttpServer Server_;
+  HttpClient Client_;
+  StoreClient Store_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(DeepRowsOfAHeartbeatEndTheProcess) {
+  const std::string Row = "[0,4095,7]";
+  BOOST_TEST(acceptsHeartbeat(ValidHeartbeat));
+  for (const std::string &Deep : {nested("[", "]"), nested("{\"a\":", "}")})
+    BOOST_TEST(!acceptsHeartbeat(
+        replace(ValidHeartbeat, Row, "[" + Deep + ",4095,7]")));
+}
+
+BOOST_AUTO_TEST_CASE(DeepCrashesOfAMemberEndTheProcess) {
+  BOOST_TEST(acceptsMember(ValidMember));
+  for (const std::string &Deep : {nested("[", "]"), nested("{\"a\":", "}")})
+    BOOST_TEST(!acceptsMember(
+        replace(ValidMember, "\"crashes\":[", "\"crashes\":[" + Deep + ",")));
+}
+
+BOOST_AUTO_TEST_CASE(DeepManifestOrTableEndsTheProcess) {
+  const std::string Deep = nested("[", "]");
+  BOOST_TEST(!acceptsManifest(replace(ValidManifest, "\"limits\":{",
+                                      "\"limits\":{\"x\":" + Deep + ",")));
+  BOOST_TEST(!acceptsTable(replace(ValidTable, "[0,65535", "[" + Deep)));
+}
+
+} // namespace lagoonhitch
