Reject received numbers that are negative, fractional or too large

A member record or heartbeat with "slots": -1 counted as one with 4,294,967,295 slots, a "sequence" of -1 made all later heartbeats of that upstream look old, epochs and fencing tokens of -1 were the highest possible ones, and a route with "attempts": -1 had four billion attempts. Seconds such as 1e300 were converted with undefined results, and times near the limits of 64 bits overflowed when added to others. The JSON library converts numbers to the requested type without a check.

The four tests named OddNumberOf...IsTakenForAnother failed on the unchanged code. Counts must now be non-negative integers within their type, seconds at most 1e9 either way, and start and crash times between 1970 and 2100. Such an entry is ignored as any other malformed one is (events 311 and 313; a heartbeat gets 400), and what is known from earlier entries stays. A start time in the future but before 2100, a sequence near 2^64 and a fencing token or an epoch near 2^64 are still accepted.

--- a/membership/member_record.cpp
+++ b/membership/member_record.cpp
@@ -41,8 +41,8 @@
       break;
     UpstreamCrash Crash;
     Fields.at("upstream").get_to(Crash.Upstream_);
-    Fields.at("born").get_to(Crash.StartMillis_);
-    Crash.At_ = std::chrono::milliseconds(Fields.at("at").get<std::int64_t>());
+    Crash.StartMillis_ = decodeUnixMillis(Fields.at("born"));
+    Crash.At_ = std::chrono::milliseconds(decodeUnixMillis(Fields.at("at")));
     for (const Json &Text : Fields.at("requests")) {
       const std::optional<RequestFingerprint> Request =
           parseFingerprint(Text.get<std::string>());
@@ -94,9 +94,9 @@
     Fields.at("peer").get_to(Record.PeerAddress_);
     Fields.at("digest").get_to(Record.DigestAddress_);
     Fields.at("upstream").get_to(Record.Upstream_);
-    Fields.at("born").get_to(Record.StartMillis_);
-    Fields.at("slots").get_to(Record.Slots_);
-    Fields.at("process").get_to(Record.Process_);
+    Record.StartMillis_ = decodeUnixMillis(Fields.at("born"));
+    Record.Slots_ = decodeUnsigned<std::uint32_t>(Fields.at("slots"));
+    Record.Process_ = decodeUnsigned<std::uint64_t>(Fields.at("process"));
     Record.State_ = parseState(Fields.at("state").get<std::string>());
     Record.Crashes_ = decodeCrashes(Fields.value("crashes", Json::array()));
     return Record;
--- a/ownership/key_table.cpp
+++ b/ownership/key_table.cpp
@@ -44,18 +44,18 @@
   KeyOwner Owner;
   Source.at(0).get_to(Owner.Host_);
   Source.at(1).get_to(Owner.Upstream_);
-  Source.at(2).get_to(Owner.StartMillis_);
-  Source.at(3).get_to(Owner.Epoch_);
+  Owner.StartMillis_ = decodeUnixMillis(Source.at(2));
+  Owner.Epoch_ = decodeUnsigned<std::uint64_t>(Source.at(3));
   return Owner;
 }
 
 /// Decodes a row: [first, last, index of the owner, fence, handover if any].
 KeyRow decodeRow(const Json &Source, const std::vector<KeyOwner> &Owners) {
   KeyRow Row;
-  Source.at(0).get_to(Row.Range_.First_);
-  Source.at(1).get_to(Row.Range_.Last_);
-  Row.Owner_ = Owners.at(Source.at(2).get<std::size_t>());
-  Source.at(3).get_to(Row.Fence_);
+  Row.Range_.First_ = decodeUnsigned<KeyId>(Source.at(0));
+  Row.Range_.Last_ = decodeUnsigned<KeyId>(Source.at(1));
+  Row.Owner_ = Owners.at(decodeUnsigned<std::size_t>(Source.at(2)));
+  Row.Fence_ = decodeUnsigned<FencingToken>(Source.at(3));
   if (Source.size() > 4)
     Source.at(4).get_to(Row.Handover_);
   return Row;
--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -87,6 +87,28 @@
   return decodeTable(Text, 9).has_value();
 }
 
+/// Checks that a decoder rejects a text in which a field has an odd value.
+void checkRejected(bool (*Accepts)(const std::string &),
+                   const std::string &Valid, const std::string &Field,
+                   const std::vector<std::string> &Values) {
+  const std::size_t Colon = Field.find(':');
+  BOOST_TEST(Accepts(Valid));
+  for (const std::string &Value : Values)
+    BOOST_TEST(
+        !Accepts(replace(Valid, Field, Field.substr(0, Colon + 1) + Value)),
+        Field << " is accepted as " << Value);
+}
+
+/// Values where a count is expected.
+const std::vector<std::string> NoCounts = {
+    "-1", "3.7", "1e400", "1e300", "18446744073709551616", "\"5\"", "null"};
+/// Values where a number of seconds is expected.
+const std::vector<std::string> NoSeconds = {"1e300", "-1e300",
+                                            "18446744073709551615", "1e400"};
+/// Values where a time since the Unix epoch is expected.
+const std::vector<std::string> NoTimes = {
+    "-1", "3.7", "1e300", "9223372036854775807", "-9223372036854775808"};
+
 /// Runs a loop for a time and counts what its handlers throw.
 struct LoopFixture {
   LoopFixture() : Loop_([this](const std::exception &) { ++Failures_; }) {}
@@ -185,4 +207,45 @@
   BOOST_TEST(!acceptsTable(replace(ValidTable, "[0,65535", "[" + Deep)));
 }
 
+BOOST_AUTO_TEST_CASE(OddNumberOfAHeartbeatIsTakenForAnother) {
+  checkRejected(acceptsHeartbeat, ValidHeartbeat, "\"slots\":18", NoCounts);
+  checkRejected(acceptsHeartbeat, ValidHeartbeat, "\"slots\":18",
+                {"4294967296"});
+  checkRejected(acceptsHeartbeat, ValidHeartbeat, "\"sequence\":4", NoCounts);
+  checkRejected(acceptsHeartbeat, ValidHeartbeat, "\"cold-left-s\":1.5",
+                NoSeconds);
+  checkRejected(acceptsHeartbeat, ValidHeartbeat, "\"born\":1773018966000",
+                NoTimes);
+}
+
+BOOST_AUTO_TEST_CASE(OddNumberOfAMemberIsTakenForAnother) {
+  checkRejected(acceptsMember, ValidMember, "\"slots\":18", NoCounts);
+  checkRejected(acceptsMember, ValidMember, "\"process\":7", NoCounts);
+  checkRejected(acceptsMember, ValidMember, "\"born\":1773018966000", NoTimes);
+  checkRejected(acceptsMember, ValidMember, "\"at\":1773018967000", NoTimes);
+}
+
+BOOST_AUTO_TEST_CASE(OddNumberOfATableIsTakenForAnother) {
+  for (const std::string Value :
+       {"-1", "3.7", "18446744073709551616", "1e300"}) {
+    BOOST_TEST(
+        !acceptsTable(replace(ValidTable, "[0,65535", "[" + Value + ",65535")));
+    BOOST_TEST(!acceptsTable(replace(ValidTable, "0,9]", Value + ",9]")));
+    BOOST_TEST(!acceptsTable(replace(ValidTable, "0,9]", "0," + Value + "]")));
+    BOOST_TEST(!acceptsTable(
+        replace(ValidTable, "1773018966000,3", "1773018966000," + Value)));
+  }
+  BOOST_TEST(acceptsTable(ValidTable));
+}
+
+BOOST_AUTO_TEST_CASE(OddNumberOfAManifestIsTakenForAnother) {
+  for (const char *Field :
+       {"\"attempts\":2", "\"priority\":1", "\"weight\":9",
+        "\"max-header-bytes\":9000", "\"max-connections\":9"})
+    checkRejected(acceptsManifest, ValidManifest, Field, NoCounts);
+  for (const char *Field :
+       {"\"timeout-s\":2.5", "\"idle-timeout-s\":15", "\"cold-start-s\":3.0"})
+    checkRejected(acceptsManifest, ValidManifest, Field, NoSeconds);
+}
+
 } // namespace lagoonhitch
