A repeated rejection is not taken for the response to the next attempt

Callers could be told 503 ("not run") for a request that ran: a rejection states the request's ID, and an attempt that is sent again after it has the same ID. If the upstream wrote the rejection once more on the kept connection, that copy passed for the response to the second attempt while this one ran; it was then rejected, or sent to another upstream and run twice. The idle check finds only copies that arrive before the second attempt is sent.

A connection now remembers the requests that were answered without success on it (hashes of their IDs) and does not carry them again. After 32 of them it is closed, so that none is forgotten. Other requests use the connection as before: closing it after each rejection would cost a full upstream a new connection for each. At the limit of connections, an idle one that the request can't use makes room; this also holds for calls that require a new connection.

In client_test, ScriptedServer moved to a file of its own; its cases are unchanged.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -11,9 +11,14 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
@@ -30,6 +35,9 @@
 /// Time between two checks of an idle connection for unexpected data. Each
 /// check is a system call.
 constexpr std::chrono::milliseconds IdleCheckInterval{500};
+/// Requests without success that a connection remembers.
+constexpr std::size_t MaxFailedRequests = 32;
+constexpr unsigned FirstClientError = 400;
 
 struct Connection {
   explicit Connection(boost::asio::io_context &Context) : Stream_(Context) {}
@@ -41,6 +49,10 @@
   Instant CheckedAt_;
   /// Whether it has carried an earlier request.
   bool Reused_ = false;
+  /// Hashes of the IDs of requests that were answered without success on this
+  /// connection. Such a request may be sent again, and a second copy of its
+  /// response can't be told from the response to that.
+  std::vector<std::size_t> FailedRequests_;
 };
 
 struct Pool {
@@ -92,6 +104,15 @@
   return isOpenAndQuiet(Idle);
 }
 
+/// Returns whether a request may be sent on a connection that has carried
+/// others.
+bool canCarry(const Connection &Used, const std::string &RequestId) {
+  const std::vector<std::size_t> &Failed = Used.FailedRequests_;
+  return RequestId.empty() ||
+         std::find(Failed.begin(), Failed.end(),
+                   std::hash<std::string>()(RequestId)) == Failed.end();
+}
+
 /// One call in progress. Keeps itself alive while an operation is pending.
 class Call : public std::enable_shared_from_this<Call> {
 public:
@@ -124,6 +145,7 @@
       return;
     }
     Pool &Target = Client_->pool(Address_);
+    makeRoom(Target);
     if (Target.Open_ >= Target.Limit_) {
       finishLater(HttpCallStatus::NotSent);
       return;
@@ -148,17 +170,15 @@
 private:
   bool reuseIdleConnection() {
     Pool &Target = Client_->pool(Address_);
-    const Instant Now = Client_->Time_.now();
-    while (!Target.Idle_.empty()) {
-      std::unique_ptr<Connection> Candidate = std::move(Target.Idle_.back());
-      Target.Idle_.pop_back();
-      const Duration MaxIdleTime = Options_.MaxIdleTime_ > Duration::zero()
-                                       ? Options_.MaxIdleTime_
-                                       : Client_->Options_.MaxIdleTime_;
-      const bool Recent =
-          Now - Candidate->IdleSince_ < MaxIdleTime &&
-          Now - Candidate->OpenedAt_ < Client_->Options_.MaxConnectionAge_;
-      if (Recent && isOpenAndQuiet(*Candidate)) {
+    std::size_t Left = Target.Idle_.size();
+    while (Left > 0) {
+      const auto Latest =
+          Target.Idle_.begin() + static_cast<std::ptrdiff_t>(--Left);
+      if (!canCarry(**Latest, ExpectedEcho_))
+        continue;
+      std::unique_ptr<Connection> Candidate = std::move(*Latest);
+      Target.Idle_.erase(Latest);
+      if (isRecent(*Candidate) && isOpenAndQuiet(*Candidate)) {
         Connection_ = std::move(Candidate);
         return true;
       }
@@ -167,6 +187,24 @@
     return false;
   }
 
+  bool isRecent(const Connection &Idle) const {
+    const Instant Now = Client_->Time_.now();
+    const Duration MaxIdleTime = Options_.MaxIdleTime_ > Duration::zero()
+                                     ? Options_.MaxIdleTime_
+                                     : Client_->Options_.MaxIdleTime_;
+    return Now - Idle.IdleSince_ < MaxIdleTime &&
+           Now - Idle.OpenedAt_ < Client_->Options_.MaxConnectionAge_;
+  }
+
+  /// Closes an idle connection that this request can't use if there may be no
+  /// further one.
+  static void makeRoom(Pool &Target) {
+    if (Target.Open_ < Target.Limit_ || Target.Idle_.empty())
+      return;
+    Target.Idle_.erase(Target.Idle_.begin());
+    --Target.Open_;
+  }
+
   void connect(Pool &Target) {
     tcp::endpoint Endpoint;
     try {
@@ -300,7 +338,7 @@
   }
 
   void finishCompleted() {
-    const bool Reusable = Reader_->allowsReuse() && RequestWritten_;
+    bool Reusable = Reader_->allowsReuse() && RequestWritten_;
     HttpResult Result;
     Result.Status_ = HttpCallStatus::Completed;
     Result.Response_ = Reader_->release();
@@ -310,6 +348,9 @@
       finish(HttpCallStatus::ConnectionLost);
       return;
     }
+    noteFailure(Result.Response_);
+    Reusable =
+        Reusable && Connection_->FailedRequests_.size() < MaxFailedRequests;
     if (Reusable) {
       Connection_->Stream_.expires_never();
       Connection_->IdleSince_ = Client_->Time_.now();
@@ -321,6 +362,16 @@
     deliver(std::move(Result));
   }
 
+  /// Remembers on the connection that the request may be sent again.
+  void noteFailure(const HttpResponse &Response) {
+    const bool Failed =
+        Response.Status_ >= FirstClientError ||
+        findHeader(Response.Headers_, Options_.NotRunHeader_) != nullptr;
+    if (Failed && !ExpectedEcho_.empty())
+      Connection_->FailedRequests_.push_back(
+          std::hash<std::string>()(ExpectedEcho_));
+  }
+
   /// Returns whether the response belongs to this request. A late or duplicate
   /// response on a reused connection belongs to an earlier one. A change of
   /// protocol is never requested.
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -50,7 +50,8 @@
   Duration MaxIdleTime_{};
   /// A header of the request whose value the response must repeat; empty for
   /// none. A response without this header is only accepted if it states that
-  /// the request was not executed.
+  /// the request was not executed. After a response without success, another
+  /// request with the same value is sent on another connection.
   std::string EchoHeader_;
   /// The header by which a response states that the request was not executed.
   std::string NotRunHeader_;
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -3,17 +3,12 @@
 /// with bytes without end.
 
 #define BOOST_TEST_MODULE client
-#include "net/address.h"
 #include "net/http_client.h"
 #include "net/io_loop.h"
 #include "platform/monotonic_clock.h"
 #include "tests/unit/endless_server.h"
+#include "tests/unit/scripted_server.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -22,7 +17,6 @@
 #include <memory>
 #include <ostream>
 #include <string>
-#include <thread>
 #include <utility>
 #include <vector>
 
@@ -408,41 +402,6 @@
 
 namespace {
 
-/// A server with one connection that answers each request with the next of the
-/// given responses.
-class ScriptedServer {
-public:
-  explicit ScriptedServer(std::vector<std::string> Responses)
-      : Acceptor_(Context_, parseEndpoint("127.0.0.1:0")),
-        Thread_(
-            [this, Responses = std::move(Responses)] { serve(Responses); }) {}
-  ~ScriptedServer() { Thread_.join(); }
-  ScriptedServer(const ScriptedServer &) = delete;
-  ScriptedServer &operator=(const ScriptedServer &) = delete;
-
-  std::string address() const {
-    return formatEndpoint(Acceptor_.local_endpoint());
-  }
-
-private:
-  void serve(const std::vector<std::string> &Responses) {
-    boost::system::error_code Failure;
-    boost::asio::ip::tcp::socket Client(Context_);
-    Acceptor_.accept(Client, Failure);
-    for (const std::string &Response : Responses) {
-      boost::asio::streambuf Request;
-      boost::asio::read_until(Client, Request, "\r\n\r\n", Failure);
-      if (Failure)
-        return;
-      boost::asio::write(Client, boost::asio::buffer(Response), Failure);
-    }
-  }
-
-  boost::asio::io_context Context_;
-  boost::asio::ip::tcp::acceptor Acceptor_;
-  std::thread Thread_;
-};
-
 const std::string NotRunWithoutId =
     "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
     "Content-Length: 0\r\n\r\n";
@@ -452,7 +411,7 @@
   const MonotonicClock Time;
   IoLoop Loop;
   HttpClient Client(Loop, Time, HttpClientOptions());
-  ScriptedServer Server(Responses);
+  ScriptedServer Server({Responses});
   HttpCallStatus Last = HttpCallStatus::NotSent;
   for (std::size_t Number = 0; Number < Responses.size(); ++Number) {
     HttpRequest Request;
--- /dev/null
+++ b/tests/unit/scripted_server.cpp
@@ -0,0 +1,74 @@
+#include "tests/unit/scripted_server.h"
+
+#include "net/address.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace lagoonhitch {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+ScriptedServer::ScriptedServer(std::vector<Responses> Connections)
+    : Connections_(std::move(Connections)),
+      Acceptor_(Context_, parseEndpoint("127.0.0.1:0")),
+      Accepting_([this] { acceptAll(); }) {}
+
+ScriptedServer::~ScriptedServer() {
+  error_code Ignored;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    Stopping_ = true;
+    for (Socket &Client : Clients_)
+      Client.shutdown(Socket::shutdown_both, Ignored);
+  }
+  // Ends the pending accept.
+  Socket Last(Context_);
+  Last.connect(Acceptor_.local_endpoint(), Ignored);
+  Accepting_.join();
+  for (std::thread &Connection : Serving_)
+    Connection.join();
+}
+
+std::string ScriptedServer::address() const {
+  return formatEndpoint(Acceptor_.local_endpoint());
+}
+
+std::size_t ScriptedServer::acceptedConnections() {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  return Clients_.size();
+}
+
+void ScriptedServer::acceptAll() {
+  while (true) {
+    Socket Accepted(Context_);
+    error_code Failure;
+    Acceptor_.accept(Accepted, Failure);
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    if (Failure || Stopping_)
+      return;
+    const std::size_t Number = Clients_.size();
+    Socket &Client = Clients_.emplace_back(std::move(Accepted));
+    if (Number < Connections_.size())
+      Serving_.emplace_back(
+          [this, &Client, Number] { serve(Client, Connections_[Number]); });
+  }
+}
+
+void ScriptedServer::serve(Socket &Client, const Responses &Script) {
+  for (const std::string &Response : Script) {
+    std::string Request;
+    error_code Failure;
+    boost::asio::read_until(Client, boost::asio::dynamic_buffer(Request),
+                            "\r\n\r\n", Failure);
+    if (Failure)
+      return;
+    boost::asio::write(Client, boost::asio::buffer(Response), Failure);
+  }
+}
+
+} // namespace lagoonhitch
--- /dev/null
+++ b/tests/unit/scripted_server.h
@@ -0,0 +1,58 @@
+#ifndef LAGOONHITCH_TESTS_UNIT_SCRIPTED_SERVER_H
+#define LAGOONHITCH_TESTS_UNIT_SCRIPTED_SERVER_H
+
+/// \file
+/// A TCP server that answers requests with given bytes.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lagoonhitch {
+
+/// Answers the requests of each connection with given bytes, in order. A
+/// connection stays open after its last response, until the client closes it or
+/// the server is destroyed.
+class ScriptedServer {
+public:
+  /// The bytes sent after each request of one connection.
+  using Responses = std::vector<std::string>;
+
+  /// \param Connections the responses of each connection, in the order in which
+  /// they are opened. Further connections get no response.
+  explicit ScriptedServer(std::vector<Responses> Connections);
+  ~ScriptedServer();
+  ScriptedServer(const ScriptedServer &) = delete;
+  ScriptedServer &operator=(const ScriptedServer &) = delete;
+
+  /// Returns the listening address as `ip:port`.
+  std::string address() const;
+
+  /// Returns the number of connections that were accepted.
+  std::size_t acceptedConnections();
+
+private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void acceptAll();
+  static void serve(Socket &Client, const Responses &Script);
+
+  std::vector<Responses> Connections_;
+  boost::asio::io_context Context_;
+  boost::asio::ip::tcp::acceptor Acceptor_;
+  std::mutex Mutex_;
+  bool Stopping_ = false;
+  std::list<Socket> Clients_;
+  std::vector<std::thread> Serving_;
+  std::thread Accepting_;
+};
+
+} // namespace lagoonhitch
+
+#endif // LAGOONHITCH_TESTS_UNIT_SCRIPTED_SERVER_H
