A late response to a request is not taken for the response to a call

Health checks, grants and releases use the same connections as requests, but have no request ID, so any response passed for theirs. A rejection that an upstream wrote once more on such a connection made a grant seem rejected that the upstream applied, a copy of a success made it seem granted, and either ended the wait for a health check. The key's owner may then be wrong about what its upstream holds.

A response that states a request ID no longer passes for the response to a call without one, and a rejection without ID only passes on a connection that has not been used before. The connection is closed and the outcome of the call is unknown, which the key ownership handles. Health checks may be rejected themselves, without an ID, so only the first rule applies to them.

CopyOfARejectionIsNotTakenForTheResponseToACall failed on the unchanged code (503, 200 and 400 taken for the response).

--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -271,14 +271,24 @@
   tick();
 }
 
+/// Returns the options of a call to the upstream. The connections are shared
+/// with requests, so a late response to one of these must not pass for the
+/// response to the call.
+HttpCallOptions OwnershipManager::callOptions(Duration Timeout) const {
+  HttpCallOptions Call;
+  Call.Timeout_ = Timeout;
+  Call.EchoHeader_ = Config_.Names_.RequestId_;
+  Call.NotRunHeader_ = Config_.Names_.NotRun_;
+  return Call;
+}
+
 void OwnershipManager::grant(const KeyAction &Action) {
   const Instant SentAt = Time_.now();
   const KeyRow Row = Action.Row_;
   const Duration Hold = Action.Hold_;
-  HttpCallOptions Call;
-  Call.Timeout_ = GrantTimeout;
   UpstreamClient_.send(
-      Config_.UpstreamAddress_, encodeGrant(Row, Hold), Call,
+      Config_.UpstreamAddress_, encodeGrant(Row, Hold),
+      callOptions(GrantTimeout),
       [this, Row, Hold, SentAt](const HttpResult &Result) {
         GrantResult Status = GrantResult::Unknown;
         if (Result.Status_ == HttpCallStatus::NotSent)
@@ -298,9 +308,8 @@
   Callbacks_.LogEvent_(EventId::ReleaseStarted,
                        std::to_string(Row.Range_.First_) + "-" +
                            std::to_string(Row.Range_.Last_));
-  HttpCallOptions Call;
-  Call.Timeout_ = ReleaseTimeout;
-  UpstreamClient_.send(Config_.UpstreamAddress_, encodeRelease(Row), Call,
+  UpstreamClient_.send(Config_.UpstreamAddress_, encodeRelease(Row),
+                       callOptions(ReleaseTimeout),
                        [this, Row](const HttpResult &Result) {
                          std::optional<std::string> Handover;
                          if (Result.Status_ == HttpCallStatus::Completed &&
--- a/daemon/ownership_manager.h
+++ b/daemon/ownership_manager.h
@@ -8,6 +8,7 @@
 #include "core/event_catalog.h"
 #include "daemon/site_state.h"
 #include "membership/contact_clock.h"
+#include "net/header_names.h"
 #include "ownership/declared_holds.h"
 #include "ownership/key_ownership.h"
 
@@ -20,6 +21,7 @@
 namespace lagoonhitch {
 
 class HttpClient;
+struct HttpCallOptions;
 class Store;
 
 /// Identity of the host that an OwnershipManager runs on.
@@ -29,6 +31,7 @@
   std::string Service_;
   /// `ip:port` of the local upstream.
   std::string UpstreamAddress_;
+  HeaderNames Names_;
 };
 
 /// Notifications from an OwnershipManager.
@@ -111,6 +114,7 @@
   void appendEpoch(const KeyAction &Action);
   void appendTable(const KeyAction &Action);
   void onTableAppended(std::uint64_t Number, const AppendReply &Reply);
+  HttpCallOptions callOptions(Duration Timeout) const;
   void grant(const KeyAction &Action);
   void release(const KeyAction &Action);
   void onOwnershipChanged();
--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -272,6 +272,7 @@
   Probe.Target_ = Spec->HealthPath_;
   HttpCallOptions Call;
   Call.Timeout_ = HealthCheckTimeout;
+  Call.EchoHeader_ = Names_.RequestId_;
   UpstreamClient_.send(
       Config_.UpstreamAddress_, std::move(Probe), Call,
       [this, Incarnation = AdmittedIncarnation_](const HttpResult &Result) {
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -378,16 +378,17 @@
   bool matchesRequest(const HttpResponse &Response) const {
     if (Response.Status_ == SwitchingProtocols)
       return false;
-    if (ExpectedEcho_.empty())
-      return true;
     const std::string *Echo =
         findHeader(Response.Headers_, Options_.EchoHeader_);
-    if (Echo != nullptr)
+    if (Echo != nullptr && !Echo->empty())
       return *Echo == ExpectedEcho_;
+    const bool NotRun =
+        findHeader(Response.Headers_, Options_.NotRunHeader_) != nullptr;
     // A rejection without the request's ID may be a second copy of an earlier
     // one if the connection has been used before.
-    return !Connection_->Reused_ &&
-           findHeader(Response.Headers_, Options_.NotRunHeader_) != nullptr;
+    if (NotRun)
+      return !Connection_->Reused_;
+    return ExpectedEcho_.empty();
   }
 
   void finishFailed(error_code Failure, std::size_t BytesSent) {
--- a/tests/unit/repeated_rejection_test.cpp
+++ b/tests/unit/repeated_rejection_test.cpp
@@ -98,4 +98,27 @@
   BOOST_TEST(statusOf(Calls, "0") == 200U);
 }
 
+/// Health checks, grants and releases have no ID and use the same connections.
+BOOST_AUTO_TEST_CASE(CopyOfARejectionIsNotTakenForTheResponseToACall) {
+  const std::string WithoutId = "HTTP/1.1 400 Bad Request\r\n"
+                                "X-Not-Executed: 1\r\n"
+                                "Content-Length: 0\r\n\r\n";
+  for (const std::string &Copy :
+       {rejectionOf("a"), successOf("a"), WithoutId}) {
+    ScriptedServer Server({{Copy == WithoutId ? successOf("a") : Copy, Copy}});
+    UpstreamCalls Calls(Server.address());
+    BOOST_TEST(statusOf(Calls, "a") != 0U);
+    BOOST_TEST(statusOf(Calls, "") == 0U);
+    BOOST_TEST(Calls.openConnections() == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ResponseWithoutIdIsTakenForTheResponseToACall) {
+  ScriptedServer Server(
+      {{successOf("a"), "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"}});
+  UpstreamCalls Calls(Server.address());
+  BOOST_TEST(statusOf(Calls, "a") == 200U);
+  BOOST_TEST(statusOf(Calls, "") == 409U);
+}
+
 } // namespace lagoonhitch
