Report requests that are lost after the crash of their upstream is known

Callers saw a fourth upstream crash by a request that had crashed three. The daemon records the requests lost in a crash when the upstream's address refuses a connection. Connections whose end it notices only after that were recorded with the upstream's next start, more than 3 s later, so that for this long the crash didn't count for their requests.

The gateway now tells within 1 ms that requests were lost, and they are added to the crash that is known. The delay lets the connections of one crash be reported together. The test in gateway_test fails with the notification taken out (0 of 18 requests reported); no test covers the two lines of the upstream manager.

The fixture of gateway_test now takes the script of its server; the checks of the existing test are unchanged.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -260,6 +260,7 @@
              describeLimit(Limit, Gateway_.sentRequests()));
   };
   Callbacks.OnLeaving_ = [this] { UpstreamManager_.onLeavingStated(); };
+  Callbacks.OnRunsLost_ = [this] { UpstreamManager_.onRunsLost(); };
   return Callbacks;
 }
 
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -23,6 +23,10 @@
 /// Transit time of a response from the upstream to the caller.
 constexpr std::chrono::milliseconds ResponseTransitTime{10};
 
+/// Within this time, the connections of a crashed upstream are found broken.
+/// Their requests are reported together.
+constexpr std::chrono::milliseconds LostRunsDelay{1};
+
 constexpr unsigned MisdirectedRequest = 421;
 
 AnswerPtr toStoredAnswer(const GatewayResult &Result) {
@@ -282,6 +286,11 @@
   Run.SentAt_ = Entry.Since_;
   Run.LostAt_ = Time_.now();
   addLostRun(LostRuns_, std::move(Run));
+  if (LostRunsTimer_ == nullptr)
+    LostRunsTimer_ = Loop_.after(LostRunsDelay, [this] {
+      LostRunsTimer_.reset();
+      Callbacks_.OnRunsLost_();
+    });
 }
 
 std::vector<LostRun> UpstreamGateway::takeLostRuns() {
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -53,6 +53,8 @@
   std::function<void(const StatedRateLimit &)> OnLimitChanged_;
   /// Called when a response states that the upstream is about to terminate.
   std::function<void()> OnLeaving_;
+  /// Called soon after requests have been lost with their connections.
+  std::function<void()> OnRunsLost_;
 };
 
 /// Admits requests to the local upstream: forwards them while it has capacity,
@@ -183,6 +185,7 @@
   std::shared_ptr<void> RateLimitTimer_;
   StatedRateLimit StatedRateLimit_;
   LostRuns LostRuns_;
+  std::shared_ptr<void> LostRunsTimer_;
   AnsweredRequests AnsweredRequests_;
   /// When the upstream's current incarnation was first known. Responses to
   /// earlier requests may be of another incarnation.
--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -134,6 +134,11 @@
   onStateChanged();
 }
 
+void UpstreamManager::onRunsLost() {
+  if (Incarnation_ && Incarnation_->Terminated_)
+    recordCrash();
+}
+
 /// Records that the admitted incarnation has crashed, with the requests that it
 /// may have been running. Those that this upstream has answered before are not
 /// the cause and are left out.
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -71,6 +71,10 @@
   /// Marks the upstream as terminated: its address refuses connections.
   void onConnectionRefused();
 
+  /// Records requests that the gateway has lost, if the upstream is known to
+  /// have crashed. Some are lost only after that is noticed.
+  void onRunsLost();
+
   /// Marks the upstream as draining: it states in a response that it is about
   /// to terminate. Its heartbeats may not report that.
   void onLeavingStated();
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// Tests how a gateway handles an upstream that sends bytes without end.
+/// Tests how a gateway handles an upstream that sends bytes without end or
+/// crashes.
 
 #define BOOST_TEST_MODULE gateway
 #include "daemon/upstream_gateway.h"
@@ -36,15 +37,24 @@
   return static_cast<std::size_t>(Usage.ru_maxrss) * Kilobyte;
 }
 
-/// A gateway whose upstream sends a head and then bytes without end.
+/// Sends a head and then bytes without end.
+ServerScript endlessScript(const std::string &Head) {
+  ServerScript Script;
+  Script.Head_ = Head;
+  Script.Repeated_ = std::string(64 * Kilobyte, 'a');
+  return Script;
+}
+
+/// A gateway whose upstream plays a script.
 struct GatewayFixture {
-  explicit GatewayFixture(const std::string &Head)
-      : Server_({Head, std::string(64 * Kilobyte, 'a')}),
-        Client_(Loop_, Time_, clientOptions()),
-        Gateway_(Loop_, Time_, Client_, platformHeaders(), "katalog",
-                 Server_.address(), keyHooks(),
-                 {[] {}, [](const GatewayRequest &) { return std::nullopt; },
-                  [](const StatedRateLimit &) {}, [] {}}) {
+  explicit GatewayFixture(ServerScript Script)
+      : Server_(std::move(Script)), Client_(Loop_, Time_, clientOptions()),
+        Gateway_(
+            Loop_, Time_, Client_, platformHeaders(), "katalog",
+            Server_.address(), keyHooks(),
+            {[] {}, [](const GatewayRequest &) { return std::nullopt; },
+             [](const StatedRateLimit &) {}, [] {},
+             [this] { ReportedRuns_ += Gateway_.takeLostRuns().size(); }}) {
     Gateway_.resetForIncarnation("katalog-1", Slots);
     Gateway_.setAccepting(true);
   }
@@ -75,14 +85,17 @@
     });
   }
 
+  void runFor(milliseconds Span) {
+    const std::shared_ptr<void> End =
+        Loop_.after(Span, [this] { Loop_.stop(); });
+    Loop_.restart();
+    Loop_.run();
+  }
+
   void runUntilServed(std::size_t Requests) {
     const Instant Limit = Time_.now() + RequestTimeout;
-    while (Results_.size() < Requests && Time_.now() < Limit) {
-      const std::shared_ptr<void> End =
-          Loop_.after(milliseconds(10), [this] { Loop_.stop(); });
-      Loop_.restart();
-      Loop_.run();
-    }
+    while (Results_.size() < Requests && Time_.now() < Limit)
+      runFor(milliseconds(10));
   }
 
   EndlessServer Server_;
@@ -91,6 +104,7 @@
   HttpClient Client_;
   UpstreamGateway Gateway_;
   std::vector<GatewayResult> Results_;
+  std::size_t ReportedRuns_ = 0;
 };
 
 } // namespace
@@ -110,7 +124,7 @@
                           "\r\nabcd"}),
                      Head) {
   constexpr std::size_t MemoryLimit = 120 * Megabyte;
-  GatewayFixture Fixture(Head);
+  GatewayFixture Fixture(endlessScript(Head));
   static const std::size_t MemoryBefore = peakMemory();
   for (std::uint32_t Request = 0; Request < Slots; ++Request)
     Fixture.serve(Request, Request % 2 == 0);
@@ -127,4 +141,19 @@
                      << (peakMemory() - MemoryBefore) / Kilobyte << " KB");
 }
 
+/// The crash may be known before all requests that it ended. Those that are
+/// found later must not wait for the upstream's next start.
+BOOST_AUTO_TEST_CASE(RequestsLostInACrashAreReportedLate) {
+  ServerScript Crash;
+  Crash.PauseAfterHead_ = milliseconds(50);
+  Crash.CloseAtEnd_ = true;
+  GatewayFixture Fixture(Crash);
+  for (std::uint32_t Request = 0; Request < Slots; ++Request)
+    Fixture.serve(Request, true);
+  Fixture.runUntilServed(Slots);
+  BOOST_REQUIRE(Fixture.Results_.size() == Slots);
+  Fixture.runFor(milliseconds(20));
+  BOOST_TEST(Fixture.ReportedRuns_ == Slots);
+}
+
 } // namespace lagoonhitch
--- a/tests/unit/peer_service_test.cpp
+++ b/tests/unit/peer_service_test.cpp
@@ -57,7 +57,7 @@
                  Upstream_.address(), KeyHooks(),
                  {[] {},
                   [this](const GatewayRequest &) { return QuarantineLeft_; },
-                  [](const StatedRateLimit &) {}, [] {}}),
+                  [](const StatedRateLimit &) {}, [] {}, [] {}}),
         Peers_(Time_, Gateway_, Store_, Process) {
     Gateway_.resetForIncarnation("u", 1);
     Gateway_.setAccepting(true);
--- a/tests/unit/upstream_calls.cpp
+++ b/tests/unit/upstream_calls.cpp
@@ -20,7 +20,7 @@
 
 GatewayCallbacks noCallbacks() {
   return {[] {}, [](const GatewayRequest &) { return std::nullopt; },
-          [](const StatedRateLimit &) {}, [] {}};
+          [](const StatedRateLimit &) {}, [] {}, [] {}};
 }
 
 HttpRequest makeRequest(const std::string &Id) {
