A reply of the store that is arriving is not dropped at its timeout

A read of the store failed 700 ms after its own wait, and a page of the newest records after a second, even while the reply was arriving. Over a full link of 10 Mbit/s, a large manifest published at the end of a long poll, or read at the start, takes longer; it was dropped and received again from its beginning.

A call can state a maximum silence: a response that is arriving is received beyond the timeout until no byte has come for that long, and for ten seconds at most. A read without any reply ends as before, and so do appends and all other calls.

ArrivingResponseIsReceivedAfterTheTimeout, ReadReceivesASlowReply and ReadNewestReceivesASlowReply failed before. ResponseThatStopsArrivingTimesOut fails without the limit of silence, ResponseThatArrivesForTooLongTimesOut without the ten seconds.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -234,6 +234,7 @@
 
   void write() {
     Connection_->Stream_.expires_after(Options_.Timeout_);
+    TimeoutAt_ = Client_->Time_.now() + Options_.Timeout_;
     http::async_write(
         Connection_->Stream_, Message_,
         [Self = shared_from_this()](error_code Failure, std::size_t Size) {
@@ -273,6 +274,7 @@
       const bool MayHaveMore = Size == ResponseReader::ReadChunkBytes;
       if (!MayHaveMore || TurnBytes >= MaxTurnBytes ||
           !readArrived(Failure, Size)) {
+        extendTimeout();
         readSome();
         return;
       }
@@ -280,6 +282,17 @@
     }
   }
 
+  /// Gives a response that is arriving more time if the options allow it.
+  void extendTimeout() {
+    if (Options_.MaxSilence_ == Duration::zero())
+      return;
+    const Instant Now = Client_->Time_.now();
+    const Instant ReceivingEnd = *FirstByteAt_ + Options_.MaxReceivingTime_;
+    const Instant SilenceEnd =
+        std::min(Now + Options_.MaxSilence_, ReceivingEnd);
+    Connection_->Stream_.expires_after(std::max(TimeoutAt_, SilenceEnd) - Now);
+  }
+
   /// Reads without waiting. Returns false if nothing has arrived.
   bool readArrived(error_code &Failure, std::size_t &Size) {
     tcp::socket &Socket = Connection_->Stream_.socket();
@@ -440,6 +453,8 @@
   std::optional<ResponseReader> Reader_;
   /// Size of the incomplete response.
   std::size_t ReceivingBytes_ = 0;
+  /// When the call fails if the response is not arriving.
+  Instant TimeoutAt_;
   std::optional<Instant> FirstByteAt_;
   std::unique_ptr<Connection> Connection_;
   std::unique_ptr<Connection> ClosedConnection_;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -41,9 +41,15 @@
 
 /// Options of a single call.
 struct HttpCallOptions {
-  /// Time limit from the start of sending to the end of the response. Opening a
-  /// connection is not included.
+  /// Time limit from the start of sending to the end of the response, unless
+  /// MaxSilence_ extends it. Opening a connection is not included.
   Duration Timeout_ = std::chrono::seconds(5);
+  /// If not zero, a response that is arriving is received after Timeout_, too,
+  /// as long as the time since its last bytes is shorter than this.
+  Duration MaxSilence_{};
+  /// Maximum time from the first byte of a response to its end if that is after
+  /// Timeout_.
+  Duration MaxReceivingTime_ = std::chrono::seconds(10);
   /// Whether to open a new connection even if an idle one is available.
   bool RequireNewConnection_ = false;
   /// Maximum idle time of a connection to reuse; zero for the client's limit.
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -6,6 +6,7 @@
 #include "net/http_client.h"
 #include "net/io_loop.h"
 #include "platform/monotonic_clock.h"
+#include "platform/store_client.h"
 #include "tests/unit/endless_server.h"
 #include "tests/unit/scripted_server.h"
 
@@ -15,6 +16,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <utility>
@@ -89,6 +91,14 @@
   };
 }
 
+/// Returns the options of a call whose response may arrive after the timeout.
+HttpCallOptions silenceLimitedCall() {
+  HttpCallOptions Call;
+  Call.Timeout_ = milliseconds(300);
+  Call.MaxSilence_ = milliseconds(200);
+  return Call;
+}
+
 /// A server that sends bytes without end, and a client.
 struct ClientFixture {
   explicit ClientFixture(ServerScript Script,
@@ -384,6 +394,101 @@
   BOOST_TEST(Fixture.Client_.receivingBytes() == 0U);
 }
 
+/// A response that is arriving when the time for it ends is not thrown away.
+BOOST_AUTO_TEST_CASE(ArrivingResponseIsReceivedAfterTheTimeout) {
+  ClientFixture Fixture({Ok + "Content-Length: 60000\r\n\r\n",
+                         std::string(2000, 'a'), milliseconds(20)});
+  Fixture.send(silenceLimitedCall());
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::Completed));
+  BOOST_TEST((Fixture.Results_[0].Response_.Body_ == std::string(60000, 'a')));
+}
+
+BOOST_AUTO_TEST_CASE(ResponseThatStopsArrivingTimesOut) {
+  ClientFixture Fixture({Ok + "Content-Length: 100\r\n\r\nabc", ""});
+  const Instant Start = Fixture.Time_.now();
+  Fixture.send(silenceLimitedCall());
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::TimedOut));
+  BOOST_TEST(toMillis(Fixture.Time_.now() - Start).count() <
+             PromptTime.count());
+}
+
+/// A server can't keep a call open with a few bytes now and then.
+BOOST_AUTO_TEST_CASE(ResponseThatArrivesForTooLongTimesOut) {
+  ClientFixture Fixture(
+      {Ok + "Content-Length: 100000\r\n\r\n", "abc", milliseconds(50)});
+  HttpCallOptions Call = silenceLimitedCall();
+  Call.MaxReceivingTime_ = milliseconds(600);
+  const Instant Start = Fixture.Time_.now();
+  Fixture.send(Call);
+  Fixture.runUntilEnded(1);
+  BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+  BOOST_TEST((Fixture.Results_[0].Status_ == HttpCallStatus::TimedOut));
+  BOOST_TEST(toMillis(Fixture.Time_.now() - Start).count() <
+             PromptTime.count());
+}
+
+namespace {
+
+/// Reads from a store whose reply takes longer to arrive than a read may wait
+/// for its first byte.
+/// \param Size the size of the reply's body.
+ReadReply readSlowly(const std::string &Start, const std::string &Piece,
+                     std::size_t Size, bool Newest) {
+  const std::string Head =
+      Ok + "Content-Length: " + std::to_string(Size) + "\r\n\r\n" + Start;
+  ClientFixture Fixture({Head, Piece, milliseconds(30)});
+  StoreClient Source(Fixture.Client_, Fixture.Client_,
+                     Fixture.Server_.address(), [] { return std::string(); });
+  std::optional<ReadReply> Received;
+  const auto Done = [&Received](ReadReply Reply) {
+    Received = std::move(Reply);
+  };
+  if (Newest)
+    Source.readNewest("t", Done);
+  else
+    Source.read("t", 0, milliseconds(0), Done);
+  const Instant Limit = Fixture.Time_.now() + CallTimeout;
+  while (!Received && Fixture.Time_.now() < Limit)
+    Fixture.runFor(milliseconds(10));
+  return Received.value_or(ReadReply());
+}
+
+constexpr std::size_t SlowPieces = 45;
+constexpr std::size_t PieceBytes = 2000;
+
+} // namespace
+
+/// A manifest published at the end of a long poll is not read from its
+/// beginning again.
+BOOST_AUTO_TEST_CASE(ReadReceivesASlowReply) {
+  const std::size_t ValueBytes = SlowPieces * PieceBytes;
+  // The record's size in four bytes, then the size of its key and the key.
+  const std::size_t RecordBytes = 2 + ValueBytes;
+  std::string Start(16, '\0');
+  for (const unsigned Shift : {24U, 16U, 8U, 0U})
+    Start.push_back(static_cast<char>((RecordBytes >> Shift) & 0xFFU));
+  Start += "\1k";
+  const ReadReply Reply = readSlowly(Start, std::string(PieceBytes, 'v'),
+                                     Start.size() + ValueBytes, false);
+  BOOST_TEST((Reply.Kind_ == ReadReply::Kind::Done));
+  BOOST_REQUIRE(Reply.Records_.size() == 1U);
+  BOOST_TEST((Reply.Records_[0].Value_ == std::string(ValueBytes, 'v')));
+}
+
+BOOST_AUTO_TEST_CASE(ReadNewestReceivesASlowReply) {
+  const std::string Start =
+      R"({"end":1,"items":[{"key":"k","offset":0,"value":"AAAA"}]})";
+  const ReadReply Reply =
+      readSlowly(Start, std::string(PieceBytes, ' '),
+                 Start.size() + SlowPieces * PieceBytes, true);
+  BOOST_TEST((Reply.Kind_ == ReadReply::Kind::Done));
+  BOOST_TEST(Reply.Records_.size() == 1U);
+}
+
 /// A response that ends early is not complete.
 BOOST_AUTO_TEST_CASE(TruncatedResponsesFail) {
   for (const std::string &Text :
