Log lines that quote bytes which are not UTF-8, instead of throwing

A manifest with a byte that is not UTF-8 ended the following of the configuration for good: event 311 quotes the reason, which quotes the byte, and the JSON library throws when it writes such a string. The exception left the handler before the next read was scheduled; no later manifest or evacuation was taken until the daemon restarted. The same held for any event about a key or a name with such bytes, and for responses of the admin interface. Such bytes are now replaced with U+FFFD when they are written.

BytesThatAreNotTextStopTheirLogLine and ManifestThatIsNotTextEndsTheFollowing failed on the unchanged code (the line threw; the handler of the record threw). The response of the admin interface has no test.

--- a/daemon/admin_service.cpp
+++ b/daemon/admin_service.cpp
@@ -1,5 +1,7 @@
 #include "daemon/admin_service.h"
 
+#include "core/received_json.h"
+
 #include "daemon/ownership_manager.h"
 #include "daemon/upstream_gateway.h"
 #include "observe/audit_trail.h"
@@ -24,7 +26,7 @@
   HttpResponse Response;
   Response.Status_ = Status;
   Response.Headers_.push_back({"Content-Type", "application/json"});
-  Response.Body_ = Body.dump();
+  Response.Body_ = dumpReplacingInvalid(Body);
   return Response;
 }
 
--- a/observe/event_log.cpp
+++ b/observe/event_log.cpp
@@ -1,6 +1,7 @@
 #include "observe/event_log.h"
 
 #include "core/clock.h"
+#include "core/received_json.h"
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -108,7 +109,8 @@
       {"host", Host_},       {"details", Details}};
   if (Current.Dropped_ > 0)
     Text["dropped_before"] = Current.Dropped_;
-  if (!Ring_.tryPush({toLog4cplusLevel(Info.Level_), Text.dump()})) {
+  if (!Ring_.tryPush(
+          {toLog4cplusLevel(Info.Level_), dumpReplacingInvalid(Text)})) {
     ++Current.Dropped_;
     return;
   }
--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -5,6 +5,7 @@
 
 #define BOOST_TEST_MODULE odd_entry
 #include "daemon/site_watcher.h"
+#include "daemon/topic_follower.h"
 #include "membership/member_record.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -18,7 +19,9 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -125,6 +128,30 @@
   IoLoop Loop_;
 };
 
+/// A store whose topics have one record each; further reads never end.
+struct CountingStore : Store {
+  explicit CountingStore(IoLoop &Loop) : Loop_(Loop) {}
+
+  void append(const std::string &, const std::string &, const std::string &,
+              std::optional<Offset>, AppendDone) override {}
+  void appendEpoch(const std::string &, std::uint64_t, AppendDone) override {}
+  void read(const std::string &, Offset, milliseconds, ReadDone) override {
+    ++Reads_;
+  }
+  void readNewest(const std::string &, ReadDone Done) override {
+    ++Reads_;
+    ReadReply Reply;
+    Reply.Kind_ = ReadReply::Kind::Done;
+    Reply.End_ = 1;
+    Reply.Records_ = {Record_};
+    Loop_.post([Done, Reply] { Done(Reply); });
+  }
+
+  IoLoop &Loop_;
+  StoreRecord Record_ = {"k", "v", 0};
+  int Reads_ = 0;
+};
+
 /// A store that answers each call with the same text.
 struct FixedStore : LoopFixture {
   FixedStore()
@@ -248,4 +275,34 @@
     checkRejected(acceptsManifest, ValidManifest, Field, NoSeconds);
 }
 
+BOOST_AUTO_TEST_CASE(BytesThatAreNotTextStopTheirLogLine) {
+  const MonotonicClock Time;
+  EventLog Events(Time, "h1");
+  const nlohmann::json Details = {{"subject", "k\xff"}};
+  BOOST_CHECK_NO_THROW(Events.write(EventId::RecordUnreadable, Details));
+}
+
+/// The reason for the rejection quotes the bytes.
+BOOST_AUTO_TEST_CASE(ManifestThatIsNotTextEndsTheFollowing) {
+  LoopFixture Fixture;
+  EventLog Events(Fixture.Time_, "h1");
+  CountingStore Source(Fixture.Loop_);
+  Source.Record_ = {ManifestKey, "{\"version\":\"\xff\"}", 0};
+  SiteState Site;
+  SiteCallbacks Callbacks;
+  std::vector<EventId> Logged;
+  Callbacks.LogEvent_ = [&](EventId Id, const std::string &Subject) {
+    Logged.push_back(Id);
+    Events.write(Id, {{"subject", Subject}});
+  };
+  Callbacks.OnChanged_ = [] {};
+  SiteWatcher Watcher(Fixture.Loop_, Fixture.Time_, Source, Site, "h1",
+                      Callbacks);
+  Watcher.start();
+  Fixture.runFor(milliseconds(50));
+  BOOST_TEST(
+      std::count(Logged.begin(), Logged.end(), EventId::ConfigUnreadable) == 1);
+  BOOST_TEST(Fixture.Failures_ == 0);
+}
+
 } // namespace lagoonhitch
