Schedule the next read of a topic before its records are handled

If the handler of one record threw, the loop logged event 602 and continued, but the topic was never read again: the next read was scheduled after the handler. It is now scheduled first. The records of that one read are still lost for the handler; the decoders are there to see that it does not throw.

HandlerThatThrowsEndsTheFollowing failed on the unchanged code in both modes (one read instead of two).

--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -165,8 +165,9 @@
   updateStatistics(Reply);
   advanceTo(Reply.End_);
   Loaded_ = true;
-  deliver(std::move(Reply.Records_), true);
+  // Reading goes on even if the records can't be handled.
   continueReading();
+  deliver(std::move(Reply.Records_), true);
 }
 
 void TopicFollower::onRead(ReadReply Reply) {
@@ -183,12 +184,12 @@
   Failures_ = 0;
   updateStatistics(Reply);
   advanceTo(Reply.End_);
-  if (!Reply.Records_.empty())
-    deliver(std::move(Reply.Records_), false);
   if (Mode_ == FollowMode::LongPoll)
     schedule(ReadPause, &TopicFollower::readNext);
   else
     continueReading();
+  if (!Reply.Records_.empty())
+    deliver(std::move(Reply.Records_), false);
 }
 
 /// Uses the reply to a read that was repeated before it arrived.
--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -282,6 +282,25 @@
   BOOST_CHECK_NO_THROW(Events.write(EventId::RecordUnreadable, Details));
 }
 
+BOOST_AUTO_TEST_CASE(HandlerThatThrowsEndsTheFollowing) {
+  for (const FollowMode Mode : {FollowMode::LongPoll, FollowMode::Pushed}) {
+    LoopFixture Fixture;
+    CountingStore Source(Fixture.Loop_);
+    TopicFollower Follower(Fixture.Loop_, Fixture.Time_, Source, "t", Mode,
+                           [](const std::vector<StoreRecord> &Records, bool) {
+                             if (!Records.empty())
+                               throw std::runtime_error("odd entry");
+                           });
+    Follower.start();
+    Fixture.runFor(milliseconds(50));
+    Follower.hintEnd(2);
+    Fixture.runFor(milliseconds(400));
+    // The first read, and that after it.
+    BOOST_TEST(Source.Reads_ >= 2);
+    BOOST_TEST(Fixture.Failures_ >= 1);
+  }
+}
+
 /// The reason for the rejection quotes the bytes.
 BOOST_AUTO_TEST_CASE(ManifestThatIsNotTextEndsTheFollowing) {
   LoopFixture Fixture;
