--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -324,4 +324,53 @@
   BOOST_TEST(Fixture.Failures_ == 0);
 }
 
+BOOST_AUTO_TEST_CASE(AppendReplyOfOddTypesIsNeverReported) {
+  FixedStore Fixture;
+  for (const std::string Value :
+       {"\"5\"", "[]", "-1", "3.7", "null", "1e300", "{}"}) {
+    const auto Done = Fixture.append(200, "{\"offset\":" + Value + "}");
+    BOOST_REQUIRE_MESSAGE(Done.has_value(), "no reply for " << Value);
+    // The record was appended, but where is not known.
+    BOOST_TEST((Done->Kind_ == AppendReply::Kind::Unknown));
+    const auto Conflict = Fixture.append(412, "{\"end\":" + Value + "}");
+    BOOST_REQUIRE(Conflict.has_value());
+    BOOST_TEST((Conflict->Kind_ == AppendReply::Kind::Conflict));
+    BOOST_TEST(Conflict->End_ == 0U);
+  }
+  BOOST_TEST(Fixture.Failures_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(OddItemHidesTheOthersOfItsPage) {
+  FixedStore Fixture;
+  const std::string Good = R"({"key":"a","offset":3,"value":"djE="})";
+  for (const std::string &Odd :
+       {std::string("7"), std::string(R"({"key":5,"offset":3,"value":""})"),
+        std::string(R"({"key":"b","offset":-1,"value":""})"),
+        std::string(R"({"key":"b","offset":1e300,"value":""})"),
+        std::string(R"({"key":"b","offset":3,"value":[]})")}) {
+    const auto Reply =
+        Fixture.readNewest(R"({"end":9,"items":[)" + Odd + "," + Good + "]}");
+    BOOST_REQUIRE(Reply.has_value());
+    BOOST_TEST((Reply->Kind_ == ReadReply::Kind::Done), "failed for " << Odd);
+    BOOST_REQUIRE(Reply->Records_.size() == 1U);
+    BOOST_TEST(Reply->Records_[0].Value_ == "v1");
+  }
+  const auto Deep =
+      Fixture.readNewest(R"({"end":9,"items":[)" + nested("[", "]") + "]}");
+  BOOST_REQUIRE(Deep.has_value());
+  BOOST_TEST((Deep->Kind_ == ReadReply::Kind::Failed));
+}
+
+/// Two numbers, then records after their lengths in four bytes each.
+BOOST_AUTO_TEST_CASE(RecordWithAHugeLengthIsReadBeyondTheReply) {
+  FixedStore Fixture;
+  const std::string Head(16, '\0');
+  const std::string Good("\0\0\0\4\1kv1", 8);
+  const auto Reply = Fixture.read(Head + Good + "\xff\xff\xff\xff" + Good);
+  BOOST_REQUIRE(Reply.has_value());
+  BOOST_REQUIRE(Reply->Records_.size() == 1U);
+  BOOST_TEST(Reply->Records_[0].Value_ == "v1");
+  BOOST_TEST(Reply->End_ == 6U);
+}
+
 } // namespace lagoonhitch
