--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -324,6 +324,14 @@
   BOOST_TEST(Fixture.Failures_ == 0);
 }
 
+/// A name that is not text can't be written into a member record.
+BOOST_AUTO_TEST_CASE(UpstreamWhoseNameIsNotTextIsAccepted) {
+  BOOST_TEST(decodeHeartbeat("i-1", ValidHeartbeat).has_value());
+  for (const std::string &Name : {std::string("i\xff"), std::string("i\x01"),
+                                  std::string(), std::string(10000, 'i')})
+    BOOST_TEST(!decodeHeartbeat(Name, ValidHeartbeat).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(AppendReplyOfOddTypesIsNeverReported) {
   FixedStore Fixture;
   for (const std::string Value :
