Ignore member records whose addresses have no host or a port out of range

Such a record replaced the valid one of the same host, and its host then got neither digests nor requests until it wrote its record again. Sending to such an address does not throw: the datagram is dropped and the call ends as not sent (by reading).

MemberWithAnOddPortIsAccepted failed on the unchanged code for each of its addresses. An empty address is still accepted, as of a member that states none. A daemon that starts afterwards does not see the replaced record; it knows the host only when that host writes its record again.

--- a/membership/member_record.cpp
+++ b/membership/member_record.cpp
@@ -4,6 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+#include <stdexcept>
+
 namespace lagoonhitch {
 
 namespace {
@@ -54,6 +57,25 @@
   return Crashes;
 }
 
+/// Reads an address for other daemons; empty if the member states none. Throws
+/// std::invalid_argument if the host is empty or the port is out of range.
+std::string decodeAddress(const Json &Source) {
+  const std::string Address = Source.get<std::string>();
+  if (Address.empty())
+    return Address;
+  const std::size_t Colon = Address.rfind(':');
+  std::uint16_t Port = 0;
+  const char *End = Address.data() + Address.size();
+  const bool HasHost = Colon != std::string::npos && Colon > 0;
+  const bool Valid =
+      HasHost &&
+      std::from_chars(Address.data() + Colon + 1, End, Port).ptr == End &&
+      Port > 0;
+  if (!Valid)
+    throw std::invalid_argument("a member's address is not valid");
+  return Address;
+}
+
 } // namespace
 
 const char *upstreamStateName(UpstreamState State) {
@@ -91,8 +113,8 @@
     Fields.at("host").get_to(Record.Host_);
     Fields.at("zone").get_to(Record.Zone_);
     Fields.at("service").get_to(Record.Service_);
-    Fields.at("peer").get_to(Record.PeerAddress_);
-    Fields.at("digest").get_to(Record.DigestAddress_);
+    Record.PeerAddress_ = decodeAddress(Fields.at("peer"));
+    Record.DigestAddress_ = decodeAddress(Fields.at("digest"));
     Fields.at("upstream").get_to(Record.Upstream_);
     Record.StartMillis_ = decodeUnixMillis(Fields.at("born"));
     Record.Slots_ = decodeUnsigned<std::uint32_t>(Fields.at("slots"));
--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -252,6 +252,21 @@
   checkRejected(acceptsMember, ValidMember, "\"at\":1773018967000", NoTimes);
 }
 
+BOOST_AUTO_TEST_CASE(MemberWithAnOddPortIsAccepted) {
+  const std::vector<std::string> Odd = {"\"127.0.0.1:0\"",
+                                        "\"127.0.0.1:65536\"",
+                                        "\"127.0.0.1:99999\"",
+                                        "\"127.0.0.1:-1\"",
+                                        "\"127.0.0.1:abc\"",
+                                        "\"127.0.0.1:\"",
+                                        "\":80\"",
+                                        "\"127.0.0.1\"",
+                                        "\"127.0.0.1:1" +
+                                            std::string(1000, '0') + "\""};
+  checkRejected(acceptsMember, ValidMember, R"("peer":"127.0.0.1:1")", Odd);
+  checkRejected(acceptsMember, ValidMember, R"("digest":"127.0.0.1:2")", Odd);
+}
+
 BOOST_AUTO_TEST_CASE(OddNumberOfATableIsTakenForAnother) {
   for (const std::string Value :
        {"-1", "3.7", "18446744073709551616", "1e300"}) {
