--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -107,6 +107,11 @@
   /// SiteOptions::UseRelays_.
   TcpRelay &relay(std::uint32_t Host) { return *Hosts_[Host].Relay_; }
 
+  /// Appends a record to a topic of the store, as another writer would. Returns
+  /// the status of the response.
+  unsigned appendToStore(const std::string &Topic, const std::string &Key,
+                         const std::string &Value) const;
+
   /// Sets the fault modes of the store.
   void setStoreMode(const nlohmann::json &Mode) const;
 
