A success without the upstream's signature is not delivered

Callers could get a 200 with an empty or short body, framed as whole, if an upstream ended its head early but with the empty line: the head is then complete for the parser, and without a length the body ends with the connection. The signature that each success of an upstream has was lost with the rest of the head; the gateway did not look for it. Such a response now counts as lost: the outcome is unknown and the connection is closed. A cut before the empty line was never taken for a response.

SuccessWithoutASignatureIsNotASuccess failed on the unchanged code. Not covered: a response without length that is signed and whose body ends early in an orderly close; nothing in it tells its length.

--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -241,6 +241,7 @@
   Call.Timeout_ = Entry.Request_.Deadline_ - Now;
   Call.EchoHeader_ = Names_.RequestId_;
   Call.NotRunHeader_ = Names_.NotRun_;
+  Call.SuccessHeader_ = Names_.Signature_;
   if (!Entry.Request_.Idempotent_)
     Call.MaxIdleTime_ = MaxIdleIfNotIdempotent;
   Entry.Call_ =
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -357,7 +357,8 @@
     Result.Response_ = Reader_->release();
     Result.ReceivingTime_ = Client_->Time_.now() - *FirstByteAt_;
     setReceivingBytes(0);
-    if (!matchesRequest(Result.Response_)) {
+    if (!matchesRequest(Result.Response_) ||
+        !isWholeSuccess(Result.Response_)) {
       finish(HttpCallStatus::ConnectionLost);
       return;
     }
@@ -404,6 +405,16 @@
     return ExpectedEcho_.empty();
   }
 
+  /// Returns false if the response claims success but lacks the header that
+  /// proves it. Its head may have been cut.
+  bool isWholeSuccess(const HttpResponse &Response) const {
+    const bool Success = http::to_status_class(Response.Status_) ==
+                         http::status_class::successful;
+    return !Success || Options_.SuccessHeader_.empty() ||
+           findHeader(Response.Headers_, Options_.SuccessHeader_) != nullptr ||
+           findHeader(Response.Headers_, Options_.NotRunHeader_) != nullptr;
+  }
+
   void finishFailed(error_code Failure, std::size_t BytesSent) {
     const bool TimedOut = Failure == boost::beast::error::timeout;
     if (BytesSent == 0 && !TimedOut)
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -62,6 +62,8 @@
   std::string EchoHeader_;
   /// The header by which a response states that the request was not executed.
   std::string NotRunHeader_;
+  /// A header that a response with a 2xx status must have; empty for none.
+  std::string SuccessHeader_;
 };
 
 /// Sends requests over pooled connections. A request is never sent twice. If a
--- a/tests/unit/cut_response_test.cpp
+++ b/tests/unit/cut_response_test.cpp
@@ -138,6 +138,13 @@
       (Calls.send("a", "HEAD").Status_ == HttpCallStatus::ConnectionLost));
 }
 
+/// The upstream ends the head before the length and the signature. Only the
+/// missing signature shows that the response is not whole.
+BOOST_AUTO_TEST_CASE(SuccessWithoutASignatureIsNotASuccess) {
+  checkOutcomeIsUnknown(Ok + "\r\n");
+  checkOutcomeIsUnknown(Ok + "Content-Length: 2\r\n\r\nok");
+}
+
 /// A response without a length ends with its connection.
 BOOST_AUTO_TEST_CASE(ResponseWithoutLengthIsWholeAtTheEndOfItsConnection) {
   ServerScript Script{Signed + "\r\nabcd", ""};
