--- a/tests/unit/peer_service_test.cpp
+++ b/tests/unit/peer_service_test.cpp
@@ -97,6 +97,7 @@
 
   void finishRun() {
     HttpResponse Response;
+    Response.Headers_.push_back({platformHeaders().Signature_, "s"});
     Response.Body_ = "done";
     Running_.back()->respond(Response);
     runFor(milliseconds(50));
