--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -135,9 +135,12 @@
   void append(const std::string &, const std::string &, const std::string &,
               std::optional<Offset>, AppendDone) override {}
   void appendEpoch(const std::string &, std::uint64_t, AppendDone) override {}
-  void read(const std::string &, Offset, milliseconds, ReadDone) override {
+  ReadHandle read(const std::string &, Offset, milliseconds,
+                  ReadDone) override {
     ++Reads_;
+    return nullptr;
   }
+  std::size_t receivedBytes(const ReadHandle &) const override { return 0; }
   void readNewest(const std::string &, ReadDone Done) override {
     ++Reads_;
     ReadReply Reply;
