Do not send a grant later than its hold allows

A daemon without contact decides on a grant near the end of its lease, opens a connection and writes the grant hundreds of milliseconds later, when its busy loop turns again. The upstream counts the hold from its arrival and held the keys when another host had taken them over. Of the delay, 150 ms and the drift were allowed for; a connection may take 250 ms, and a turn of the loop as long again.

Why it works: a grant names the latest time at which it may be sent, the end of the lease less its hold, drift and 150 ms; a connection that opens later is not used, and the grant counts as not sent. A kept connection is written at once. Far from the end of the lease nothing changes.

--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -286,8 +286,9 @@
   const Instant SentAt = Time_.now();
   const KeyRow Row = Action.Row_;
   const Duration Hold = Action.Hold_;
-  UpstreamClient_.send(Config_.UpstreamAddress_, encodeGrant(Row, Hold),
-                       callOptions(GrantTimeout),
+  HttpCallOptions Call = callOptions(GrantTimeout);
+  Call.SendBy_ = Action.SendBy_;
+  UpstreamClient_.send(Config_.UpstreamAddress_, encodeGrant(Row, Hold), Call,
                        [this, Row, Hold, SentAt](const HttpResult &Result) {
                          onGrantReply(State_, Row, grantResult(Result), SentAt,
                                       Hold, Time_.now());
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -227,6 +227,10 @@
             Self->finish(HttpCallStatus::NotSent);
             return;
           }
+          if (Self->Client_->Time_.now() > Self->Options_.SendBy_) {
+            Self->finish(HttpCallStatus::NotSent);
+            return;
+          }
           configureSocket(Self->Connection_->Stream_.socket());
           Self->write();
         });
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -50,6 +50,9 @@
   /// Maximum time from the first byte of a response to its end if that is after
   /// Timeout_.
   Duration MaxReceivingTime_ = std::chrono::seconds(10);
+  /// The latest time at which a new connection may be used; the call ends
+  /// without being sent if the connection is open only later.
+  Instant SendBy_ = Instant::max();
   /// Whether to open a new connection even if an idle one is available.
   bool RequireNewConnection_ = false;
   /// Maximum idle time of a connection to reuse; zero for the client's limit.
--- a/ownership/key_action.h
+++ b/ownership/key_action.h
@@ -35,6 +35,9 @@
   std::uint64_t AppendId_ = 0;
   KeyRow Row_;
   Duration Hold_{};
+  /// Grant: the latest time at which it may be sent, so that the hold ends
+  /// before the lease.
+  Instant SendBy_ = Instant::max();
 };
 
 using KeyActions = std::vector<KeyAction>;
--- a/ownership/key_ownership.cpp
+++ b/ownership/key_ownership.cpp
@@ -159,6 +159,8 @@
     Action.Kind_ = KeyAction::Kind::Grant;
     Action.Row_ = Keys.Row_;
     Action.Hold_ = Hold;
+    Action.SendBy_ = State.LeaseUntil_ - withMaxDrift(State, Hold) -
+                     State.Options_.PauseMargin_;
     Actions.push_back(std::move(Action));
   }
 }
--- a/tests/schedule/key_fault.h
+++ b/tests/schedule/key_fault.h
@@ -46,10 +46,13 @@
   LoadSpike,
   /// An upstream is alive, but its daemon can't reach it.
   UpstreamUnreachable,
+  /// A busy daemon sends grants hundreds of milliseconds after it decides on
+  /// them.
+  GrantsSentLate,
 };
 
 /// Number of fault kinds.
-inline constexpr int KeyFaultKindCount = 17;
+inline constexpr int KeyFaultKindCount = 18;
 
 /// A fault in a schedule.
 struct KeyFault {
--- a/tests/schedule/key_schedule_test.cpp
+++ b/tests/schedule/key_schedule_test.cpp
@@ -220,6 +220,26 @@
   }
 }
 
+/// A busy daemon without contact decides on grants at the end of its lease and
+/// sends them later. They must not outlast the time after which another host
+/// takes over the keys.
+BOOST_AUTO_TEST_CASE(GrantsSentLateDoNotOutlastTheLease) {
+  using std::chrono::milliseconds;
+  for (int Seed = 0; Seed < 200; ++Seed) {
+    KeySimulation Simulation(HostCount, static_cast<std::uint64_t>(Seed),
+                             grantMethodUnderTest());
+    Simulation.run(std::chrono::seconds(5), {});
+    Simulation.run(std::chrono::seconds(15),
+                   {{KeyFaultKind::GrantsSentLate, milliseconds(0),
+                     milliseconds(15000), 1},
+                    {KeyFaultKind::PeerPartition, milliseconds(10 * Seed),
+                     milliseconds(15000), 1},
+                    {KeyFaultKind::StorePartition,
+                     milliseconds(2300 + 10 * Seed), milliseconds(15000), 1}});
+    BOOST_TEST(describeViolations(Simulation) == "");
+  }
+}
+
 /// A daemon is replaced while grants are in flight, and its upstream then
 /// drains. The grants may be applied after the upstream has answered the
 /// release.
--- a/tests/schedule/key_simulation.cpp
+++ b/tests/schedule/key_simulation.cpp
@@ -348,12 +348,34 @@
 }
 
 void KeySimulation::grantKeys(std::size_t HostIndex, const KeyAction &Action) {
+  if (!Hosts_[HostIndex].GrantsSentLate_) {
+    sendGrant(HostIndex, Action, Now_);
+    return;
+  }
+  scheduleAfter(randomDelay(50, 900),
+                [this, HostIndex, Action, DecidedAt = Now_,
+                 Incarnation = Hosts_[HostIndex].DaemonIncarnation_] {
+                  runOnDaemon(HostIndex, Incarnation,
+                              [this, HostIndex, Action, DecidedAt] {
+                                if (Now_ <= Action.SendBy_)
+                                  sendGrant(HostIndex, Action, DecidedAt);
+                                else
+                                  onGrantReply(Hosts_[HostIndex].Ownership_,
+                                               Action.Row_,
+                                               GrantResult::Rejected, DecidedAt,
+                                               Action.Hold_, Now_);
+                              });
+                });
+}
+
+void KeySimulation::sendGrant(std::size_t HostIndex, const KeyAction &Action,
+                              Instant DecidedAt) {
   SimulatedHost &Host = Hosts_[HostIndex];
   const std::uint64_t Incarnation = Host.DaemonIncarnation_;
   const std::int64_t StartMillis = Host.Upstream_.StartMillis_;
   const KeyRow Row = Action.Row_;
   const Duration Hold = Action.Hold_;
-  const Instant SentAt = Now_;
+  const Instant SentAt = DecidedAt;
   const bool Late =
       (Host.LateGrants_ && Random_() % 2 == 0) || Host.Upstream_.Unreachable_;
   const auto SendResult = [this, HostIndex, Incarnation, Row, Hold,
@@ -503,6 +525,9 @@
   case KeyFaultKind::LateGrants:
     SetForDuration(Host.LateGrants_);
     return;
+  case KeyFaultKind::GrantsSentLate:
+    SetForDuration(Host.GrantsSentLate_);
+    return;
   case KeyFaultKind::DrainUpstream:
     SetForDuration(Host.Upstream_.Draining_);
     return;
--- a/tests/schedule/key_simulation.h
+++ b/tests/schedule/key_simulation.h
@@ -57,6 +57,7 @@
   bool StoreUnreachable_ = false;
   bool PeersUnreachable_ = false;
   bool LateGrants_ = false;
+  bool GrantsSentLate_ = false;
   /// The number of the last heartbeat that the daemon has handled.
   std::uint64_t LastSequence_ = 0;
   Offset ReadUntil_ = 0;
@@ -115,6 +116,8 @@
   void appendToStore(std::size_t HostIndex, const StoreAppend &Append,
                      const std::function<void(AppendReply)> &OnReply);
   void grantKeys(std::size_t HostIndex, const KeyAction &Action);
+  void sendGrant(std::size_t HostIndex, const KeyAction &Action,
+                 Instant DecidedAt);
   void releaseKeys(std::size_t HostIndex, const KeyAction &Action);
   GrantResult applyGrant(SimulatedHost &Host, const KeyRow &Row,
                          Instant Arrived, Duration Hold);
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -572,4 +572,28 @@
       (lastStatus({First, WithoutId}, false) == HttpCallStatus::Completed));
 }
 
+/// The loop is late, so that the connection is used later than the caller
+/// counts on. An upstream would hold keys for too long.
+BOOST_AUTO_TEST_CASE(CallIsNotSentOverALateConnection) {
+  for (const bool Late : {false, true}) {
+    const MonotonicClock Time;
+    IoLoop Loop;
+    HttpClient Client(Loop, Time, HttpClientOptions());
+    ScriptedServer Server({"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+    HttpCallOptions Call;
+    Call.SendBy_ = Time.now() + milliseconds(50);
+    std::optional<HttpCallStatus> Ended;
+    Client.send(Server.address(), HttpRequest(), Call,
+                [&Ended, &Loop](const HttpResult &Result) {
+                  Ended = Result.Status_;
+                  Loop.stop();
+                });
+    if (Late)
+      std::this_thread::sleep_for(milliseconds(60));
+    Loop.run();
+    BOOST_TEST((Ended ==
+                (Late ? HttpCallStatus::NotSent : HttpCallStatus::Completed)));
+  }
+}
+
 } // namespace lagoonhitch
