--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -54,6 +54,14 @@
                                                    Internal);
 }
 
+/// Only upstreams on the platform sign their responses.
+HeaderNames headerNames(const DaemonSettings &Settings) {
+  HeaderNames Names = platformHeaders();
+  if (!Settings.Services_.empty())
+    Names.Signature_.clear();
+  return Names;
+}
+
 std::string describeLimit(const StatedRateLimit &Limit,
                           std::uint64_t SentRequests) {
   const std::string Stated =
@@ -93,7 +101,7 @@
   DaemonSettings Settings_;
   SettingsReader ReadSettings_;
   std::uint64_t Process_;
-  HeaderNames Names_ = platformHeaders();
+  HeaderNames Names_ = headerNames(Settings_);
   EventLog Events_;
   AuditTrail Trail_{MaxAuditEntries};
   Metrics Metrics_;
