--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -60,6 +60,7 @@
   if (noteReceivedBytes())
     return;
   RereadDelay_ = std::min<Duration>(RereadDelay_ * 2, MaxRereadDelay);
+  ++RepeatedReads_;
   readNext();
 }
 
@@ -136,7 +137,6 @@
 
 void TopicFollower::readNext() {
   const std::uint64_t Number = ++ReadNumber_;
-  ++ReadsSinceNew_;
   ReadStartedAt_ = Time_.now();
   Reading_ = true;
   const std::chrono::milliseconds Wait = Mode_ == FollowMode::LongPoll
@@ -205,11 +205,10 @@
 void TopicFollower::updateStatistics(const ReadReply &Reply) {
   if (Reply.End_ <= NextOffset_)
     return;
-  const std::uint32_t Repeated = ReadsSinceNew_ > 0 ? ReadsSinceNew_ - 1 : 0;
   const Duration SinceHint =
       HintedAt_ ? Time_.now() - *HintedAt_ : Duration::zero();
-  Statistics_ = {Reply.Bytes_, Reply.ReceivingTime_, Repeated, SinceHint};
-  ReadsSinceNew_ = 0;
+  Statistics_ = {Reply.Bytes_, Reply.ReceivingTime_, RepeatedReads_, SinceHint};
+  RepeatedReads_ = 0;
   HintedAt_.reset();
 }
 
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -126,8 +126,8 @@
   Duration RereadDelay_;
   std::uint32_t Failures_ = 0;
   ReadStatistics Statistics_;
-  /// Reads since new records last arrived.
-  std::uint32_t ReadsSinceNew_ = 0;
+  /// Reads that were repeated since new records last arrived.
+  std::uint32_t RepeatedReads_ = 0;
   /// When a peer first reported an end beyond NextOffset_.
   std::optional<Instant> HintedAt_;
   /// Offset of the last delivered record, by key.
