--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <limits>
 #include <set>
 #include <utility>
 
@@ -18,43 +17,35 @@
 
 namespace {
 
-/// Maximum number of connections that are accepted in one turn of the loop.
-constexpr std::size_t MaxAcceptsPerTurn = 64;
-
 void startSession(const std::shared_ptr<HttpServer::Impl> &Server,
                   tcp::socket Socket) {
   configureSocket(Socket);
   std::make_shared<HttpSession>(std::move(Socket), Server)->start();
 }
 
-/// Accepts connections that clients have opened, at most Limit.
-void acceptPending(const std::shared_ptr<HttpServer::Impl> &Server,
-                   std::size_t Limit) {
-  error_code Failure;
-  for (std::size_t Accepted = 0; Accepted < Limit; ++Accepted) {
-    tcp::socket Socket(Server->Acceptor_.get_executor());
-    Server->Acceptor_.accept(Socket, Failure);
-    if (Failure)
-      return;
-    startSession(Server, std::move(Socket));
-  }
-}
-
-/// Accepts connections from now on, several in each turn of the loop: with one
-/// in each, clients of a busy daemon would give up waiting.
 void acceptNext(const std::shared_ptr<HttpServer::Impl> &Server) {
   Server->Acceptor_.async_accept(
       [Server](error_code Failure, tcp::socket Socket) {
-        if (!Server->Acceptor_.is_open())
-          return;
-        if (!Failure) {
+        if (!Failure)
           startSession(Server, std::move(Socket));
-          acceptPending(Server, MaxAcceptsPerTurn - 1);
-        }
-        acceptNext(Server);
+        if (Server->Acceptor_.is_open())
+          acceptNext(Server);
       });
 }
 
+/// Accepts the connections that clients have opened but the server has not
+/// accepted yet. Closing the acceptor would reset them and lose their requests.
+void acceptPending(const std::shared_ptr<HttpServer::Impl> &Server) {
+  error_code Failure;
+  Server->Acceptor_.non_blocking(true, Failure);
+  while (!Failure) {
+    tcp::socket Socket(Server->Acceptor_.get_executor());
+    Server->Acceptor_.accept(Socket, Failure);
+    if (!Failure)
+      startSession(Server, std::move(Socket));
+  }
+}
+
 } // namespace
 
 HttpServer::HttpServer(IoLoop &Loop, HttpServerOptions Options, Handler Handle,
@@ -70,8 +61,6 @@
     Impl_->Acceptor_.bind(Endpoint, Failure);
   if (!Failure)
     Impl_->Acceptor_.listen(ListenBacklog, Failure);
-  if (!Failure)
-    Impl_->Acceptor_.non_blocking(true, Failure);
   if (Failure)
     throw Error(ErrorKind::Unavailable,
                 "cannot listen on " + Impl_->Options_.Address_ + ": " +
@@ -100,9 +89,7 @@
 void HttpServer::disableKeepAlive() { Impl_->KeepAliveDisabled_ = true; }
 
 void HttpServer::stopAccepting() {
-  // Closing the acceptor would reset the connections that clients have opened
-  // but the server has not accepted yet, and lose their requests.
-  acceptPending(Impl_, std::numeric_limits<std::size_t>::max());
+  acceptPending(Impl_);
   error_code Ignored;
   Impl_->Acceptor_.close(Ignored);
 }
--- a/net/io_loop.cpp
+++ b/net/io_loop.cpp
@@ -34,8 +34,6 @@
   Impl_->Context_.run();
 }
 
-void IoLoop::runOne() { Impl_->Context_.run_one(); }
-
 void IoLoop::stop() { Impl_->Context_.stop(); }
 
 void IoLoop::restart() { Impl_->Context_.restart(); }
--- a/net/io_loop.h
+++ b/net/io_loop.h
@@ -32,9 +32,6 @@
   /// Runs tasks until none is pending. Can be called again after stop().
   void runUntilIdle();
 
-  /// Runs the next task. Blocks until there is one.
-  void runOne();
-
   /// Makes run() return.
   void stop();
 
