Wait for grants that the successor of an upstream may have accepted

Two upstreams could hold the same keys: an upstream crashes and restarts at once, its new process accepts a renewal of the old keys, and only then its first heartbeat is handled, late on a busy host. The daemon took the old process for proven dead and gave the keys away at once.

GrantAcceptedByAnUnknownIncarnationCounts fails without the rule. Keys of an ended process now wait for grants in flight and for the end of those answered if another process runs already. A crash that is noticed by a refused connection moves the keys at once as before, and a host that keeps its keys after a loss of power waits for nothing.

--- a/ownership/key_plan.cpp
+++ b/ownership/key_plan.cpp
@@ -86,6 +86,15 @@
          State.Upstream_.State_ == LocalUpstream::State::Serving;
 }
 
+/// Returns whether the running upstream may hold keys of the incarnation before
+/// it: it may have started, and accepted a grant, before this host knew of it.
+bool mayHoldPredecessorsKeys(const KeyOwnershipState &State,
+                             const KeyRange &Range, Instant Now) {
+  return State.GrantMethod_ == GrantMethod::Calls && isUpstreamAlive(State) &&
+         (isGrantInFlight(State, Range) ||
+          Now < residualGrantsEnd(State, Range));
+}
+
 /// Updates rows with earlier epochs of this host, and reassigns those of
 /// upstream incarnations that have ended or are unresponsive. The latter only
 /// once their grants have expired.
@@ -115,10 +124,12 @@
         isGrantInFlight(State, Row.Range_) || Now < holdsEnd(State, Row.Range_);
     if (Unresponsive && MayHold)
       continue;
+    const bool Keeps = keepsKeysAfterRestart(State, Inputs);
+    if (!Keeps && mayHoldPredecessorsKeys(State, Row.Range_, Now))
+      continue;
     const std::vector<KeyPlacement> Placements =
-        keepsKeysAfterRestart(State, Inputs)
-            ? std::vector<KeyPlacement>{{Row.Range_, State.Host_}}
-            : placeKeys({Row.Range_}, Inputs, "");
+        Keeps ? std::vector<KeyPlacement>{{Row.Range_, State.Host_}}
+              : placeKeys({Row.Range_}, Inputs, "");
     applyPlacements(State, Next, Placements, Inputs, "");
     Changed = Changed || !Placements.empty();
   }
--- a/tests/unit/key_holds_test.cpp
+++ b/tests/unit/key_holds_test.cpp
@@ -2,6 +2,7 @@
 /// Tests of when the keys of an upstream are free for another one.
 
 #define BOOST_TEST_MODULE key_holds
+#include "ownership/key_holds.h"
 #include "ownership/key_ownership.h"
 
 #include <boost/test/unit_test.hpp>
@@ -42,11 +43,11 @@
     setUpstream(LocalUpstream::State::Serving);
   }
 
-  void setUpstream(LocalUpstream::State Value) {
+  void setUpstream(LocalUpstream::State Value, std::int64_t StartMillis = 7) {
     LocalUpstream Upstream;
     Upstream.State_ = Value;
     Upstream.Id_ = "up-a";
-    Upstream.StartMillis_ = 7;
+    Upstream.StartMillis_ = StartMillis;
     onUpstream(State_, Upstream);
   }
 
@@ -190,4 +191,20 @@
   BOOST_TEST(Hosts.reassigns(Start + milliseconds(101)));
 }
 
+/// The upstream has restarted, and its new incarnation may have accepted a
+/// grant before this host knew of it.
+BOOST_AUTO_TEST_CASE(GrantAcceptedByAnUnknownIncarnationCounts) {
+  TwoHosts Hosts;
+  const KeyAction Grant = Hosts.startWithGrant();
+  Hosts.setUpstream(LocalUpstream::State::Serving, 3600000);
+  const Instant Later = Start + milliseconds(100);
+  BOOST_TEST(!Hosts.reassigns(Later));
+  onGrantReply(Hosts.State_, Grant.Row_, GrantResult::Granted, Start,
+               Grant.Hold_, Later);
+  const Instant End = residualGrantsEnd(Hosts.State_, Grant.Row_.Range_);
+  BOOST_TEST((End >= Later + Grant.Hold_));
+  BOOST_TEST(!Hosts.reassigns(End - milliseconds(1)));
+  BOOST_TEST(Hosts.reassigns(End));
+}
+
 } // namespace lagoonhitch
