A hint does not discard a read of the newest records

After records had expired, each hint of a peer started another read and the reply with the newest records was dropped, so a manifest whose read takes over 0.6 s never arrived. Found by a review. AwaitsTheNewestRecordsDespiteHints fails without the rule. A lost reply ends by the read's own timeout of a second.

--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -53,6 +53,9 @@
       HintTimer_ = Loop_.after(HintDelay, [this] { readIfBehind(); });
     return;
   }
+  // A read of all records is under way. It ends by its own timeout.
+  if (ReadingNewest_)
+    return;
   // The reply may only be slow, because it is large or the link is full. A
   // second one would take the same bytes from the link once more.
   if (Time_.now() - std::max(ReadStartedAt_, ReceivedAt_) < RereadDelay_)
@@ -129,6 +132,7 @@
   const std::uint64_t Number = ++ReadNumber_;
   ReadStartedAt_ = Time_.now();
   Reading_ = true;
+  ReadingNewest_ = true;
   Source_.readNewest(Topic_, [this, Number](ReadReply Reply) {
     if (Number == ReadNumber_)
       onNewest(std::move(Reply));
@@ -154,6 +158,7 @@
 
 void TopicFollower::onNewest(ReadReply Reply) {
   Reading_ = false;
+  ReadingNewest_ = false;
   const bool Usable =
       Reply.Kind_ == ReadReply::Kind::Done && Reply.End_ >= NextOffset_;
   if (!Usable) {
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -110,6 +110,8 @@
   /// Lower bound of the topic's end, as reported by hintEnd().
   Offset HintedEnd_ = 0;
   bool Reading_ = false;
+  /// Whether the newest record of each key is being read.
+  bool ReadingNewest_ = false;
   bool Loaded_ = false;
   /// Number of the last read. Replies to earlier ones are used only for the
   /// records in them.
--- a/tests/unit/follower_test.cpp
+++ b/tests/unit/follower_test.cpp
@@ -81,7 +81,9 @@
 
   void reply(const std::string &TopicName, Offset At, milliseconds Wait,
              ReadDone Done, std::shared_ptr<std::size_t> Received) {
-    const ReadReply Reply = readRecords(State_, TopicName, At);
+    ReadReply Reply = readRecords(State_, TopicName, At);
+    if (RecordsExpired_)
+      Reply.Kind_ = ReadReply::Kind::Expired;
     if (LostReplies_ > 0) {
       --LostReplies_;
       return;
@@ -104,16 +106,21 @@
     ++Reads_;
     ReadReply Reply =
         readNewestPerKey(StaleState_ ? *StaleState_ : State_, TopicName);
-    Loop_.post([Done, Reply] { Done(Reply); });
+    Timers_.push_back(
+        Loop_.after(NewestDelay_, [Done, Reply] { Done(Reply); }));
   }
 
   IoLoop &Loop_;
   StoreModel State_;
   std::optional<StoreModel> StaleState_;
+  /// Whether reads find that their records are no longer retained.
+  bool RecordsExpired_ = false;
   /// How many of the next reads get no reply.
   int LostReplies_ = 0;
   /// How long the reply to a read takes.
   milliseconds ReplyDelay_{0};
+  /// How long the reply to a read of the newest records takes.
+  milliseconds NewestDelay_{0};
   std::vector<std::shared_ptr<void>> Timers_;
   std::vector<LongPoll> LongPolls_;
   int Reads_ = 0;
@@ -262,6 +269,21 @@
   BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
 }
 
+/// The reply is the only one that can have the expired records.
+BOOST_AUTO_TEST_CASE(AwaitsTheNewestRecordsDespiteHints) {
+  FollowerFixture Fixture(FollowMode::LongPoll);
+  Fixture.Follower_.start();
+  Fixture.runFor(milliseconds(200));
+  Fixture.Source_.NewestDelay_ = milliseconds(700);
+  Fixture.appendRecord("k", "v0");
+  Fixture.Source_.RecordsExpired_ = true;
+  for (int Hint = 0; Hint < 12; ++Hint) {
+    Fixture.Follower_.hintEnd(1);
+    Fixture.runFor(milliseconds(100));
+  }
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+}
+
 BOOST_AUTO_TEST_CASE(RepeatsAReadWhoseReplyStopsArriving) {
   FollowerFixture Fixture(FollowMode::LongPoll);
   Fixture.Follower_.start();
