An append's reply without an offset proves nothing; whole numbers may be written as 18.0

A 200 with an empty or malformed body counted as a record appended at offset 0. And a manifest with a weight of 1.0 was rejected as a whole since counts are checked; before, it was converted.

--- a/core/received_json.cpp
+++ b/core/received_json.cpp
@@ -9,6 +9,8 @@
 
 /// About 31 years: ten times less than what a Duration can represent.
 constexpr double MaxSeconds = 1e9;
+/// Up to here, a floating-point number represents each integer exactly.
+constexpr double MaxExactInteger = 9007199254740992;
 /// The end of the year 2100.
 constexpr std::int64_t MaxUnixMillis = 4133980800000;
 
@@ -41,6 +43,15 @@
   return nlohmann::json::parse(Text);
 }
 
+std::uint64_t decodeCount(const nlohmann::json &Source) {
+  if (Source.is_number_unsigned())
+    return Source.get<std::uint64_t>();
+  const double Value = Source.is_number_float() ? Source.get<double>() : -1;
+  if (Value < 0 || Value > MaxExactInteger || Value != std::floor(Value))
+    throw std::invalid_argument("a value is not a non-negative integer");
+  return static_cast<std::uint64_t>(Value);
+}
+
 std::int64_t decodeUnixMillis(const nlohmann::json &Source) {
   const auto Millis = decodeUnsigned<std::uint64_t>(Source);
   if (Millis > static_cast<std::uint64_t>(MaxUnixMillis))
--- a/core/received_json.h
+++ b/core/received_json.h
@@ -21,14 +21,18 @@
 /// text is malformed or exceeds MaxJsonDepth.
 nlohmann::json parseReceivedJson(const std::string &Text);
 
-/// Reads a non-negative integer. Throws std::invalid_argument if the value is
-/// another one, or exceeds the type.
+/// Reads a non-negative integer, which may be written with a fraction of zero.
+/// Throws std::invalid_argument for any other value.
+std::uint64_t decodeCount(const nlohmann::json &Source);
+
+/// The same for a type that may be shorter. Throws std::invalid_argument if the
+/// value exceeds it.
 template <typename Unsigned>
 Unsigned decodeUnsigned(const nlohmann::json &Source) {
-  if (!Source.is_number_unsigned() ||
-      Source.get<std::uint64_t>() > std::numeric_limits<Unsigned>::max())
-    throw std::invalid_argument("a value is not a non-negative integer");
-  return Source.get<Unsigned>();
+  const std::uint64_t Count = decodeCount(Source);
+  if (Count > std::numeric_limits<Unsigned>::max())
+    throw std::invalid_argument("a value is too large");
+  return static_cast<Unsigned>(Count);
 }
 
 /// Reads an optional field that is a non-negative integer.
--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -242,6 +242,8 @@
   checkRejected(acceptsHeartbeat, ValidHeartbeat, "\"slots\":18",
                 {"4294967296"});
   checkRejected(acceptsHeartbeat, ValidHeartbeat, "\"sequence\":4", NoCounts);
+  BOOST_TEST(acceptsHeartbeat(
+      replace(ValidHeartbeat, "\"slots\":18", "\"slots\":18.0")));
   checkRejected(acceptsHeartbeat, ValidHeartbeat, "\"cold-left-s\":1.5",
                 NoSeconds);
   checkRejected(acceptsHeartbeat, ValidHeartbeat, "\"born\":1773018966000",
@@ -363,6 +365,11 @@
     BOOST_TEST((Conflict->Kind_ == AppendReply::Kind::Conflict));
     BOOST_TEST(Conflict->End_ == 0U);
   }
+  for (const char *Text : {"", "{}", "{\"end\":7}", "not JSON"}) {
+    const auto Done = Fixture.append(200, Text);
+    BOOST_REQUIRE(Done.has_value());
+    BOOST_TEST((Done->Kind_ == AppendReply::Kind::Unknown));
+  }
   BOOST_TEST(Fixture.Failures_ == 0);
 }
 
