--- a/membership/member_record.cpp
+++ b/membership/member_record.cpp
@@ -60,7 +60,7 @@
 /// Reads an address for other daemons; empty if the member states none. Throws
 /// std::invalid_argument if the host is empty or the port is out of range.
 std::string decodeAddress(const Json &Source) {
-  const std::string Address = Source.get<std::string>();
+  std::string Address = Source.get<std::string>();
   if (Address.empty())
     return Address;
   const std::size_t Colon = Address.rfind(':');
