--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -381,8 +381,10 @@
         std::string(R"({"key":"b","offset":-1,"value":""})"),
         std::string(R"({"key":"b","offset":1e300,"value":""})"),
         std::string(R"({"key":"b","offset":3,"value":[]})")}) {
-    const auto Reply =
-        Fixture.readNewest(R"({"end":9,"items":[)" + Odd + "," + Good + "]}");
+    std::string Page = R"({"end":9,"items":[)";
+    Page += Odd;
+    Page += "," + Good + "]}";
+    const auto Reply = Fixture.readNewest(Page);
     BOOST_REQUIRE(Reply.has_value());
     BOOST_TEST((Reply->Kind_ == ReadReply::Kind::Done), "failed for " << Odd);
     BOOST_REQUIRE(Reply->Records_.size() == 1U);
