--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -79,8 +79,12 @@
                                 const std::string &Target) {
   SiteFixture Fixture(slowSite());
   constexpr std::uint32_t Host = 0;
-  SlowCaller Caller(Fixture.Site_.callersAddress(Host), Method, Target);
-  sleepFor(milliseconds(200));
+  const std::string Address = Fixture.Site_.callersAddress(Host);
+  // The daemon waits for a request that it has received in time.
+  SlowCaller Other(Address, "GET", "/pruf/k2");
+  Other.sendRest();
+  SlowCaller Caller(Address, Method, Target);
+  sleepFor(milliseconds(1000));
   const Instant StoppedAt = Fixture.Time_.now();
   Fixture.Site_.daemon(Host).signal(SIGTERM);
   sleepFor(NoticeTime + milliseconds(300));
