Respond to each request that a planned stop would have cut

Callers saw connections that ended without a response when a host stopped as planned: a request that was complete only after the listening port had been closed was passed on, also one that is not idempotent, and cut at the end of the stop. So was what ran longer.

Cause: draining closes the port and idle connections only. A connection in the middle of a request, or just accepted, was served whenever its request was complete. At the limit the process ended whatever was open.

Now the entry rejects as not run what is received after the port is closed (2.3 s after SIGTERM; callers know of the stop after two seconds), and 0.2 s before the limit all open requests get a response: not run if that is proven, otherwise unknown. A run that its upstream needs longer for can't be saved, as the process is killed.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -474,6 +474,7 @@
   case ShutdownPhase::Reporting:
     return;
   case ShutdownPhase::Draining:
+    Router_.stopAccepting();
     CallerServer_.drain();
     if (InternalServer_)
       InternalServer_->drain();
@@ -483,6 +484,9 @@
   case ShutdownPhase::Lingering:
     PeerServer_.stopAccepting();
     return;
+  case ShutdownPhase::Ending:
+    Router_.endOpenRequests();
+    return;
   case ShutdownPhase::Stopped:
     logEvent(EventId::DaemonStopped, "");
     Loop_.stop();
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -110,6 +110,10 @@
   case RoutedRequest::Kind::Found:
     break;
   }
+  if (!Accepting_) {
+    reject(Request, "this host stops", Duration::zero());
+    return;
+  }
   prepare(*Request);
   depositRetryTokens(RetryBudgets_[Request->GatewayRequest_.Service_],
                      RetryBudgetOptions_);
@@ -463,18 +467,35 @@
   endAttempt(Request);
 }
 
+/// Cancels the current attempt, if any. Returns whether it has provably not run
+/// and never will.
+bool RequestRouter::giveUpAttempt(OpenRequest &Request) {
+  const bool Waits = Request.Attempt_ == 0 || Request.WaitingForOwner_;
+  if (Waits)
+    return true;
+  const bool Local = Request.Host_ == Config_.Host_;
+  const bool NotRun = Local && Gateway_.cancel(Request.GatewayRequest_.Id_);
+  cancelAttempt(Request);
+  return NotRun;
+}
+
 void RequestRouter::onDeadlineExpired(const OpenRequestPtr &Request) {
   if (Request->Done_)
     return;
-  const bool Local = Request->Host_ == Config_.Host_;
-  const bool Waits = Request->Attempt_ == 0 || Request->WaitingForOwner_;
-  const bool NotRun =
-      Waits || (Local && Gateway_.cancel(Request->GatewayRequest_.Id_));
-  if (!Waits)
-    cancelAttempt(*Request);
+  const bool NotRun = giveUpAttempt(*Request);
   executeStep(Request, onDeadline(Request->Plan_, NotRun));
 }
 
+void RequestRouter::endOpenRequests() {
+  const std::map<std::uint64_t, OpenRequestPtr> Open = OpenRequests_;
+  for (const auto &[Number, Request] : Open) {
+    if (Request->Done_)
+      continue;
+    const bool NotRun = giveUpAttempt(*Request);
+    executeStep(Request, onShutdown(Request->Plan_, NotRun));
+  }
+}
+
 void RequestRouter::onAbandoned(const OpenRequestPtr &Request) {
   if (Request->Done_)
     return;
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -76,6 +76,13 @@
   /// ownership or membership has changed.
   void onSiteChanged();
 
+  /// Rejects further requests of callers as not run. They find other hosts.
+  void stopAccepting() { Accepting_ = false; }
+
+  /// Responds to all open requests: those that have provably not run are
+  /// rejected, the outcome of the others is unknown.
+  void endOpenRequests();
+
   /// Returns the number of requests that have no response yet.
   std::size_t openRequests() const { return OpenRequests_.size(); }
 
@@ -103,6 +110,7 @@
   void endAttempt(OpenRequest &Request);
   static void updateMember(FleetMember &Member, const GatewayResult &Result,
                            Instant Now);
+  bool giveUpAttempt(OpenRequest &Request);
   void onDeadlineExpired(const OpenRequestPtr &Request);
   void onAbandoned(const OpenRequestPtr &Request);
   void cancelAttempt(OpenRequest &Request);
@@ -131,6 +139,7 @@
   std::map<std::string, SharedRetryBudget> RetryBudgets_;
   std::map<std::uint64_t, OpenRequestPtr> OpenRequests_;
   std::uint64_t LastNumber_ = 0;
+  bool Accepting_ = true;
   std::mt19937_64 Random_;
 };
 
--- a/daemon/shutdown_plan.cpp
+++ b/daemon/shutdown_plan.cpp
@@ -1,5 +1,7 @@
 #include "daemon/shutdown_plan.h"
 
+#include <algorithm>
+
 namespace lagoonhitch {
 
 namespace {
@@ -10,6 +12,8 @@
 constexpr std::chrono::milliseconds ReportFor{400};
 /// Time in which a request that a peer has sent arrives, also on a full link.
 constexpr std::chrono::milliseconds LingerFor{500};
+/// Time in which the last responses are written.
+constexpr std::chrono::milliseconds EndFor{200};
 
 ShutdownPhase nextPhase(const ShutdownPlan &Plan, const ShutdownLoad &Load,
                         Instant Now) {
@@ -26,12 +30,23 @@
                       (Load.PeerConnections_ == 0 || InPhase >= LingerFor);
     return Idle ? ShutdownPhase::Stopped : Plan.Phase_;
   }
+  case ShutdownPhase::Ending:
+    return Load.OpenRequests_ == 0 ? ShutdownPhase::Stopped : Plan.Phase_;
   case ShutdownPhase::Stopped:
     break;
   }
   return Plan.Phase_;
 }
 
+/// Returns the phase that is due because of the time limit, whatever is open.
+ShutdownPhase phaseByLimit(const ShutdownPlan &Plan, Instant Now) {
+  const Duration Elapsed = Now - Plan.StartedAt_;
+  if (Elapsed >= Plan.Limit_)
+    return ShutdownPhase::Stopped;
+  return Elapsed >= Plan.Limit_ - EndFor ? ShutdownPhase::Ending
+                                         : ShutdownPhase::Serving;
+}
+
 } // namespace
 
 ShutdownPlan startShutdownPlan(Instant Now, Duration Limit) {
@@ -40,9 +55,8 @@
 
 bool advanceShutdown(ShutdownPlan &Plan, const ShutdownLoad &Load,
                      Instant Now) {
-  const bool Overdue = Now - Plan.StartedAt_ >= Plan.Limit_;
   const ShutdownPhase Next =
-      Overdue ? ShutdownPhase::Stopped : nextPhase(Plan, Load, Now);
+      std::max(nextPhase(Plan, Load, Now), phaseByLimit(Plan, Now));
   if (Next == Plan.Phase_)
     return false;
   Plan.Phase_ = Next;
--- a/daemon/shutdown_plan.h
+++ b/daemon/shutdown_plan.h
@@ -15,15 +15,18 @@
   /// Requests are served as before, while callers and peers learn of the
   /// shutdown.
   Serving,
-  /// New requests of callers are not accepted, those of peers are rejected.
+  /// New connections of callers are not accepted. Requests that are received
+  /// from now on are rejected, those of peers as well.
   Draining,
   /// Nothing runs any more. Peers whose connections broke can still look up the
   /// results of their requests.
   Reporting,
   /// New connections of peers are refused. Requests that peers sent on open
-  /// ones
-  /// may still be on their way, and are rejected.
+  /// ones may still be on their way, and are rejected.
   Lingering,
+  /// The time is over. What is still open gets a response before the process
+  /// ends.
+  Ending,
   /// The process can end.
   Stopped,
 };
--- a/routing/request_plan.cpp
+++ b/routing/request_plan.cpp
@@ -215,4 +215,10 @@
   return failStep(GatewayTimeout, "no answer in time");
 }
 
+PlanStep onShutdown(const RequestPlan &Plan, bool NotRun) {
+  if (NotRun)
+    return rejectStep(Plan, Duration::zero(), "this host stops");
+  return failStep(GatewayTimeout, "no answer before this host stops");
+}
+
 } // namespace lagoonhitch
--- a/routing/request_plan.h
+++ b/routing/request_plan.h
@@ -134,6 +134,11 @@
 /// will.
 PlanStep onDeadline(const RequestPlan &Plan, bool NotRun);
 
+/// Returns the next step when this daemon stops before the request has a
+/// response.
+/// \param NotRun as for onDeadline().
+PlanStep onShutdown(const RequestPlan &Plan, bool NotRun);
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_ROUTING_REQUEST_PLAN_H
--- a/tests/unit/shutdown_test.cpp
+++ b/tests/unit/shutdown_test.cpp
@@ -61,4 +61,18 @@
   BOOST_TEST((runShutdown({2, 2}) == Limit));
 }
 
+/// Responses that are written in the last moment must leave before the process
+/// ends.
+BOOST_AUTO_TEST_CASE(OpenRequestsEndBeforeTheLimit) {
+  ShutdownPlan Plan = startShutdownPlan(Start, Limit);
+  const ShutdownLoad Busy = {1, 0};
+  advanceShutdown(Plan, Busy, Start + milliseconds(2300));
+  BOOST_TEST(!advanceShutdown(Plan, Busy, Start + milliseconds(5250)));
+  BOOST_TEST(advanceShutdown(Plan, Busy, Start + milliseconds(5300)));
+  BOOST_TEST((Plan.Phase_ == ShutdownPhase::Ending));
+  BOOST_TEST(!advanceShutdown(Plan, Busy, Start + milliseconds(5350)));
+  BOOST_TEST(advanceShutdown(Plan, {0, 0}, Start + milliseconds(5400)));
+  BOOST_TEST((Plan.Phase_ == ShutdownPhase::Stopped));
+}
+
 } // namespace lagoonhitch
