Process tests: restarted processes use ports that outgoing connections don't

Suspected cause: the system had given the port to an outgoing connection while nobody listened there, since ports chosen by the system are of that range; the load generator opens thousands of connections to daemons that are down. Ruled out: a check of the case itself, which was not reached.

--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -1,6 +1,7 @@
 #include "tests/process/site.h"
 
 #include "net/blocking_http.h"
+#include "tests/process/free_address.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -114,8 +115,8 @@
   const std::string Settings = Started.Name_ + ".json";
   const std::string Any = "127.0.0.1:0";
   // A restarted daemon keeps the addresses that other processes use.
-  const auto Address = [&Any](const std::string &Known) {
-    return Known.empty() ? Any : Known;
+  const auto Address = [](const std::string &Known) {
+    return Known.empty() ? freeAddress() : Known;
   };
   Json HostFile = {{"name", Started.Name_},
                    {"zone", Zones[Index % std::size(Zones)]},
@@ -157,8 +158,9 @@
       "--instance=" + Name,
       std::string("--zone=") + Zones[Index % std::size(Zones)],
       "--service_us=" + std::to_string(Options_.ServiceTimeMicros_)};
-  if (!Started.UpstreamAddress_.empty())
-    Arguments.push_back("--listen=" + Started.UpstreamAddress_);
+  Arguments.push_back("--listen=" + (Started.UpstreamAddress_.empty()
+                                         ? freeAddress()
+                                         : Started.UpstreamAddress_));
   if (Started.Service_ == ServiceNames[0])
     Arguments.emplace_back("--divided");
   if (Options_.UseHeartbeatReplies_)
--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -53,6 +53,16 @@
     return Hosts_[Host].CallersAddress_;
   }
 
+  /// Returns the `ip:port` of a host's daemon for operators.
+  std::string adminAddress(std::uint32_t Host) const {
+    return Hosts_[Host].AdminAddress_;
+  }
+
+  /// Returns the `ip:port` of a host's daemon for heartbeats.
+  std::string heartbeatAddress(std::uint32_t Host) const {
+    return Hosts_[Host].HeartbeatAddress_;
+  }
+
   /// Returns the number of hosts.
   std::uint32_t hosts() const {
     return static_cast<std::uint32_t>(Hosts_.size());
