Count the limit of a shutdown from the signal

A busy daemon handles SIGTERM late; counted from there, the shutdown could last longer than the platform waits, and the process was killed with what was still open. The time of the signal is now passed along; how long callers are served as before still counts from when they can learn of it.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -91,7 +91,7 @@
   std::string chooseRelay();
   void tick();
   void measureLoopLag();
-  void startShutdown();
+  void startShutdown(Instant RequestedAt);
   void continueShutdown();
   void enterPhase(ShutdownPhase Phase);
   void reloadSettings();
@@ -444,14 +444,15 @@
     logEvent(EventId::LateTick, std::to_string(toMillis(*Reported).count()));
 }
 
-void Daemon::Impl::startShutdown() {
+void Daemon::Impl::startShutdown(Instant RequestedAt) {
   if (Shutdown_) {
     Loop_.stop();
     return;
   }
   logEvent(EventId::DaemonStopping, "");
-  Shutdown_ = startShutdownPlan(Time_.now(), Settings_.Bounds_.StopTimeout_ -
-                                                 ShutdownMargin);
+  Shutdown_ =
+      startShutdownPlan(RequestedAt, Time_.now(),
+                        Settings_.Bounds_.StopTimeout_ - ShutdownMargin);
   CallerServer_.disableKeepAlive();
   if (InternalServer_)
     InternalServer_->disableKeepAlive();
@@ -516,7 +517,9 @@
 }
 
 void Daemon::stop() {
-  Impl_->Loop_.post([this] { Impl_->startShutdown(); });
+  Impl_->Loop_.post([this, RequestedAt = Impl_->Time_.now()] {
+    Impl_->startShutdown(RequestedAt);
+  });
 }
 
 void Daemon::reload() {
--- a/daemon/shutdown_plan.cpp
+++ b/daemon/shutdown_plan.cpp
@@ -40,7 +40,7 @@
 
 /// Returns the phase that is due because of the time limit, whatever is open.
 ShutdownPhase phaseByLimit(const ShutdownPlan &Plan, Instant Now) {
-  const Duration Elapsed = Now - Plan.StartedAt_;
+  const Duration Elapsed = Now - Plan.RequestedAt_;
   if (Elapsed >= Plan.Limit_)
     return ShutdownPhase::Stopped;
   return Elapsed >= Plan.Limit_ - EndFor ? ShutdownPhase::Ending
@@ -49,8 +49,9 @@
 
 } // namespace
 
-ShutdownPlan startShutdownPlan(Instant Now, Duration Limit) {
-  return {Now, Limit, ShutdownPhase::Serving, Now};
+ShutdownPlan startShutdownPlan(Instant RequestedAt, Instant Now,
+                               Duration Limit) {
+  return {RequestedAt, Limit, ShutdownPhase::Serving, Now};
 }
 
 bool advanceShutdown(ShutdownPlan &Plan, const ShutdownLoad &Load,
--- a/daemon/shutdown_plan.h
+++ b/daemon/shutdown_plan.h
@@ -33,8 +33,9 @@
 
 /// Progress of a shutdown.
 struct ShutdownPlan {
-  Instant StartedAt_;
-  /// How long the shutdown may take.
+  /// When the shutdown was requested; a busy daemon starts it later.
+  Instant RequestedAt_;
+  /// How long the shutdown may take from the request on.
   Duration Limit_{};
   ShutdownPhase Phase_ = ShutdownPhase::Serving;
   /// When the current phase began.
@@ -51,7 +52,8 @@
 };
 
 /// Starts a shutdown.
-ShutdownPlan startShutdownPlan(Instant Now, Duration Limit);
+ShutdownPlan startShutdownPlan(Instant RequestedAt, Instant Now,
+                               Duration Limit);
 
 /// Enters the next phase if it is due. To be called periodically.
 /// \returns whether the phase has changed.
--- a/tests/unit/shutdown_test.cpp
+++ b/tests/unit/shutdown_test.cpp
@@ -19,7 +19,7 @@
 
 /// Runs a shutdown with a constant load and returns how long it took.
 Duration runShutdown(const ShutdownLoad &Load) {
-  ShutdownPlan Plan = startShutdownPlan(Start, Limit);
+  ShutdownPlan Plan = startShutdownPlan(Start, Start, Limit);
   Instant Now = Start;
   while (Plan.Phase_ != ShutdownPhase::Stopped) {
     Now += TickInterval;
@@ -31,7 +31,7 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(PhasesFollowEachOther) {
-  ShutdownPlan Plan = startShutdownPlan(Start, Limit);
+  ShutdownPlan Plan = startShutdownPlan(Start, Start, Limit);
   const ShutdownLoad Busy = {1, 3};
   const ShutdownLoad Idle = {0, 3};
   BOOST_TEST(!advanceShutdown(Plan, Idle, Start + milliseconds(2250)));
@@ -64,7 +64,7 @@
 /// Responses that are written in the last moment must leave before the process
 /// ends.
 BOOST_AUTO_TEST_CASE(OpenRequestsEndBeforeTheLimit) {
-  ShutdownPlan Plan = startShutdownPlan(Start, Limit);
+  ShutdownPlan Plan = startShutdownPlan(Start, Start, Limit);
   const ShutdownLoad Busy = {1, 0};
   advanceShutdown(Plan, Busy, Start + milliseconds(2300));
   BOOST_TEST(!advanceShutdown(Plan, Busy, Start + milliseconds(5250)));
