Tests: keys of an upstream that refuses connections are reassigned at once

Callers' keys had two holders (OWNER). One cause that is possible: a single refused connection counts as proof that the upstream has terminated, and planOwnRows() then reassigns its keys without waiting for the end of its holds. An upstream that is leaving may close its listening port and still run requests on kept connections; one with many connections may refuse more.

--- a/tests/schedule/key_fault.h
+++ b/tests/schedule/key_fault.h
@@ -49,9 +49,11 @@
   /// A busy daemon sends grants hundreds of milliseconds after it decides on
   /// them.
   GrantsSentLate,
+  /// An upstream refuses new connections, but runs and holds its keys.
+  UpstreamRefuses,
 };
 
-/// Number of fault kinds.
+/// Number of fault kinds in random schedules.
 inline constexpr int KeyFaultKindCount = 18;
 
 /// A fault in a schedule.
--- a/tests/schedule/key_schedule_test.cpp
+++ b/tests/schedule/key_schedule_test.cpp
@@ -258,6 +258,20 @@
   }
 }
 
+/// An upstream that is leaving may close its listening port first, or one with
+/// many connections may refuse more. It still holds its keys.
+BOOST_AUTO_TEST_CASE(RefusingUpstreamHoldsItsKeys) {
+  using std::chrono::milliseconds;
+  for (std::uint64_t Seed = 0; Seed < 60; ++Seed) {
+    KeySimulation Simulation(HostCount, Seed, grantMethodUnderTest());
+    Simulation.run(std::chrono::seconds(5), {});
+    Simulation.run(std::chrono::seconds(22),
+                   {{KeyFaultKind::UpstreamRefuses, milliseconds(0),
+                     milliseconds(6000), 1}});
+    BOOST_TEST(describeViolations(Simulation) == "");
+  }
+}
+
 namespace {
 
 std::size_t keyCountOf(const KeyTable &Table, const std::string &Host) {
--- a/tests/schedule/key_simulation.cpp
+++ b/tests/schedule/key_simulation.cpp
@@ -103,8 +103,11 @@
   LocalUpstream Upstream;
   Upstream.Id_ = Host.Upstream_.Id_;
   Upstream.StartMillis_ = Host.Upstream_.StartMillis_;
-  Upstream.Terminated_ = !Host.Upstream_.Alive_;
-  if (!Host.Upstream_.Alive_ || Host.Upstream_.Unreachable_)
+  // A daemon can't tell an upstream that has ended from one that refuses.
+  const bool Refused =
+      !Host.Upstream_.Alive_ || Host.Upstream_.RefusesConnections_;
+  Upstream.Terminated_ = Refused;
+  if (Refused || Host.Upstream_.Unreachable_)
     Upstream.State_ = LocalUpstream::State::Lost;
   else
     Upstream.State_ = Host.Upstream_.Draining_ ? LocalUpstream::State::Draining
@@ -133,7 +136,7 @@
       Peer.SinceLastContact_ = Now_ - Self.StartedAt_;
     Peer.AcceptsKeys_ =
         Host.Upstream_.Alive_ && !Host.Upstream_.Draining_ &&
-        !Host.Upstream_.Unreachable_ &&
+        !Host.Upstream_.Unreachable_ && !Host.Upstream_.RefusesConnections_ &&
         Peer.SinceLastContact_ < std::chrono::milliseconds(1500);
     Peer.Rate_ = Host.Rate_;
     Peer.Capacity_ = HostCapacity;
@@ -540,6 +543,9 @@
   case KeyFaultKind::UpstreamUnreachable:
     SetForDuration(Host.Upstream_.Unreachable_);
     return;
+  case KeyFaultKind::UpstreamRefuses:
+    SetForDuration(Host.Upstream_.RefusesConnections_);
+    return;
   case KeyFaultKind::LoadSpike: {
     Host.Rate_ = HostCapacity * 2;
     scheduleAfter(Fault.Duration_,
--- a/tests/schedule/key_simulation.h
+++ b/tests/schedule/key_simulation.h
@@ -29,6 +29,8 @@
   bool Draining_ = false;
   /// Whether its daemon can't reach it.
   bool Unreachable_ = false;
+  /// Whether it refuses new connections. It runs and holds its keys.
+  bool RefusesConnections_ = false;
   /// Factor by which holds last longer than granted, because of its slow clock.
   double ClockSlowdown_ = 1;
   std::vector<SimulatedHold> Holds_;
