A refused connection is no proof that an upstream has terminated

Callers: keys that two upstreams held (OWNER) were possible; not seen in a log so far.

Cause: the first refused connection marked the upstream as terminated, and planOwnRows() reassigned the keys of a terminated upstream without waiting for the end of its holds. An upstream may close its listening port, or refuse connections beyond its limit, while it still runs requests and holds its keys.

Fix: a refused connection makes the upstream lost, as a failed health check does: it gets no requests until its next heartbeat, and its keys are reassigned once the last hold and every grant without a reply have expired. The state "terminated" is gone, as nothing but another incarnation on the host proves it.

Considered: to take a refusal for proof if every connection to the upstream has ended as well, which would keep the fast reassignment after crashes. A server that is told to stop at once closes its port and all connections while the handlers of its requests run on, so this is no proof either.

Cost: keys of an upstream that crashes wait for the end of their holds: 1.7 to 2.6 s with calls, 3.2 to 4.1 s with heartbeat replies (calculated from the options; before, the time of one append).

--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -126,16 +126,16 @@
 }
 
 void UpstreamManager::onConnectionRefused() {
-  if (!Incarnation_ || Incarnation_->Terminated_)
+  if (!Incarnation_ || Incarnation_->RefusedConnection_)
     return;
-  Incarnation_->Terminated_ = true;
+  Incarnation_->RefusedConnection_ = true;
   LogEvent_(EventId::UpstreamLost, AdmittedIncarnation_);
   recordCrash();
   onStateChanged();
 }
 
 void UpstreamManager::onRunsLost() {
-  if (Incarnation_ && Incarnation_->Terminated_)
+  if (Incarnation_ && Incarnation_->RefusedConnection_)
     recordCrash();
 }
 
@@ -254,7 +254,7 @@
 }
 
 void UpstreamManager::checkHealth() {
-  if (!Incarnation_ || Incarnation_->Terminated_)
+  if (!Incarnation_ || Incarnation_->RefusedConnection_)
     return;
   const Instant Now = Time_.now();
   const bool HeartbeatMissing =
@@ -297,7 +297,7 @@
     }
     Incarnation_->Unresponsive_ =
         Time_.now() - Incarnation_->LastHeartbeatAt_ > HeartbeatTimeout;
-    if (Incarnation_->Terminated_ || Incarnation_->Unresponsive_)
+    if (Incarnation_->RefusedConnection_ || Incarnation_->Unresponsive_)
       LogEvent_(EventId::UpstreamLost, Incarnation);
     onStateChanged();
     return;
@@ -327,7 +327,7 @@
   Record.Upstream_ = Incarnation_->LastHeartbeat_.Upstream_;
   Record.StartMillis_ = Incarnation_->LastHeartbeat_.StartMillis_;
   Record.Slots_ = Incarnation_->LastHeartbeat_.Slots_;
-  if (Incarnation_->Terminated_ || Incarnation_->Unresponsive_)
+  if (Incarnation_->RefusedConnection_ || Incarnation_->Unresponsive_)
     Record.State_ = UpstreamState::Lost;
   else
     Record.State_ = Incarnation_->Draining_ ? UpstreamState::Draining
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -68,7 +68,8 @@
   void handle(const HttpRequest &Request,
               const std::shared_ptr<HttpExchange> &Exchange);
 
-  /// Marks the upstream as terminated: its address refuses connections.
+  /// Sends the upstream no more requests until its next heartbeat: its address
+  /// refuses connections.
   void onConnectionRefused();
 
   /// Records requests that the gateway has lost, if the upstream is known to
--- a/membership/upstream_incarnation.cpp
+++ b/membership/upstream_incarnation.cpp
@@ -40,7 +40,7 @@
   Incarnation->LastHeartbeat_ = Heartbeat;
   Incarnation->LastHeartbeatAt_ = Now;
   Incarnation->Unresponsive_ = false;
-  Incarnation->Terminated_ = false;
+  Incarnation->RefusedConnection_ = false;
   Incarnation->Draining_ = Incarnation->Draining_ || Heartbeat.Draining_;
   return HeartbeatResult::Accepted;
 }
@@ -66,8 +66,7 @@
     return Local;
   Local.Id_ = Incarnation->LastHeartbeat_.Upstream_;
   Local.StartMillis_ = Incarnation->LastHeartbeat_.StartMillis_;
-  Local.Terminated_ = Incarnation->Terminated_;
-  if (Incarnation->Terminated_ || Incarnation->Unresponsive_)
+  if (Incarnation->RefusedConnection_ || Incarnation->Unresponsive_)
     Local.State_ = LocalUpstream::State::Lost;
   else if (Incarnation->Draining_)
     Local.State_ = LocalUpstream::State::Draining;
@@ -77,8 +76,8 @@
 }
 
 bool acceptsRequests(const std::optional<UpstreamIncarnation> &Incarnation) {
-  return Incarnation && !Incarnation->Draining_ && !Incarnation->Terminated_ &&
-         !Incarnation->Unresponsive_;
+  return Incarnation && !Incarnation->Draining_ &&
+         !Incarnation->RefusedConnection_ && !Incarnation->Unresponsive_;
 }
 
 } // namespace lagoonhitch
--- a/membership/upstream_incarnation.h
+++ b/membership/upstream_incarnation.h
@@ -33,8 +33,9 @@
   Instant LastHeartbeatAt_ = Instant::min();
   /// Whether it is draining or has deregistered.
   bool Draining_ = false;
-  /// Whether it is proven to have terminated.
-  bool Terminated_ = false;
+  /// Whether its address has refused a connection since its last heartbeat. It
+  /// has probably terminated, but it may also have closed only its port.
+  bool RefusedConnection_ = false;
   /// Whether its heartbeats timed out and its health check failed.
   bool Unresponsive_ = false;
 };
--- a/net/http_result.h
+++ b/net/http_result.h
@@ -26,8 +26,8 @@
 struct HttpResult {
   HttpCallStatus Status_ = HttpCallStatus::NotSent;
   HttpResponse Response_;
-  /// Whether the connection was refused, which means that no process listens on
-  /// the address.
+  /// Whether the connection was refused: no process listens on the address. The
+  /// process that did may still run.
   bool ConnectionRefused_ = false;
   /// Time from the first received byte of the response to its end.
   Duration ReceivingTime_{};
--- a/ownership/key_ownership_state.h
+++ b/ownership/key_ownership_state.h
@@ -27,13 +27,13 @@
     Serving,
     /// Alive, but its keys are to be moved to other hosts.
     Draining,
-    /// Known to have terminated, or unresponsive.
+    /// Unresponsive, or its address refuses connections. Neither proves that
+    /// its process has terminated, so it may hold its keys until their holds
+    /// end: it may close its listening port, or even all connections, and
+    /// still run requests. Only another incarnation on the host is a proof.
     Lost,
   };
   State State_ = State::Unknown;
-  /// Whether a lost upstream is known to have terminated, and is not just
-  /// unresponsive.
-  bool Terminated_ = false;
   std::string Id_;
   /// Start of its process, in milliseconds since the Unix epoch.
   std::int64_t StartMillis_ = 0;
--- a/ownership/key_plan.cpp
+++ b/ownership/key_plan.cpp
@@ -96,8 +96,8 @@
 }
 
 /// Updates rows with earlier epochs of this host, and reassigns those of
-/// upstream incarnations that have ended or are unresponsive. The latter only
-/// once their grants have expired.
+/// upstream incarnations that have ended or are lost. The latter only once
+/// their grants have expired.
 bool planOwnRows(const KeyOwnershipState &State,
                  const KeyOwnershipInputs &Inputs, KeyTable &Next,
                  Instant Now) {
@@ -117,12 +117,10 @@
       Changed = true;
       continue;
     }
-    const bool Unresponsive =
-        State.Upstream_.State_ == LocalUpstream::State::Lost &&
-        !State.Upstream_.Terminated_;
+    const bool Lost = State.Upstream_.State_ == LocalUpstream::State::Lost;
     const bool MayHold =
         isGrantInFlight(State, Row.Range_) || Now < holdsEnd(State, Row.Range_);
-    if (Unresponsive && MayHold)
+    if (Lost && MayHold)
       continue;
     const bool Keeps = keepsKeysAfterRestart(State, Inputs);
     if (!Keeps && mayHoldPredecessorsKeys(State, Row.Range_, Now))
--- a/tests/schedule/key_fault.h
+++ b/tests/schedule/key_fault.h
@@ -53,8 +53,8 @@
   UpstreamRefuses,
 };
 
-/// Number of fault kinds in random schedules.
-inline constexpr int KeyFaultKindCount = 18;
+/// Number of fault kinds.
+inline constexpr int KeyFaultKindCount = 19;
 
 /// A fault in a schedule.
 struct KeyFault {
--- a/tests/schedule/key_simulation.cpp
+++ b/tests/schedule/key_simulation.cpp
@@ -106,7 +106,6 @@
   // A daemon can't tell an upstream that has ended from one that refuses.
   const bool Refused =
       !Host.Upstream_.Alive_ || Host.Upstream_.RefusesConnections_;
-  Upstream.Terminated_ = Refused;
   if (Refused || Host.Upstream_.Unreachable_)
     Upstream.State_ = LocalUpstream::State::Lost;
   else
