Ignore a refused connection of the upstream's former process

Callers: after a restart of an upstream, its daemon rejects requests until the next heartbeat, and the requests lost with the former process count as lost in a crash of the new one. Not seen in a log.

Cause: the notification of a refused connection did not name the incarnation. A busy daemon may handle the heartbeat of the next one before a refusal that the end of the former one caused.

Fix: a request is bound to the incarnation that was known when it was sent; a refusal counts only if that is still the current one. Health checks were bound already. A refusal of a current process that has not opened its port yet still counts, until its next heartbeat.

Evidence: upstream_manager RefusalByAnEarlierIncarnationIsIgnored failed on the unchanged code (upstream lost, requests rejected, event 401 logged) and passes. RefusedRequestEndsAdmission checks that refusals by the current process still count; it passed before as well.

The fixture of upstream_manager waited 50 ms for the answer to a health check, which was too short once on a busy machine; it now waits for the answer itself.

--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -61,6 +61,7 @@
     UpstreamClient_.closeIdle(Address_);
   UpstreamId_ = Upstream;
   IncarnationSince_ = Time_.now();
+  ++Incarnation_;
   resetForUpstream(Queue_, Slots);
 }
 
@@ -236,6 +237,7 @@
   }
   Entry.Phase_ = OpenRequest::Phase::Running;
   Entry.Since_ = Now;
+  Entry.Incarnation_ = Incarnation_;
   ++SentRequests_;
   HttpCallOptions Call;
   Call.Timeout_ = Entry.Request_.Deadline_ - Now;
@@ -302,7 +304,9 @@
                                         HttpResult CallResult) {
   GatewayResult Result;
   if (CallResult.Status_ == HttpCallStatus::NotSent) {
-    if (CallResult.ConnectionRefused_)
+    const bool RefusedByCurrent =
+        CallResult.ConnectionRefused_ && Entry.Incarnation_ == Incarnation_;
+    if (RefusedByCurrent)
       Callbacks_.OnConnectionRefused_();
     Result.Outcome_ = Outcome::NotRun;
     Result.RejectReason_ = RejectReason::Unavailable;
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -43,7 +43,8 @@
 
 /// Notifications from an UpstreamGateway.
 struct GatewayCallbacks {
-  /// Called when the upstream's address refuses a connection.
+  /// Called when the upstream's address refuses a connection that was opened
+  /// while the current incarnation was known.
   std::function<void()> OnConnectionRefused_;
   /// Returns how long a request must not be sent to the upstream; std::nullopt
   /// if it may be sent.
@@ -150,6 +151,8 @@
     } Phase_ = Phase::AwaitingKey;
     /// When the request arrived or, once running, was sent to the upstream.
     Instant Since_;
+    /// The upstream's incarnation that it was sent to.
+    std::uint64_t Incarnation_ = 0;
     std::shared_ptr<void> Call_;
   };
 
@@ -190,6 +193,8 @@
   /// When the upstream's current incarnation was first known. Responses to
   /// earlier requests may be of another incarnation.
   Instant IncarnationSince_ = Instant::min();
+  /// Number of the current incarnation, counted since the start.
+  std::uint64_t Incarnation_ = 0;
   std::uint64_t SentRequests_ = 0;
 };
 
--- a/tests/unit/upstream_manager_test.cpp
+++ b/tests/unit/upstream_manager_test.cpp
@@ -15,6 +15,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -198,6 +199,19 @@
     Loop_.run();
   }
 
+  void runUntil(const std::function<bool()> &Condition) {
+    constexpr int MaxTurns = 1000;
+    for (int Turn = 0; Turn < MaxTurns && !Condition(); ++Turn)
+      runFor(milliseconds(5));
+    BOOST_REQUIRE(Condition());
+  }
+
+  /// Receives the first heartbeat and lets the upstream answer a health check.
+  void startServing() {
+    receiveHeartbeat("u", 7);
+    runUntil([this] { return Gateway_.isAccepting(); });
+  }
+
   /// Advances the clock in the steps of a daemon's timer.
   void advance(milliseconds Span) {
     constexpr milliseconds Step{100};
@@ -220,6 +234,11 @@
                    [this](const GatewayResult &) { ++ResultCount_; });
   }
 
+  /// Waits for the result of the only request.
+  void runUntilRejected() {
+    runUntil([this] { return ResultCount_ == 1; });
+  }
+
   bool isReassigned() const {
     return !Store_.Tables_.empty() &&
            findRow(Store_.Tables_.back(), OwnKeys.First_)->Owner_.Host_ == Peer;
@@ -249,17 +268,14 @@
 /// It may still run requests and hold its keys.
 BOOST_AUTO_TEST_CASE(KeysOfAnUpstreamThatRefusesConnectionsAreHeld) {
   UpstreamFixture Fixture(true);
-  Fixture.receiveHeartbeat("u", 7);
+  Fixture.startServing();
   Fixture.receiveTable();
   Fixture.advance(milliseconds(500));
-  BOOST_REQUIRE(Fixture.Gateway_.isAccepting());
   Fixture.stopListening();
   Fixture.serveRequest();
-  Fixture.runFor(milliseconds(50));
-  BOOST_REQUIRE(Fixture.ResultCount_ == 1U);
+  Fixture.runUntilRejected();
   BOOST_TEST(!Fixture.Gateway_.isAccepting());
-  const Instant HeldUntil =
-      holdsEnd(Fixture.Ownership_.state(), OwnKeys) - Duration(1);
+  const Instant HeldUntil = holdsEnd(Fixture.Ownership_.state(), OwnKeys);
   BOOST_REQUIRE((HeldUntil > Fixture.Time_.now()));
   while (Fixture.Time_.now() + milliseconds(100) < HeldUntil) {
     Fixture.advance(milliseconds(100));
@@ -269,4 +285,30 @@
   BOOST_TEST(Fixture.isReassigned());
 }
 
+/// A busy daemon handles the heartbeat of the next process before the refusal.
+BOOST_AUTO_TEST_CASE(RefusalByAnEarlierIncarnationIsIgnored) {
+  UpstreamFixture Fixture(false);
+  Fixture.startServing();
+  Fixture.stopListening();
+  Fixture.serveRequest();
+  Fixture.receiveHeartbeat("u", 8);
+  Fixture.runUntilRejected();
+  BOOST_TEST((Fixture.upstreamState() == LocalUpstream::State::Serving));
+  BOOST_TEST(Fixture.Gateway_.isAccepting());
+  BOOST_TEST(Fixture.Lost_.empty());
+}
+
+/// The refusal is of the current process.
+BOOST_AUTO_TEST_CASE(RefusedRequestEndsAdmission) {
+  UpstreamFixture Fixture(false);
+  Fixture.startServing();
+  Fixture.stopListening();
+  Fixture.serveRequest();
+  Fixture.runUntilRejected();
+  BOOST_TEST((Fixture.upstreamState() == LocalUpstream::State::Lost));
+  BOOST_TEST(Fixture.Lost_.size() == 1U);
+  Fixture.receiveHeartbeat("u", 7);
+  BOOST_TEST(Fixture.Gateway_.isAccepting());
+}
+
 } // namespace lagoonhitch
