Event 401 names the evidence of a loss, event 400 a return

Logs did not show why an upstream counted as lost, nor that it still ran, so hypotheses about two holders could not be told apart. Event 401 now says whether a connection was refused, or that the health check failed and how long no heartbeat has been received. A heartbeat of an incarnation that counted as lost is logged as event 400. The next incarnation was logged as 400 already.

Evidence: upstream_manager EventsNameTheEvidenceOfALoss (refusal and return only; the line of a failed health check has no test), events.

--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -32,6 +32,12 @@
   return Response;
 }
 
+/// Returns `id/start` of an incarnation.
+std::string nameOf(const UpstreamIncarnation &Incarnation) {
+  const UpstreamHeartbeat &Heartbeat = Incarnation.LastHeartbeat_;
+  return absl::StrCat(Heartbeat.Upstream_, "/", Heartbeat.StartMillis_);
+}
+
 HttpResponse errorResponse(unsigned Status, const std::string &Message) {
   return jsonResponse(Status, "{\"error\":\"" + Message + "\"}");
 }
@@ -100,6 +106,7 @@
     const UpstreamHeartbeat &Heartbeat,
     const std::shared_ptr<HttpExchange> &Exchange) {
   const bool WasDraining = Incarnation_ && Incarnation_->Draining_;
+  const bool WasLost = isLost(Incarnation_);
   const HeartbeatResult Result =
       applyHeartbeat(Incarnation_, Heartbeat, Config_.Service_,
                      Config_.UpstreamAddress_, Time_.now());
@@ -114,6 +121,7 @@
     if (!WasDraining && Incarnation_->Draining_)
       LogEvent_(EventId::UpstreamDraining, Heartbeat.Upstream_);
     applyColdStart(Heartbeat.ColdRemaining_);
+    logReturn(WasLost);
     onStateChanged();
     applyRecordedDrain();
     if (Heartbeat.Keys_)
@@ -125,11 +133,19 @@
   Exchange->respond(jsonResponse(200, "{}"));
 }
 
+/// Logs that the current incarnation, which counted as lost, still runs.
+void UpstreamManager::logReturn(bool WasLost) {
+  const std::string Name = nameOf(*Incarnation_);
+  if (WasLost && Name == AdmittedIncarnation_)
+    LogEvent_(EventId::UpstreamAnnounced, Name + ", counted as lost before");
+}
+
 void UpstreamManager::onConnectionRefused() {
   if (!Incarnation_ || Incarnation_->RefusedConnection_)
     return;
   Incarnation_->RefusedConnection_ = true;
-  LogEvent_(EventId::UpstreamLost, AdmittedIncarnation_);
+  LogEvent_(EventId::UpstreamLost,
+            AdmittedIncarnation_ + ", connection refused");
   recordCrash();
   onStateChanged();
 }
@@ -183,9 +199,7 @@
 }
 
 void UpstreamManager::onStateChanged() {
-  const std::string Name =
-      Incarnation_->LastHeartbeat_.Upstream_ + "/" +
-      std::to_string(Incarnation_->LastHeartbeat_.StartMillis_);
+  const std::string Name = nameOf(*Incarnation_);
   if (Name != AdmittedIncarnation_) {
     recordCrash();
     LogEvent_(EventId::UpstreamAnnounced, Name);
@@ -295,10 +309,13 @@
       onConnectionRefused();
       return;
     }
-    Incarnation_->Unresponsive_ =
-        Time_.now() - Incarnation_->LastHeartbeatAt_ > HeartbeatTimeout;
-    if (Incarnation_->RefusedConnection_ || Incarnation_->Unresponsive_)
-      LogEvent_(EventId::UpstreamLost, Incarnation);
+    const Duration Silence = Time_.now() - Incarnation_->LastHeartbeatAt_;
+    Incarnation_->Unresponsive_ = Silence > HeartbeatTimeout;
+    if (isLost(Incarnation_))
+      LogEvent_(EventId::UpstreamLost,
+                absl::StrCat(Incarnation, ", health check failed, ",
+                             toMillis(Silence).count(),
+                             " ms without heartbeat"));
     onStateChanged();
     return;
   }
@@ -327,7 +344,7 @@
   Record.Upstream_ = Incarnation_->LastHeartbeat_.Upstream_;
   Record.StartMillis_ = Incarnation_->LastHeartbeat_.StartMillis_;
   Record.Slots_ = Incarnation_->LastHeartbeat_.Slots_;
-  if (Incarnation_->RefusedConnection_ || Incarnation_->Unresponsive_)
+  if (isLost(Incarnation_))
     Record.State_ = UpstreamState::Lost;
   else
     Record.State_ = Incarnation_->Draining_ ? UpstreamState::Draining
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -109,6 +109,7 @@
   void handleDeregistration(const std::string &Upstream);
   void handleHeartbeat(const UpstreamHeartbeat &Heartbeat,
                        const std::shared_ptr<HttpExchange> &Exchange);
+  void logReturn(bool WasLost);
   void onStateChanged();
   void applyRecordedDrain();
   void recordCrash();
--- a/membership/upstream_incarnation.cpp
+++ b/membership/upstream_incarnation.cpp
@@ -66,7 +66,7 @@
     return Local;
   Local.Id_ = Incarnation->LastHeartbeat_.Upstream_;
   Local.StartMillis_ = Incarnation->LastHeartbeat_.StartMillis_;
-  if (Incarnation->RefusedConnection_ || Incarnation->Unresponsive_)
+  if (isLost(Incarnation))
     Local.State_ = LocalUpstream::State::Lost;
   else if (Incarnation->Draining_)
     Local.State_ = LocalUpstream::State::Draining;
@@ -75,9 +75,13 @@
   return Local;
 }
 
+bool isLost(const std::optional<UpstreamIncarnation> &Incarnation) {
+  return Incarnation &&
+         (Incarnation->RefusedConnection_ || Incarnation->Unresponsive_);
+}
+
 bool acceptsRequests(const std::optional<UpstreamIncarnation> &Incarnation) {
-  return Incarnation && !Incarnation->Draining_ &&
-         !Incarnation->RefusedConnection_ && !Incarnation->Unresponsive_;
+  return Incarnation && !Incarnation->Draining_ && !isLost(Incarnation);
 }
 
 } // namespace lagoonhitch
--- a/membership/upstream_incarnation.h
+++ b/membership/upstream_incarnation.h
@@ -71,6 +71,9 @@
 LocalUpstream
 localUpstream(const std::optional<UpstreamIncarnation> &Incarnation);
 
+/// Returns whether the upstream is unresponsive or refuses connections.
+bool isLost(const std::optional<UpstreamIncarnation> &Incarnation);
+
 /// Returns whether the upstream accepts new requests.
 bool acceptsRequests(const std::optional<UpstreamIncarnation> &Incarnation);
 
--- a/tests/unit/upstream_manager_test.cpp
+++ b/tests/unit/upstream_manager_test.cpp
@@ -113,6 +113,8 @@
             [this](EventId Id, const std::string &Subject) {
               if (Id == EventId::UpstreamLost)
                 Lost_.push_back(Subject);
+              if (Id == EventId::UpstreamAnnounced)
+                Announced_.push_back(Subject);
             },
             [](const std::string &, const StoreRecord &) {}) {
     auto Known = std::make_shared<Manifest>();
@@ -259,6 +261,7 @@
   UpstreamGateway Gateway_;
   UpstreamManager Manager_;
   std::vector<std::string> Lost_;
+  std::vector<std::string> Announced_;
   std::uint64_t Sequence_ = 0;
   std::size_t ResultCount_ = 0;
 };
@@ -311,4 +314,19 @@
   BOOST_TEST(Fixture.Gateway_.isAccepting());
 }
 
+/// A log must show why an upstream counted as lost, and that it still ran.
+BOOST_AUTO_TEST_CASE(EventsNameTheEvidenceOfALoss) {
+  UpstreamFixture Fixture(false);
+  Fixture.startServing();
+  Fixture.stopListening();
+  Fixture.serveRequest();
+  Fixture.runUntilRejected();
+  Fixture.receiveHeartbeat("u", 7);
+  const std::vector<std::string> Lost = {"u/7, connection refused"};
+  const std::vector<std::string> Announced = {"u/7",
+                                              "u/7, counted as lost before"};
+  BOOST_TEST(Fixture.Lost_ == Lost, boost::test_tools::per_element());
+  BOOST_TEST(Fixture.Announced_ == Announced, boost::test_tools::per_element());
+}
+
 } // namespace lagoonhitch
