--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -68,7 +68,9 @@
   void handle(const HttpRequest &Request,
               const std::shared_ptr<HttpExchange> &Exchange);
 
-  /// Marks the upstream as terminated: its address refuses connections.
+  /// Sends the upstream no more requests until its next heartbeat: its address
+  /// refuses connections. Its keys may be reassigned once all connections to it
+  /// have ended.
   void onConnectionRefused();
 
   /// Records requests that the gateway has lost, if the upstream is known to
@@ -108,11 +110,13 @@
   void handleDeregistration(const std::string &Upstream);
   void handleHeartbeat(const UpstreamHeartbeat &Heartbeat,
                        const std::shared_ptr<HttpExchange> &Exchange);
+  void logReturn(bool WasLost);
   void onStateChanged();
   void applyRecordedDrain();
   void recordCrash();
   std::string describeLostRun(const LostRun &Run) const;
   void updateAdmission();
+  void checkTermination();
   void checkHealth();
   void sendHealthCheck();
   void onHealthResult(const std::string &Incarnation, const HttpResult &Result);
--- a/membership/upstream_incarnation.cpp
+++ b/membership/upstream_incarnation.cpp
@@ -40,6 +40,7 @@
   Incarnation->LastHeartbeat_ = Heartbeat;
   Incarnation->LastHeartbeatAt_ = Now;
   Incarnation->Unresponsive_ = false;
+  Incarnation->RefusedConnection_ = false;
   Incarnation->Terminated_ = false;
   Incarnation->Draining_ = Incarnation->Draining_ || Heartbeat.Draining_;
   return HeartbeatResult::Accepted;
@@ -67,7 +68,7 @@
   Local.Id_ = Incarnation->LastHeartbeat_.Upstream_;
   Local.StartMillis_ = Incarnation->LastHeartbeat_.StartMillis_;
   Local.Terminated_ = Incarnation->Terminated_;
-  if (Incarnation->Terminated_ || Incarnation->Unresponsive_)
+  if (isLost(Incarnation))
     Local.State_ = LocalUpstream::State::Lost;
   else if (Incarnation->Draining_)
     Local.State_ = LocalUpstream::State::Draining;
@@ -76,9 +77,13 @@
   return Local;
 }
 
+bool isLost(const std::optional<UpstreamIncarnation> &Incarnation) {
+  return Incarnation &&
+         (Incarnation->RefusedConnection_ || Incarnation->Unresponsive_);
+}
+
 bool acceptsRequests(const std::optional<UpstreamIncarnation> &Incarnation) {
-  return Incarnation && !Incarnation->Draining_ && !Incarnation->Terminated_ &&
-         !Incarnation->Unresponsive_;
+  return Incarnation && !Incarnation->Draining_ && !isLost(Incarnation);
 }
 
 } // namespace lagoonhitch
--- a/membership/upstream_incarnation.h
+++ b/membership/upstream_incarnation.h
@@ -33,7 +33,11 @@
   Instant LastHeartbeatAt_ = Instant::min();
   /// Whether it is draining or has deregistered.
   bool Draining_ = false;
-  /// Whether it is proven to have terminated.
+  /// Whether its address has refused a connection since its last heartbeat. It
+  /// has probably terminated, but it may also have closed only its port.
+  bool RefusedConnection_ = false;
+  /// Whether every connection to it has ended, too. Nothing that its daemon has
+  /// sent can be answered any more, and nobody else sends it requests.
   bool Terminated_ = false;
   /// Whether its heartbeats timed out and its health check failed.
   bool Unresponsive_ = false;
@@ -70,6 +74,9 @@
 LocalUpstream
 localUpstream(const std::optional<UpstreamIncarnation> &Incarnation);
 
+/// Returns whether the upstream is unresponsive or refuses connections.
+bool isLost(const std::optional<UpstreamIncarnation> &Incarnation);
+
 /// Returns whether the upstream accepts new requests.
 bool acceptsRequests(const std::optional<UpstreamIncarnation> &Incarnation);
 
--- a/ownership/key_ownership_state.h
+++ b/ownership/key_ownership_state.h
@@ -27,12 +27,15 @@
     Serving,
     /// Alive, but its keys are to be moved to other hosts.
     Draining,
-    /// Known to have terminated, or unresponsive.
+    /// Unresponsive, or its address refuses connections. Neither proves that
+    /// its process has terminated: it may close its listening port and still
+    /// run requests on open connections. It may hold its keys until their holds
+    /// end.
     Lost,
   };
   State State_ = State::Unknown;
-  /// Whether a lost upstream is known to have terminated, and is not just
-  /// unresponsive.
+  /// Whether a lost upstream counts as terminated: its address refuses
+  /// connections, and all connections to it have ended.
   bool Terminated_ = false;
   std::string Id_;
   /// Start of its process, in milliseconds since the Unix epoch.
--- a/tests/schedule/key_fault.h
+++ b/tests/schedule/key_fault.h
@@ -49,10 +49,12 @@
   /// A busy daemon sends grants hundreds of milliseconds after it decides on
   /// them.
   GrantsSentLate,
+  /// An upstream refuses new connections, but runs and holds its keys.
+  UpstreamRefuses,
 };
 
 /// Number of fault kinds.
-inline constexpr int KeyFaultKindCount = 18;
+inline constexpr int KeyFaultKindCount = 19;
 
 /// A fault in a schedule.
 struct KeyFault {
