--- a/tests/unit/endless_server.cpp
+++ b/tests/unit/endless_server.cpp
@@ -93,6 +93,7 @@
 }
 
 void EndlessServer::play(Socket &Client) {
+  std::this_thread::sleep_for(Script_.PauseBeforeHead_);
   if (!send(Client, Script_.Head_) || Script_.Repeated_.empty())
     return;
   std::this_thread::sleep_for(Script_.PauseAfterHead_);
--- a/tests/unit/endless_server.h
+++ b/tests/unit/endless_server.h
@@ -24,6 +24,8 @@
   std::string Repeated_;
   /// Pause after each repetition; zero to send as fast as possible.
   std::chrono::microseconds Pause_{};
+  /// Pause before the head.
+  std::chrono::milliseconds PauseBeforeHead_{};
   /// Pause after the head.
   std::chrono::milliseconds PauseAfterHead_{};
   /// Whether the server closes the connection after the head.
