Receive replies that a peer relays from the store as long as they make progress

Callers of a daemon that the store rejects, or that can't reach it, were served by an older manifest: a large reply through a peer was dropped after 0.7 to 2.7 s while it arrived, and read from its beginning again.

Cause: the rule for direct reads (a reply that makes progress is received beyond its timeout, 10 s at most) acted on neither leg. The peer's own call had no such rule; the daemon behind it sees no byte until the peer has the whole reply.

Now the peer's call has the rule. While its reply arrives, the peer sends interim responses (102, at most one in 100 ms), which clients of all versions skip; each counts as progress for the rule and for the follower, which does not repeat a read that makes progress.

--- a/daemon/peer_service.cpp
+++ b/daemon/peer_service.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Minimum time between two reports of progress to the client of a relayed
+/// call.
+constexpr std::chrono::milliseconds ProgressInterval{100};
+
 HttpResponse plainResponse(unsigned Status) {
   HttpResponse Response;
   Response.Status_ = Status;
@@ -85,7 +89,15 @@
   std::erase_if(Request.Headers_, [](const HttpHeader &Header) {
     return isHopByHop(Header.Name_);
   });
-  Store_.relay(std::move(Request), [Exchange](HttpResult Result) {
+  // The client gives the reply as much time as if it read it itself.
+  const auto OnProgress = [this, Exchange, ReportAt = Instant()]() mutable {
+    const Instant Now = Time_.now();
+    if (Now < ReportAt)
+      return;
+    ReportAt = Now + ProgressInterval;
+    Exchange->reportProgress();
+  };
+  Store_.relay(std::move(Request), OnProgress, [Exchange](HttpResult Result) {
     if (Result.Status_ == HttpCallStatus::Completed)
       Exchange->respond(std::move(Result.Response_));
     else
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -164,7 +164,8 @@
       return 0;
     error_code Failure;
     const std::size_t Unread = Connection_->Stream_.socket().available(Failure);
-    return Reader_->bytes() + (Failure ? 0 : Unread);
+    return Reader_->bytes() + Reader_->interimResponses() +
+           (Failure ? 0 : Unread);
   }
 
 private:
@@ -280,6 +281,8 @@
           !readArrived(Failure, Size)) {
         extendTimeout();
         readSome();
+        if (Options_.OnProgress_)
+          Options_.OnProgress_();
         return;
       }
       TurnBytes += Size;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -50,6 +50,9 @@
   /// Maximum time from the first byte of a response to its end if that is after
   /// Timeout_.
   Duration MaxReceivingTime_ = std::chrono::seconds(10);
+  /// Called when a part of the response, or an interim response, has arrived;
+  /// null for none. It must not cancel the call.
+  std::function<void()> OnProgress_;
   /// The latest time at which a new connection may be used; the call ends
   /// without being sent if the connection is open only later.
   Instant SendBy_ = Instant::max();
@@ -90,8 +93,8 @@
   void cancel(const std::shared_ptr<void> &Call);
 
   /// Returns how much of a call's response has arrived, as a number of bytes
-  /// that grows with it; bytes that wait in the socket count as well. It is
-  /// zero once the call has ended.
+  /// that grows with it; bytes that wait in the socket count as well, and an
+  /// interim response as one byte. It is zero once the call has ended.
   static std::size_t receivedBytes(const std::shared_ptr<void> &Call);
 
   /// Overrides the maximum number of connections to one address.
--- a/net/http_exchange.h
+++ b/net/http_exchange.h
@@ -18,6 +18,12 @@
   /// Sends the response. Only the first call has an effect.
   virtual void respond(HttpResponse Response) = 0;
 
+  /// Reports to the client that its request is still being handled, by an
+  /// interim response (102). Does nothing while other bytes are being sent, or
+  /// if an earlier request of the connection is not answered yet. The client
+  /// must support HTTP/1.1.
+  virtual void reportProgress() {}
+
   /// Sets a callback that is called at most once, if the client closes its
   /// connection before respond() is called.
   virtual void onAbandoned(std::function<void()> Callback) = 0;
--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -2,10 +2,12 @@
 
 #include "net/beast_convert.h"
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace http = boost::beast::http;
@@ -24,6 +26,7 @@
 constexpr std::size_t MaxWaitingBytes = std::size_t{256} * 1024;
 /// How long the input behind the last request is discarded.
 constexpr std::chrono::milliseconds MaxDiscardTime{500};
+constexpr std::string_view ProgressResponse = "HTTP/1.1 102 Processing\r\n\r\n";
 
 unsigned parseErrorStatus(const error_code &Failure) {
   if (Failure == http::error::header_limit)
@@ -71,6 +74,8 @@
     Session_->respond(RequestNumber_, std::move(Response));
   }
 
+  void reportProgress() override { Session_->reportProgress(RequestNumber_); }
+
   void onAbandoned(std::function<void()> Callback) override {
     Session_->setOnAbandoned(RequestNumber_, std::move(Callback));
   }
@@ -344,6 +349,32 @@
     readAhead();
 }
 
+void HttpSession::reportProgress(std::uint64_t Number) {
+  const bool IsNext = !Pending_.empty() && Pending_.front().Number_ == Number &&
+                      !Pending_.front().Response_;
+  if (!IsNext || Writing_ || Closed_)
+    return;
+  Writing_ = true;
+  Stream_.expires_never();
+  boost::asio::async_write(
+      Stream_,
+      boost::asio::buffer(ProgressResponse.data(), ProgressResponse.size()),
+      [Self = shared_from_this()](error_code Failure, std::size_t) {
+        Self->onProgressWritten(Failure);
+      });
+}
+
+void HttpSession::onProgressWritten(const error_code &Failure) {
+  Writing_ = false;
+  if (Closed_)
+    return;
+  if (Failure) {
+    abandon();
+    return;
+  }
+  writeNext();
+}
+
 /// Waits until the client sends another request or closes the connection.
 void HttpSession::watchForInput() {
   if (Watching_ || Reading_ || Closed_ || Pending_.empty())
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -41,6 +41,9 @@
   /// client is gone.
   void respond(std::uint64_t Number, HttpResponse Response);
 
+  /// Sends an interim response to a request if it is the next to be answered.
+  void reportProgress(std::uint64_t Number);
+
   /// Sets the callback that is called if the client closes the connection
   /// before the request has a response.
   void setOnAbandoned(std::uint64_t Number, std::function<void()> Callback);
@@ -84,6 +87,7 @@
   void writeNext();
   void write(HttpResponse Source, bool KeepAlive);
   void onWritten(const boost::beast::error_code &Failure, bool KeepAlive);
+  void onProgressWritten(const boost::beast::error_code &Failure);
   void readAhead();
   void watchForInput();
   void onReadable(const boost::beast::error_code &Failure);
--- a/net/response_reader.cpp
+++ b/net/response_reader.cpp
@@ -90,8 +90,10 @@
     Buffer_.consume(Parsed);
     if (Parser_->is_header_done() && !hasKnownCodings(Parser_->get()))
       return false;
-    if (Parser_->is_done() && isInterim(Parser_->get()))
+    if (Parser_->is_done() && isInterim(Parser_->get())) {
+      ++InterimResponses_;
       startResponse();
+    }
   }
   return !Failure || Failure == http::error::need_more;
 }
--- a/net/response_reader.h
+++ b/net/response_reader.h
@@ -61,6 +61,9 @@
   /// Returns the size of the incomplete response in memory.
   std::size_t bytes() const;
 
+  /// Returns how many interim responses were skipped.
+  std::size_t interimResponses() const { return InterimResponses_; }
+
   /// Returns whether the connection of a complete response can be reused. Bytes
   /// after the response belong to no request.
   bool allowsReuse() const {
@@ -92,6 +95,7 @@
   /// Received bytes that are not parsed yet.
   boost::beast::flat_buffer Buffer_;
   std::size_t ReceivedBytes_ = 0;
+  std::size_t InterimResponses_ = 0;
   /// Whether the status line of the response is parsed.
   bool StartParsed_ = false;
 };
--- a/tests/unit/relayed_read_test.cpp
+++ b/tests/unit/relayed_read_test.cpp
@@ -190,6 +190,17 @@
   }
 }
 
+/// Reports of progress have a minimum interval, so they may be further apart
+/// than the parts of the reply.
+BOOST_AUTO_TEST_CASE(RelayedReplyMayPauseAsLongAsADirectOne) {
+  ServerScript Script = slowReply(3);
+  Script.PauseAfterHead_ = milliseconds(60);
+  Script.Pause_ = milliseconds(660);
+  EndlessServer StoreServer(std::move(Script));
+  RelayFixture Fixture(StoreServer.address());
+  BOOST_TEST((Fixture.read().Kind_ == ReadReply::Kind::Done));
+}
+
 /// The relay waits for its own reply no longer than for a direct read.
 BOOST_AUTO_TEST_CASE(RelayedReplyThatStopsArrivingFails) {
   const std::string Start = startOfRecord(PieceBytes);
