Read a record again if its reply takes too long after peers have announced it

Callers could be served by an older manifest for up to 10 s at a daemon whose reply from the store trickles, because any single byte counted as progress.

Now a reply may take 1 s, counted from the latest of its first part, the start of the last read and the first announcement by a peer. Then the record is read once more on another connection, also if bytes arrive; the next time 1 s later. The earlier reply is still used if it comes first. A minimum rate was not chosen: interim responses of a relayed read have no size, and on hosts whose loop is 0.7 s late the socket's buffer bounds the rate.

--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -25,6 +25,10 @@
 /// The longest such time: a new manifest must be in force within two seconds,
 /// also if some replies are lost.
 constexpr std::chrono::milliseconds MaxRereadDelay{600};
+/// Time from the first part of a reply to its end, once a peer has announced
+/// its records. Then they are read again: bytes that trickle are no reason to
+/// wait while another connection may work.
+constexpr std::chrono::milliseconds MaxArrivalTime{1000};
 
 } // namespace
 
@@ -56,26 +60,38 @@
   // A read of all records is under way. It ends by its own timeout.
   if (ReadingNewest_)
     return;
-  // The reply may only be slow, because it is large or the link is full. A
-  // second one would take the same bytes from the link once more.
-  if (Time_.now() - std::max(ReadStartedAt_, ReceivedAt_) < RereadDelay_)
-    return;
-  if (noteReceivedBytes())
+  if (!isReplyOverdue() && mayReplyArrive())
     return;
   RereadDelay_ = std::min<Duration>(RereadDelay_ * 2, MaxRereadDelay);
   ++RepeatedReads_;
   readNext();
 }
 
+/// Returns whether a reply with announced records takes too long to arrive.
+bool TopicFollower::isReplyOverdue() const {
+  const Instant Start = std::max({*HintedAt_, ReadStartedAt_, ArrivingSince_});
+  return Time_.now() - Start >= MaxArrivalTime;
+}
+
+/// Returns whether the reply may only be slow, because it is large or the link
+/// is full. A second one would take the same bytes from the link once more.
+bool TopicFollower::mayReplyArrive() {
+  if (Time_.now() - std::max(ReadStartedAt_, ReceivedAt_) < RereadDelay_)
+    return true;
+  return noteReceivedBytes();
+}
+
 /// Returns whether a part of a reply has arrived since the last call.
 bool TopicFollower::noteReceivedBytes() {
   std::size_t Received = 0;
   for (const auto &[Number, Read] : OpenReads_)
     Received += Source_.receivedBytes(Read);
   const bool Arriving = Received > 0 && Received != ReceivedBytes_;
-  ReceivedBytes_ = Received;
   if (Arriving)
     ReceivedAt_ = Time_.now();
+  if (Arriving && ReceivedBytes_ == 0)
+    ArrivingSince_ = ReceivedAt_;
+  ReceivedBytes_ = Received;
   return Arriving;
 }
 
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -88,6 +88,8 @@
   void readNewest();
   void readNext();
   void readIfBehind();
+  bool isReplyOverdue() const;
+  bool mayReplyArrive();
   bool noteReceivedBytes();
   void continueReading();
   void onNewest(ReadReply Reply);
@@ -123,6 +125,8 @@
   std::size_t ReceivedBytes_ = 0;
   /// When a part of a reply was last seen to have arrived.
   Instant ReceivedAt_ = Instant::min();
+  /// When the first part of a reply was seen to have arrived.
+  Instant ArrivingSince_ = Instant::min();
   /// Time without a read and without a part of a reply from which a hint causes
   /// another read.
   Duration RereadDelay_;
