--- a/bench/decisions/current_policy.cpp
+++ b/bench/decisions/current_policy.cpp
@@ -1,14 +1,18 @@
 #include "bench/decisions/current_policy.h"
 
+#include "membership/digest_recipients.h"
 #include "routing/host_choice.h"
 #include "settings/request_rule.h"
 
+#include <algorithm>
+
 namespace lagoonhitch {
 
 namespace {
 
 constexpr const char *Service = "s";
-constexpr std::chrono::milliseconds DigestInterval{250};
+/// The service of daemons without an upstream of the simulated service.
+constexpr const char *OtherService = "other";
 /// How long no request is started after the upstream has shed one.
 constexpr std::chrono::milliseconds RejectionPause{30};
 
@@ -16,28 +20,64 @@
 
 CurrentPolicy::CurrentPolicy(const ServiceSimulationOptions &Options,
                              std::uint64_t Seed, Instant Now)
-    : ZoneDelay_(Options.ZoneDelay_), Random_(Seed) {
-  for (std::size_t Index = 0; Index < Options.Upstreams_.size(); ++Index) {
-    Host Added;
-    Added.Name_ = std::to_string(Index);
-    Added.Zone_ = std::to_string(Index % Options.Zones_);
+    : ZoneCost_(Options.ZoneCost_.value_or(toMillis(Options.ZoneDelay_ * 2))),
+      DigestInterval_(Options.DigestInterval_),
+      SampleDigests_(Options.SampleDigests_), Random_(Seed) {
+  const std::size_t Upstreams = Options.Upstreams_.size();
+  const std::size_t Daemons = std::max(Options.Daemons_, Upstreams);
+  for (std::size_t Index = 0; Index < Daemons; ++Index)
+    addHost(Index, Options, Now);
+  for (Host &Receiver : Hosts_)
+    addMembers(Receiver, Now);
+  for (std::size_t Index = 0; Index < Upstreams; ++Index)
+    Hosts_[Index].Recipients_ = recipientsOf(Hosts_[Index]);
+  for (std::size_t Index = 0; Index < Upstreams; ++Index) {
+    sendDigest(Hosts_[Index], Now);
+    if (SampleDigests_)
+      Hosts_[Index].NextDigestAt_ =
+          Now + DigestInterval_ * (Index + 1) / Upstreams;
+  }
+}
+
+void CurrentPolicy::addHost(std::size_t Index,
+                            const ServiceSimulationOptions &Options,
+                            Instant Now) {
+  Host Added;
+  Added.Name_ = std::to_string(Index);
+  Added.Zone_ = std::to_string(Index % Options.Zones_);
+  Added.HasUpstream_ = Index < Options.Upstreams_.size();
+  Added.NextDigestAt_ = Now;
+  if (Added.HasUpstream_) {
+    const FakeUpstreamOptions &Upstream = Options.Upstreams_[Index];
     Added.Queue_.Options_.InitialProcessingTime_ =
-        toMillis(Options.Upstreams_[Index].MeanProcessingTime_);
-    resetForUpstream(Added.Queue_, Options.Upstreams_[Index].Slots_);
-    Added.NextDigestAt_ = Now;
-    Hosts_.push_back(std::move(Added));
+        toMillis(Upstream.MeanProcessingTime_);
+    resetForUpstream(Added.Queue_, Upstream.Slots_);
   }
-  for (Host &Receiver : Hosts_)
-    for (const Host &Other : Hosts_) {
-      MemberRecord Record;
-      Record.Host_ = Other.Name_;
-      Record.Zone_ = Other.Zone_;
-      Record.Service_ = Service;
-      Record.State_ = UpstreamState::Ready;
-      applyRecord(Receiver.Fleet_, Record, Now);
-    }
-  for (Host &Sender : Hosts_)
-    sendDigest(Sender, Now);
+  Hosts_.push_back(std::move(Added));
+}
+
+void CurrentPolicy::addMembers(Host &Receiver, Instant Now) const {
+  for (const Host &Other : Hosts_) {
+    MemberRecord Record;
+    Record.Host_ = Other.Name_;
+    Record.Zone_ = Other.Zone_;
+    Record.Service_ = Other.HasUpstream_ ? Service : OtherService;
+    Record.State_ = UpstreamState::Ready;
+    applyRecord(Receiver.Fleet_, Record, Now);
+  }
+}
+
+std::vector<std::size_t> CurrentPolicy::recipientsOf(const Host &Sender) const {
+  std::vector<std::size_t> Recipients;
+  if (!SampleDigests_) {
+    for (std::size_t Index = 0; Index < Hosts_.size(); ++Index)
+      Recipients.push_back(Index);
+    return Recipients;
+  }
+  for (const MemberRecord *Recipient : digestRecipients(
+           Sender.Fleet_, Sender.Name_, false, DigestSampleOptions()))
+    Recipients.push_back(std::stoull(Recipient->Host_));
+  return Recipients;
 }
 
 void CurrentPolicy::sendDigest(Host &Sender, Instant Now) {
@@ -52,9 +92,10 @@
   Digest.Slots_ = Load.Slots_;
   Digest.ProcessingMillis_ = Load.ProcessingMillis_;
   Digest.RateLimit_ = Load.RateLimit_;
-  for (Host &Receiver : Hosts_)
-    applyDigest(Receiver.Fleet_, Digest, Now);
-  Sender.NextDigestAt_ = Now + DigestInterval;
+  Digest.IntervalMillis_ = static_cast<std::uint32_t>(DigestInterval_.count());
+  for (const std::size_t Index : Sender.Recipients_)
+    applyDigest(Hosts_[Index].Fleet_, Digest, Now);
+  Sender.NextDigestAt_ = Now + DigestInterval_;
 }
 
 FleetMember &CurrentPolicy::memberOf(std::size_t EntryHost,
@@ -72,10 +113,11 @@
   for (const std::size_t Index : Tried)
     Choice.Tried_.insert(Hosts_[Index].Name_);
   HostChoiceOptions Options;
-  Options.ZoneCost_ = toMillis(ZoneDelay_ * 2);
+  Options.ZoneCost_ = ZoneCost_;
   // A daemon knows the current load of its local upstream.
-  applyLoadReport(memberOf(EntryHost, EntryHost),
-                  loadReport(Hosts_[EntryHost].Queue_, Now), Now);
+  if (Hosts_[EntryHost].HasUpstream_)
+    applyLoadReport(memberOf(EntryHost, EntryHost),
+                    loadReport(Hosts_[EntryHost].Queue_, Now), Now);
   const std::optional<std::string> Chosen =
       chooseHost(Hosts_[EntryHost].Fleet_, Choice, Options, Random_(), Now);
   return Chosen ? std::stoull(*Chosen) : EntryHost;
--- a/bench/decisions/current_policy.h
+++ b/bench/decisions/current_policy.h
@@ -46,15 +46,24 @@
     std::string Zone_;
     AdmissionQueue Queue_;
     Fleet Fleet_;
+    bool HasUpstream_ = false;
     Instant NextDigestAt_;
+    /// Indexes of the hosts that receive its digests.
+    std::vector<std::size_t> Recipients_;
     std::uint64_t Sequence_ = 0;
   };
 
+  void addHost(std::size_t Index, const ServiceSimulationOptions &Options,
+               Instant Now);
+  void addMembers(Host &Receiver, Instant Now) const;
+  std::vector<std::size_t> recipientsOf(const Host &Sender) const;
   void sendDigest(Host &Sender, Instant Now);
   FleetMember &memberOf(std::size_t EntryHost, std::size_t TargetHost);
   static QueuedRequest toQueuedRequest(const BenchRequest &Request);
 
-  std::chrono::microseconds ZoneDelay_;
+  std::chrono::milliseconds ZoneCost_;
+  std::chrono::milliseconds DigestInterval_;
+  bool SampleDigests_;
   std::mt19937_64 Random_;
   std::vector<Host> Hosts_;
 };
--- a/bench/decisions/scenarios.cpp
+++ b/bench/decisions/scenarios.cpp
@@ -2,10 +2,13 @@
 
 #include "bench/decisions/service_simulation.h"
 #include "ownership/key_balance.h"
+#include "routing/host_choice.h"
 
 #include <algorithm>
 #include <functional>
+#include <iomanip>
 #include <map>
+#include <sstream>
 
 namespace lagoonhitch {
 
@@ -222,6 +225,115 @@
   return All;
 }
 
+/// A site with a shared service. Requests enter in three of its five zones.
+struct SiteSize {
+  std::uint32_t Daemons_ = 0;
+  std::uint32_t Upstreams_ = 0;
+  /// The bound of the busiest upstream's arrivals, divided by the mean, at
+  /// HerdBoundLoad; zero for none.
+  double Bound_ = 0;
+};
+
+constexpr SiteSize SiteSizes[] = {
+    {30, 12, 0}, {88, 34, 1.15}, {88, 9, 1.15}, {194, 75, 1.25}};
+/// Request rate for which the bounds hold, as a fraction of the capacity.
+constexpr double HerdBoundLoad = 0.8;
+
+/// Request rate and age of load reports of a run of the herd scenario.
+struct HerdLoad {
+  /// Request rate as a fraction of the capacity.
+  double Load_ = 0;
+  std::chrono::milliseconds DigestInterval_{0};
+};
+
+constexpr HerdLoad HerdLoads[] = {
+    {HerdBoundLoad, std::chrono::milliseconds(200)},
+    {HerdBoundLoad, std::chrono::milliseconds(1000)},
+    {HerdBoundLoad, std::chrono::milliseconds(2000)},
+    {0.5, std::chrono::milliseconds(1000)},
+    {1.0, std::chrono::milliseconds(1000)},
+    {1.5, std::chrono::milliseconds(1000)}};
+
+ServiceSimulationOptions herdOptions(const SiteSize &Size, const HerdLoad &Load,
+                                     std::uint64_t Seed) {
+  constexpr std::chrono::milliseconds ProcessingTime{200};
+  constexpr std::uint32_t Slots = 16;
+  FakeUpstreamOptions Upstream;
+  Upstream.Slots_ = Slots;
+  Upstream.MeanProcessingTime_ = ProcessingTime;
+  ServiceSimulationOptions Options;
+  Options.Upstreams_.assign(Size.Upstreams_, Upstream);
+  Options.Daemons_ = Size.Daemons_;
+  Options.Zones_ = 5;
+  Options.CallerZones_ = 3;
+  Options.ZoneCost_ = HostChoiceOptions().ZoneCost_;
+  Options.DigestInterval_ = Load.DigestInterval_;
+  Options.SampleDigests_ = true;
+  Options.Rate_ = Load.Load_ * Size.Upstreams_ * Slots /
+                  std::chrono::duration<double>(ProcessingTime).count();
+  Options.Seed_ = Seed;
+  return Options;
+}
+
+double queueTimeMillis(const ServiceSimulationResult &Result, double Percent) {
+  constexpr double MicrosPerMilli = 1000;
+  return static_cast<double>(Result.QueueTime_.percentile(Percent).count()) /
+         MicrosPerMilli;
+}
+
+double refusedPercent(const ServiceSimulationResult &Result) {
+  std::uint64_t Sent = 0;
+  for (const std::uint64_t Count : Result.Sent_)
+    Sent += Count;
+  return 100 * static_cast<double>(Result.Rejected_) /
+         static_cast<double>(Sent);
+}
+
+std::string describe(const SiteSize &Size, const HerdLoad &Load) {
+  std::ostringstream Text;
+  Text << Size.Upstreams_ << " of " << Size.Daemons_ << ", " << std::fixed
+       << std::setprecision(1) << Load.Load_ << ", "
+       << std::chrono::duration<double>(Load.DigestInterval_).count() << " s";
+  return Text.str();
+}
+
+Rows herdRows(const SiteSize &Size, const HerdLoad &Load, std::uint64_t First,
+              std::uint32_t Seeds) {
+  std::map<std::uint64_t, ServiceSimulationResult> Results;
+  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed)
+    Results[Seed] = simulateService(herdOptions(Size, Load, Seed));
+  Rows All;
+  const auto AddRow = [&](const std::string &Figure, auto Value) {
+    All.push_back(measureSeeds(
+        "herd", describe(Size, Load), Figure, First, Seeds, false,
+        [&](std::uint64_t Seed) { return Value(Results.at(Seed)); }));
+  };
+  using Result = ServiceSimulationResult;
+  AddRow("busiest/mean arrivals",
+         [](const Result &Run) { return Run.BusiestToMean_; });
+  All.back().Bound_ = Load.Load_ == HerdBoundLoad ? Size.Bound_ : 0;
+  AddRow("same, worst second",
+         [](const Result &Run) { return Run.BusiestToMeanInSecond_; });
+  AddRow("time in queue p50 ms",
+         [](const Result &Run) { return queueTimeMillis(Run, 50); });
+  AddRow("time in queue p99 ms",
+         [](const Result &Run) { return queueTimeMillis(Run, 99); });
+  AddRow("refused %", refusedPercent);
+  return All;
+}
+
+/// Measures how evenly many entry daemons spread requests when their load
+/// reports are old. Rows are named by upstreams and daemons, request rate as a
+/// fraction of the capacity, and time between two reports.
+Rows herd(std::uint64_t First, std::uint32_t Seeds) {
+  Rows All;
+  for (const SiteSize &Size : SiteSizes)
+    for (const HerdLoad &Load : HerdLoads)
+      for (const ScenarioRow &Row : herdRows(Size, Load, First, Seeds))
+        All.push_back(Row);
+  return All;
+}
+
 constexpr std::uint32_t ChurnShards = 1200;
 
 /// The owner of each shard.
@@ -397,9 +509,13 @@
 
 const std::vector<std::pair<std::string, ScenarioFunction>> &scenarios() {
   static const std::vector<std::pair<std::string, ScenarioFunction>> All = {
-      {"imbalance", imbalance},   {"churn", churn},
-      {"stragglers", stragglers}, {"cold", cold},
-      {"rain", overload},         {"retry_storm", retryStorm}};
+      {"imbalance", imbalance},
+      {"churn", churn},
+      {"stragglers", stragglers},
+      {"cold", cold},
+      {"rain", overload},
+      {"retry_storm", retryStorm},
+      {"herd", herd}};
   return All;
 }
 
--- a/bench/decisions/service_simulation.cpp
+++ b/bench/decisions/service_simulation.cpp
@@ -20,6 +20,10 @@
   std::map<std::uint64_t, std::function<void(bool)>> Queued_;
   std::uint32_t Zone_ = 0;
   RetryBudget RetryBudget_;
+  /// Attempts that have arrived at the upstream's admission queue.
+  std::uint64_t Arrivals_ = 0;
+  /// Those of them in the present second.
+  std::uint64_t ArrivalsInSecond_ = 0;
 };
 
 struct SimulatedRequest {
@@ -39,7 +43,9 @@
 public:
   explicit ServiceSimulation(const ServiceSimulationOptions &Options)
       : Options_(Options), Random_(Options.Seed_), Start_(Events_.now()) {
-    for (std::size_t Index = 0; Index < Options.Upstreams_.size(); ++Index)
+    const std::size_t Daemons =
+        std::max(Options.Daemons_, Options.Upstreams_.size());
+    for (std::size_t Index = 0; Index < Daemons; ++Index)
       addHost(Index);
     if (Options.Policy_ == PolicyKind::Current)
       Policy_ = std::make_unique<CurrentPolicy>(Options, Random_(), Start_);
@@ -51,6 +57,7 @@
     scheduleArrival();
     scheduleTicks();
     scheduleFaults();
+    scheduleSecond();
     const Instant End = Start_ + Options_.Duration_;
     const std::chrono::seconds LastSecond{1};
     Events_.runUntil(End - LastSecond);
@@ -62,12 +69,14 @@
 
 private:
   void addHost(std::size_t Index) {
+    Hosts_.emplace_back();
+    SimulatedHost &Host = Hosts_.back();
+    Host.Zone_ = static_cast<std::uint32_t>(Index) % Options_.Zones_;
+    if (Index >= Options_.Upstreams_.size())
+      return;
     const FakeUpstreamOptions &UpstreamOptions = Options_.Upstreams_[Index];
-    SimulatedHost Host;
     Host.Upstream_ =
         std::make_unique<FakeUpstream>(Events_, UpstreamOptions, Random_());
-    Host.Zone_ = static_cast<std::uint32_t>(Index) % Options_.Zones_;
-    Hosts_.push_back(std::move(Host));
     Result_.Capacity_ +=
         UpstreamOptions.Slots_ * UpstreamOptions.Speed_ /
         std::chrono::duration<double>(UpstreamOptions.MeanProcessingTime_)
@@ -76,8 +85,8 @@
 
   std::vector<std::uint64_t> successCounts() const {
     std::vector<std::uint64_t> Counts;
-    for (const SimulatedHost &Host : Hosts_)
-      Counts.push_back(Host.Upstream_->successCount());
+    for (std::size_t Index = 0; Index < Options_.Upstreams_.size(); ++Index)
+      Counts.push_back(Hosts_[Index].Upstream_->successCount());
     return Counts;
   }
 
@@ -100,11 +109,40 @@
 
   void scheduleTicks() {
     constexpr std::chrono::milliseconds TickInterval{50};
-    for (std::size_t Index = 0; Index < Hosts_.size(); ++Index)
+    for (std::size_t Index = 0; Index < Options_.Upstreams_.size(); ++Index)
       applyDispatch(Index, Policy_->tick(Index, Events_.now()));
     Events_.after(TickInterval, [this] { scheduleTicks(); });
   }
 
+  void scheduleSecond() {
+    Events_.after(std::chrono::seconds(1), [this] {
+      endSecond();
+      scheduleSecond();
+    });
+  }
+
+  void endSecond() {
+    Result_.BusiestToMeanInSecond_ =
+        std::max(Result_.BusiestToMeanInSecond_,
+                 busiestToMean(&SimulatedHost::ArrivalsInSecond_));
+    for (SimulatedHost &Host : Hosts_)
+      Host.ArrivalsInSecond_ = 0;
+  }
+
+  /// Returns the highest count of an upstream, divided by the mean.
+  double busiestToMean(std::uint64_t SimulatedHost::*Count) const {
+    std::uint64_t Highest = 0;
+    std::uint64_t Total = 0;
+    const std::size_t Upstreams = Options_.Upstreams_.size();
+    for (std::size_t Index = 0; Index < Upstreams; ++Index) {
+      Highest = std::max(Highest, Hosts_[Index].*Count);
+      Total += Hosts_[Index].*Count;
+    }
+    return Total == 0 ? 0
+                      : static_cast<double>(Highest * Upstreams) /
+                            static_cast<double>(Total);
+  }
+
   void scheduleFaults() {
     if (Options_.Stragglers_)
       Events_.after(std::chrono::seconds(1),
@@ -139,20 +177,29 @@
 
   void slowDownRandomUpstream() {
     constexpr double Factor = 20;
-    Hosts_[Random_() % Hosts_.size()].Upstream_->slowDown(
+    Hosts_[Random_() % Options_.Upstreams_.size()].Upstream_->slowDown(
         Factor, std::chrono::milliseconds(300));
     Events_.after(std::chrono::seconds(1),
                   [this] { slowDownRandomUpstream(); });
   }
 
   void setErrorPercent(std::uint32_t Percent) {
-    for (SimulatedHost &Host : Hosts_)
-      Host.Upstream_->setErrorPercent(Percent);
+    for (std::size_t Index = 0; Index < Options_.Upstreams_.size(); ++Index)
+      Hosts_[Index].Upstream_->setErrorPercent(Percent);
+  }
+
+  /// Returns the host that receives the next request from its caller.
+  std::size_t randomEntryHost() {
+    std::size_t Index = Random_() % Hosts_.size();
+    while (Options_.CallerZones_ > 0 &&
+           Hosts_[Index].Zone_ >= Options_.CallerZones_)
+      Index = Random_() % Hosts_.size();
+    return Index;
   }
 
   void startRequest() {
     const SimulatedRequestPtr Request = std::make_shared<SimulatedRequest>();
-    Request->EntryHost_ = Random_() % Hosts_.size();
+    Request->EntryHost_ = randomEntryHost();
     Request->PriorityClass_ = Random_() % PriorityCount;
     Request->SentAt_ = Events_.now();
     Request->Deadline_ =
@@ -183,21 +230,27 @@
     const BenchRequest Submitted = {++LastRequestNumber_,
                                     Request->PriorityClass_, Request->SentAt_,
                                     Request->Deadline_};
+    ++Hosts_[Request->TargetHost_].Arrivals_;
+    ++Hosts_[Request->TargetHost_].ArrivalsInSecond_;
     if (!Options_.UseAdmission_) {
       runAtUpstream(Request, Submitted, SentAt);
       return;
     }
     switch (Policy_->admit(Request->TargetHost_, Submitted, Events_.now())) {
     case BenchDecision::Start:
+      Result_.QueueTime_.add(Duration::zero());
       runAtUpstream(Request, Submitted, SentAt);
       return;
     case BenchDecision::Wait:
       Hosts_[Request->TargetHost_].Queued_[Submitted.Number_] =
-          [this, Request, Submitted, SentAt](bool Started) {
-            if (Started)
-              runAtUpstream(Request, Submitted, SentAt);
-            else
+          [this, Request, Submitted, SentAt,
+           QueuedAt = Events_.now()](bool Started) {
+            if (!Started) {
               sendResult(Request, SentAt, BenchOutcome::Shed);
+              return;
+            }
+            Result_.QueueTime_.add(Events_.now() - QueuedAt);
+            runAtUpstream(Request, Submitted, SentAt);
           };
       return;
     case BenchDecision::Reject:
@@ -300,7 +353,8 @@
     double WeightedSum = 0;
     double TotalSpeed = 0;
     double SuccessesInLastSecond = 0;
-    for (std::size_t Index = 0; Index < Hosts_.size(); ++Index) {
+    const std::size_t Upstreams = Options_.Upstreams_.size();
+    for (std::size_t Index = 0; Index < Upstreams; ++Index) {
       const FakeUpstreamOptions &UpstreamOptions = Options_.Upstreams_[Index];
       const double BusyPerSlot =
           std::chrono::duration<double>(Hosts_[Index].Upstream_->busyTime())
@@ -312,6 +366,7 @@
       SuccessesInLastSecond += static_cast<double>(
           Hosts_[Index].Upstream_->successCount() - CountsBefore[Index]);
     }
+    Result_.BusiestToMean_ = busiestToMean(&SimulatedHost::Arrivals_);
     Result_.Imbalance_ = Highest / (WeightedSum / TotalSpeed);
     Result_.Goodput_ = static_cast<double>(AnsweredInTime_) /
                        std::chrono::duration<double>(Options_.Duration_ -
@@ -321,7 +376,7 @@
     Result_.ShareAtEnd_ =
         static_cast<double>(Hosts_[0].Upstream_->successCount() -
                             CountsBefore[0]) /
-        (SuccessesInLastSecond / static_cast<double>(Hosts_.size()));
+        (SuccessesInLastSecond / static_cast<double>(Upstreams));
   }
 
   ServiceSimulationOptions Options_;
--- a/bench/decisions/service_simulation.h
+++ b/bench/decisions/service_simulation.h
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -36,9 +37,23 @@
 /// Settings of a simulation.
 struct ServiceSimulationOptions {
   std::vector<FakeUpstreamOptions> Upstreams_;
+  /// Number of daemons; the first ones have the upstreams. Zero for one daemon
+  /// per upstream. With more, only PolicyKind::Current is supported.
+  std::size_t Daemons_ = 0;
   std::uint32_t Zones_ = 3;
   /// One-way network delay between zones.
   std::chrono::microseconds ZoneDelay_{500};
+  /// HostChoiceOptions::ZoneCost_; if not set, the delay to another zone and
+  /// back.
+  std::optional<std::chrono::milliseconds> ZoneCost_;
+  /// Number of zones, from zone 0 on, in which requests enter; zero for all.
+  std::uint32_t CallerZones_ = 0;
+  /// Time between two load digests of a daemon.
+  std::chrono::milliseconds DigestInterval_{250};
+  /// Whether each daemon receives the digests of a sample of hosts, as in a
+  /// site, at times that differ from host to host. Otherwise all receive all
+  /// digests, at the same time.
+  bool SampleDigests_ = false;
   /// Requests per second.
   double Rate_ = 1000;
   /// Requests per second from OverloadFrom_ on; zero for no overload.
@@ -80,6 +95,13 @@
   std::uint64_t Attempts_ = 0;
   /// Requests that failed with an error more than 2 s after ErrorsUntil_.
   std::uint64_t ErrorsAfterFault_ = 0;
+  /// Attempts that arrived at the busiest upstream, divided by the mean of all
+  /// upstreams.
+  double BusiestToMean_ = 0;
+  /// The highest such ratio of a single second.
+  double BusiestToMeanInSecond_ = 0;
+  /// Time in the admission queue, of requests that were started.
+  LatencySamples QueueTime_;
   /// Highest utilisation of an upstream, divided by the capacity-weighted mean.
   double Imbalance_ = 0;
   /// Requests answered within their deadline, per second, from OverloadFrom_
