--- a/routing/host_choice.cpp
+++ b/routing/host_choice.cpp
@@ -8,6 +8,14 @@
 
 namespace {
 
+/// Number of upstreams that are compared, in the own zone and in the others.
+/// With more, entry daemons that know the same load reports would choose the
+/// same upstream until the next report.
+constexpr std::size_t ZoneSample = 2;
+constexpr std::size_t OtherZonesSample = 4;
+/// Number of entry daemons that are assumed to send as many requests to an
+/// upstream as this one between two load reports.
+constexpr double EntryDaemons = 4;
 /// Load up to which an upstream counts as lightly loaded, as a fraction of its
 /// slots.
 constexpr double LightLoad = 0.7;
@@ -24,6 +32,9 @@
 /// ones.
 constexpr double MaxLoad = 8;
 
+/// Bits of the random number that are skipped for each drawn upstream.
+constexpr std::size_t BitsPerDraw = 12;
+
 const FleetMember *cheaperOf(const FleetMember *Left, const FleetMember *Right,
                              const HostChoice &Choice,
                              const HostChoiceOptions &Options, Instant Now) {
@@ -72,6 +83,23 @@
   return Member;
 }
 
+/// Returns the cheapest of a random sample of the candidates; one of them at
+/// random if several cost the same; nullptr if there is none.
+const FleetMember *cheapestOfSample(std::vector<const FleetMember *> Candidates,
+                                    std::size_t SampleSize,
+                                    std::uint64_t Random,
+                                    const HostChoice &Choice,
+                                    const HostChoiceOptions &Options,
+                                    Instant Now) {
+  const FleetMember *Cheapest = nullptr;
+  for (std::size_t Drawn = 0; Drawn < SampleSize; ++Drawn) {
+    const FleetMember *Member =
+        takeRandom(Candidates, Random >> (Drawn * BitsPerDraw));
+    Cheapest = cheaperOf(Cheapest, Member, Choice, Options, Now);
+  }
+  return Cheapest;
+}
+
 /// Returns the processing time that is used for the cost: a weighted geometric
 /// mean of the upstream's own and the typical one. With its own alone, a fast
 /// upstream would be filled up while others are idle.
@@ -91,8 +119,8 @@
                 const HostChoiceOptions &Options, Instant Now) {
   const LoadDigest &Digest = Member.Digest_;
   const double Slots = std::max<double>(Digest.Slots_, 1);
-  const double Reported =
-      Digest.Running_ + Digest.Queued_ + Member.SentSinceLoadUpdate_;
+  const double Reported = Digest.Running_ + Digest.Queued_ +
+                          EntryDaemons * Member.SentSinceLoadUpdate_;
   // Unanswered requests of this daemon reveal a slow upstream before its next
   // load report does.
   const double Load = std::min(
@@ -122,16 +150,19 @@
     Candidates = candidatesOf(State, Choice, Options, false, Now);
   if (Candidates.empty())
     return std::nullopt;
-  const FleetMember *BestInZone = nullptr;
-  for (const FleetMember *Member : Candidates)
-    if (Member->Record_.Zone_ == Choice.OwnZone_)
-      BestInZone = cheaperOf(BestInZone, Member, Choice, Options, Now);
-  // Three different hosts, so that a slow one is never compared with itself.
-  std::erase(Candidates, BestInZone);
-  const FleetMember *First = takeRandom(Candidates, Random);
-  const FleetMember *Second = takeRandom(Candidates, Random >> 20U);
-  const FleetMember *Chosen = cheaperOf(First, Second, Choice, Options, Now);
-  Chosen = cheaperOf(BestInZone, Chosen, Choice, Options, Now);
+  const auto FirstOther =
+      std::partition(Candidates.begin(), Candidates.end(),
+                     [&Choice](const FleetMember *Member) {
+                       return Member->Record_.Zone_ == Choice.OwnZone_;
+                     });
+  const FleetMember *InZone =
+      cheapestOfSample({Candidates.begin(), FirstOther}, ZoneSample, Random,
+                       Choice, Options, Now);
+  const FleetMember *InOtherZones = cheapestOfSample(
+      {FirstOther, Candidates.end()}, OtherZonesSample,
+      Random >> (ZoneSample * BitsPerDraw), Choice, Options, Now);
+  const FleetMember *Chosen =
+      cheaperOf(InZone, InOtherZones, Choice, Options, Now);
   return Chosen->Record_.Host_;
 }
 
--- a/routing/host_choice.h
+++ b/routing/host_choice.h
@@ -39,12 +39,14 @@
 Duration costOf(const FleetMember &Member, const HostChoice &Choice,
                 const HostChoiceOptions &Options, Instant Now);
 
-/// Returns the cheapest of the best host in the own zone and two random others.
-/// Hosts that currently reject requests, were unreachable a moment ago or have
-/// no recent load information are considered only if there is no other.
-/// \param Random a uniformly distributed random number.
-/// \returns std::nullopt if no untried upstream of the service accepts
-/// requests.
+/// Returns the cheapest of two random hosts in the own zone and four random
+/// ones in other zones. The best of all would be the same host for all entry
+/// daemons with the same load reports, until the next report. Which of several
+/// equally cheap hosts is chosen is random. Hosts that currently reject
+/// requests, were unreachable a moment ago or have no recent load information
+/// are considered only if there is no other. \param Random a uniformly
+/// distributed random number. \returns std::nullopt if no untried upstream of
+/// the service accepts requests.
 std::optional<std::string> chooseHost(const Fleet &State,
                                       const HostChoice &Choice,
                                       const HostChoiceOptions &Options,
