A late shutdown skips no phase

A daemon that handled SIGTERM 3 s late or more, or with a stop timeout of 3 s, went from serving to the end without rejecting what arrived; one late turn of the loop at 5.3 s ended it with everything open.

The limit now moves the shutdown through draining and ending, a turn each, before it stops. Responses that the internal address still writes are waited for, as those of the others.

shutdown: LateDaemonSkipsPhases and LateTurnSkipsTheLastPhase; the rule before gave Ending, Stopped and Stopped there.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -465,6 +465,8 @@
   Load.OpenRequests_ = CallerServer_.openExchanges() + Router_.openRequests() +
                        PeerServer_.openExchanges() + Gateway_.openRequests();
   Load.PeerConnections_ = PeerServer_.openConnections();
+  if (InternalServer_)
+    Load.OpenRequests_ += InternalServer_->openExchanges();
   if (advanceShutdown(*Shutdown_, Load, Time_.now()))
     enterPhase(Shutdown_->Phase_);
 }
--- a/daemon/shutdown_plan.cpp
+++ b/daemon/shutdown_plan.cpp
@@ -38,13 +38,25 @@
   return Plan.Phase_;
 }
 
-/// Returns the phase that is due because of the time limit, whatever is open.
-ShutdownPhase phaseByLimit(const ShutdownPlan &Plan, Instant Now) {
+/// Returns the next phase if the time limit demands it, whatever is open. No
+/// phase is skipped.
+ShutdownPhase nextPhaseByLimit(const ShutdownPlan &Plan, Instant Now) {
   const Duration Elapsed = Now - Plan.RequestedAt_;
-  if (Elapsed >= Plan.Limit_)
-    return ShutdownPhase::Stopped;
-  return Elapsed >= Plan.Limit_ - EndFor ? ShutdownPhase::Ending
-                                         : ShutdownPhase::Serving;
+  if (Elapsed < Plan.Limit_ - EndFor)
+    return Plan.Phase_;
+  switch (Plan.Phase_) {
+  case ShutdownPhase::Serving:
+    return ShutdownPhase::Draining;
+  case ShutdownPhase::Draining:
+  case ShutdownPhase::Reporting:
+  case ShutdownPhase::Lingering:
+    return ShutdownPhase::Ending;
+  case ShutdownPhase::Ending:
+    return Elapsed < Plan.Limit_ ? Plan.Phase_ : ShutdownPhase::Stopped;
+  case ShutdownPhase::Stopped:
+    break;
+  }
+  return Plan.Phase_;
 }
 
 } // namespace
@@ -57,7 +69,7 @@
 bool advanceShutdown(ShutdownPlan &Plan, const ShutdownLoad &Load,
                      Instant Now) {
   const ShutdownPhase Next =
-      std::max(nextPhase(Plan, Load, Now), phaseByLimit(Plan, Now));
+      std::max(nextPhase(Plan, Load, Now), nextPhaseByLimit(Plan, Now));
   if (Next == Plan.Phase_)
     return false;
   Plan.Phase_ = Next;
--- a/daemon/shutdown_plan.h
+++ b/daemon/shutdown_plan.h
@@ -55,7 +55,8 @@
 ShutdownPlan startShutdownPlan(Instant RequestedAt, Instant Now,
                                Duration Limit);
 
-/// Enters the next phase if it is due. To be called periodically.
+/// Enters the next phase if it is due; none is skipped. To be called
+/// periodically.
 /// \returns whether the phase has changed.
 bool advanceShutdown(ShutdownPlan &Plan, const ShutdownLoad &Load, Instant Now);
 
--- a/tests/unit/shutdown_test.cpp
+++ b/tests/unit/shutdown_test.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <vector>
+
 namespace lagoonhitch {
 
 namespace {
@@ -56,6 +58,31 @@
   BOOST_TEST((runShutdown({0, 0}) <= milliseconds(2900)));
 }
 
+/// A daemon that was busy must still reject what arrives, and respond to what
+/// is open, before it ends.
+BOOST_AUTO_TEST_CASE(LateDaemonSkipsPhases) {
+  for (const milliseconds Late :
+       {milliseconds(3100), milliseconds(5350), milliseconds(8000)}) {
+    ShutdownPlan Plan = startShutdownPlan(Start, Start + Late, Limit);
+    std::vector<ShutdownPhase> Entered;
+    for (Instant Now = Start + Late; Plan.Phase_ != ShutdownPhase::Stopped;
+         Now += TickInterval)
+      if (advanceShutdown(Plan, {1, 1}, Now))
+        Entered.push_back(Plan.Phase_);
+    const std::vector<ShutdownPhase> Expected = {
+        ShutdownPhase::Draining, ShutdownPhase::Ending, ShutdownPhase::Stopped};
+    BOOST_TEST((Entered == Expected));
+  }
+}
+
+/// The same if one turn of the loop passes the last phase.
+BOOST_AUTO_TEST_CASE(LateTurnSkipsTheLastPhase) {
+  ShutdownPlan Plan = startShutdownPlan(Start, Start, Limit);
+  advanceShutdown(Plan, {1, 1}, Start + milliseconds(2300));
+  BOOST_TEST(advanceShutdown(Plan, {1, 1}, Start + milliseconds(5600)));
+  BOOST_TEST((Plan.Phase_ == ShutdownPhase::Ending));
+}
+
 /// The process is killed some time after the limit.
 BOOST_AUTO_TEST_CASE(EndsAtTheLimitWhateverIsOpen) {
   BOOST_TEST((runShutdown({2, 2}) == Limit));
