--- a/routing/host_choice.h
+++ b/routing/host_choice.h
@@ -44,9 +44,10 @@
 /// daemons with the same load reports, until the next report. Which of several
 /// equally cheap hosts is chosen is random. Hosts that currently reject
 /// requests, were unreachable a moment ago or have no recent load information
-/// are considered only if there is no other. \param Random a uniformly
-/// distributed random number. \returns std::nullopt if no untried upstream of
-/// the service accepts requests.
+/// are considered only if there is no other.
+/// \param Random a uniformly distributed random number.
+/// \returns std::nullopt if no untried upstream of the service accepts
+/// requests.
 std::optional<std::string> chooseHost(const Fleet &State,
                                       const HostChoice &Choice,
                                       const HostChoiceOptions &Options,
