An overdue reply is read again only once

Now one further read follows for the announced end. slow_read: SteadySlowReplyIsReadAgainEachSecond (a reply of 3 s) failed before and passes; the case of a trickling reply passes as before.

--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -25,9 +25,10 @@
 /// The longest such time: a new manifest must be in force within two seconds,
 /// also if some replies are lost.
 constexpr std::chrono::milliseconds MaxRereadDelay{600};
-/// Time from the first part of a reply to its end, once a peer has announced
-/// its records. Then they are read again: bytes that trickle are no reason to
-/// wait while another connection may work.
+/// Time for a reply to arrive, from its first part, from the start of the read
+/// or from the announcement of its records by a peer, whichever is latest. Then
+/// the records are read once more: bytes that trickle are no reason to wait
+/// while another connection may work.
 constexpr std::chrono::milliseconds MaxArrivalTime{1000};
 
 } // namespace
@@ -60,15 +61,21 @@
   // A read of all records is under way. It ends by its own timeout.
   if (ReadingNewest_)
     return;
-  if (!isReplyOverdue() && mayReplyArrive())
+  const bool Overdue = isReplyOverdue();
+  if (!Overdue && mayReplyArrive())
     return;
+  if (Overdue)
+    OverdueEnd_ = HintedEnd_;
   RereadDelay_ = std::min<Duration>(RereadDelay_ * 2, MaxRereadDelay);
   ++RepeatedReads_;
   readNext();
 }
 
 /// Returns whether a reply with announced records takes too long to arrive.
+/// Only once for these records: further copies would share the link.
 bool TopicFollower::isReplyOverdue() const {
+  if (OverdueEnd_ >= HintedEnd_)
+    return false;
   const Instant Start = std::max({*HintedAt_, ReadStartedAt_, ArrivingSince_});
   return Time_.now() - Start >= MaxArrivalTime;
 }
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -127,6 +127,8 @@
   Instant ReceivedAt_ = Instant::min();
   /// When the first part of a reply was seen to have arrived.
   Instant ArrivingSince_ = Instant::min();
+  /// The hinted end for which a reply was overdue. It causes one more read.
+  Offset OverdueEnd_ = 0;
   /// Time without a read and without a part of a reply from which a hint causes
   /// another read.
   Duration RereadDelay_;
--- a/tests/unit/slow_read_test.cpp
+++ b/tests/unit/slow_read_test.cpp
@@ -213,4 +213,14 @@
   BOOST_TEST(Fixture.Source_.copies() == 1U);
 }
 
+/// A reply that takes long but makes steady progress. Each copy would delay all
+/// others.
+BOOST_AUTO_TEST_CASE(SteadySlowReplyIsReadAgainEachSecond) {
+  SlowReadFixture Fixture;
+  Fixture.Source_.SlowDown_ = 10;
+  Fixture.start();
+  Fixture.awaitRecord(milliseconds(100), 1);
+  BOOST_TEST(Fixture.Source_.copies() <= 2U);
+}
+
 } // namespace lagoonhitch
