An upstream without connections that it ended does not count as terminated

All connections to an upstream have also ended if this daemon had none, after a restart, or has closed them itself, after timeouts or announced closes. One refused connection then reassigned keys that the upstream may hold, also under grants of the former process.

The upstream must have ended a connection itself since its last heartbeat. Otherwise its holds are awaited. Connections that it has ended by an end of stream or a reset are counted by the client.

--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -116,6 +116,9 @@
     return;
   }
   if (Result == HeartbeatResult::Accepted) {
+    UpstreamClient_.closeEnded(Config_.UpstreamAddress_);
+    LostBeforeHeartbeat_ =
+        UpstreamClient_.lostConnections(Config_.UpstreamAddress_);
     if (wasDeregistered(EarlyDeregistration_, Heartbeat))
       applyDeregistration(Incarnation_, Heartbeat.Upstream_);
     if (!WasDraining && Incarnation_->Draining_)
@@ -151,14 +154,18 @@
   checkTermination();
 }
 
-/// Marks an upstream that refuses connections as terminated once all
-/// connections to it have ended.
+/// Marks an upstream that refuses connections as terminated if all connections
+/// to it have ended, and it has ended one of them itself since its last
+/// heartbeat. Without that, this daemon may only have had none: it was
+/// restarted, or has closed them itself.
 void UpstreamManager::checkTermination() {
   if (!Incarnation_ || !Incarnation_->RefusedConnection_ ||
       Incarnation_->Terminated_)
     return;
-  UpstreamClient_.closeEnded(Config_.UpstreamAddress_);
-  if (UpstreamClient_.openConnections(Config_.UpstreamAddress_) > 0)
+  const std::string &Address = Config_.UpstreamAddress_;
+  UpstreamClient_.closeEnded(Address);
+  if (UpstreamClient_.openConnections(Address) > 0 ||
+      UpstreamClient_.lostConnections(Address) == LostBeforeHeartbeat_)
     return;
   Incarnation_->Terminated_ = true;
   updateAdmission();
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -69,8 +69,8 @@
               const std::shared_ptr<HttpExchange> &Exchange);
 
   /// Sends the upstream no more requests until its next heartbeat: its address
-  /// refuses connections. Its keys may be reassigned once all connections to it
-  /// have ended.
+  /// refuses connections. Its keys may be reassigned before their holds end
+  /// once it has ended its connections, too.
   void onConnectionRefused();
 
   /// Records requests that the gateway has lost, if the upstream is known to
@@ -153,6 +153,8 @@
   /// check: it may have become cold or have stated a rate limit or its end
   /// before this daemon was started or while its zone was evacuated.
   bool AwaitsHealthCheck_ = true;
+  /// Connections that the upstream had ended before its last heartbeat.
+  std::size_t LostBeforeHeartbeat_ = 0;
   bool HandingOver_ = false;
   bool AdmissionStopped_ = false;
   MemberRecord PublishedRecord_;
--- a/membership/upstream_incarnation.h
+++ b/membership/upstream_incarnation.h
@@ -36,8 +36,9 @@
   /// Whether its address has refused a connection since its last heartbeat. It
   /// has probably terminated, but it may also have closed only its port.
   bool RefusedConnection_ = false;
-  /// Whether every connection to it has ended, too. Nothing that its daemon has
-  /// sent can be answered any more, and nobody else sends it requests.
+  /// Whether it counts as terminated: it has also ended its connections.
+  /// Nothing that its daemon has sent can be answered any more, and nobody else
+  /// sends it requests.
   bool Terminated_ = false;
   /// Whether its heartbeats timed out and its health check failed.
   bool Unresponsive_ = false;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -59,6 +59,8 @@
   std::vector<std::unique_ptr<Connection>> Idle_;
   std::size_t Open_ = 0;
   std::size_t Limit_ = 0;
+  /// Number of connections that the peer has ended.
+  std::size_t Lost_ = 0;
 };
 
 } // namespace
@@ -85,23 +87,26 @@
 namespace {
 
 /// Returns whether the peer has neither closed an idle connection nor sent
-/// unexpected data on it.
-bool isOpenAndQuiet(Connection &Idle) {
+/// unexpected data on it. Counts it as lost if the peer has closed it.
+bool isOpenAndQuiet(Connection &Idle, Pool &Target) {
   char Byte = 0;
   error_code Failure;
   Idle.Stream_.socket().non_blocking(true, Failure);
   Idle.Stream_.socket().receive(boost::asio::buffer(&Byte, 1),
                                 tcp::socket::message_peek, Failure);
-  return Failure == boost::asio::error::would_block;
+  const bool Quiet = Failure == boost::asio::error::would_block;
+  if (Failure && !Quiet)
+    ++Target.Lost_;
+  return Quiet;
 }
 
 /// Checks an idle connection if its last check was some time ago. Returns
 /// whether it can be kept.
-bool passesIdleCheck(Connection &Idle, Instant Now) {
+bool passesIdleCheck(Connection &Idle, Pool &Target, Instant Now) {
   if (Now - Idle.CheckedAt_ < IdleCheckInterval)
     return true;
   Idle.CheckedAt_ = Now;
-  return isOpenAndQuiet(Idle);
+  return isOpenAndQuiet(Idle, Target);
 }
 
 /// Returns whether a request may be sent on a connection that has carried
@@ -178,7 +183,7 @@
         continue;
       std::unique_ptr<Connection> Candidate = std::move(*Latest);
       Target.Idle_.erase(Latest);
-      if (isRecent(*Candidate) && isOpenAndQuiet(*Candidate)) {
+      if (isRecent(*Candidate) && isOpenAndQuiet(*Candidate, Target)) {
         Connection_ = std::move(Candidate);
         return true;
       }
@@ -318,6 +323,8 @@
       finishFailed(Failure, 1);
       return false;
     }
+    if (Ended)
+      ++Client_->pool(Address_).Lost_;
     switch (Ended ? Reader_->onEndOfStream() : Reader_->onReceived(Size)) {
     case ResponseReader::Progress::Complete:
       finishCompleted();
@@ -423,6 +430,8 @@
 
   void finishFailed(error_code Failure, std::size_t BytesSent) {
     const bool TimedOut = Failure == boost::beast::error::timeout;
+    if (!TimedOut)
+      ++Client_->pool(Address_).Lost_;
     if (BytesSent == 0 && !TimedOut)
       finish(HttpCallStatus::NotSent);
     else
@@ -519,18 +528,23 @@
     Target.Open_ -= std::erase_if(
         Target.Idle_, [&](const std::unique_ptr<Connection> &Idle) {
           return Now - Idle->IdleSince_ >= Impl_->Options_.MaxIdleTime_ ||
-                 !passesIdleCheck(*Idle, Now);
+                 !passesIdleCheck(*Idle, Target, Now);
         });
 }
 
 void HttpClient::closeEnded(const std::string &Address) {
   Pool &Target = Impl_->pool(Address);
-  Target.Open_ -=
-      std::erase_if(Target.Idle_, [](const std::unique_ptr<Connection> &Idle) {
-        return !isOpenAndQuiet(*Idle);
+  Target.Open_ -= std::erase_if(
+      Target.Idle_, [&Target](const std::unique_ptr<Connection> &Idle) {
+        return !isOpenAndQuiet(*Idle, Target);
       });
 }
 
+std::size_t HttpClient::lostConnections(const std::string &Address) const {
+  const auto Found = Impl_->Pools_.find(Address);
+  return Found == Impl_->Pools_.end() ? 0 : Found->second.Lost_;
+}
+
 void HttpClient::closeIdle(const std::string &Address) {
   Pool &Target = Impl_->pool(Address);
   Target.Open_ -= Target.Idle_.size();
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -108,6 +108,10 @@
   /// which it has sent unexpected data.
   void closeEnded(const std::string &Address);
 
+  /// Returns how many connections to an address the peer has ended so far, by a
+  /// close without a response that announced it, or by a reset.
+  std::size_t lostConnections(const std::string &Address) const;
+
   /// Closes all idle connections to an address.
   void closeIdle(const std::string &Address);
 
--- a/ownership/key_ownership_state.h
+++ b/ownership/key_ownership_state.h
@@ -35,7 +35,7 @@
   };
   State State_ = State::Unknown;
   /// Whether a lost upstream counts as terminated: its address refuses
-  /// connections, and all connections to it have ended.
+  /// connections, and it has ended those that were open.
   bool Terminated_ = false;
   std::string Id_;
   /// Start of its process, in milliseconds since the Unix epoch.
--- a/tests/unit/upstream_manager_test.cpp
+++ b/tests/unit/upstream_manager_test.cpp
@@ -95,9 +95,10 @@
 /// The parts of a daemon that deal with its upstream. The upstream answers one
 /// health check, and refuses connections from stopListening() on.
 struct UpstreamFixture {
-  explicit UpstreamFixture(bool Sharded)
+  explicit UpstreamFixture(bool Sharded,
+                           const ScriptedServer::Responses &Health = healthy())
       : Server_(std::make_unique<ScriptedServer>(
-            std::vector<ScriptedServer::Responses>{healthy()})),
+            std::vector<ScriptedServer::Responses>{Health})),
         Address_(Server_->address()), Store_(Loop_),
         Client_(Loop_, Time_, HttpClientOptions()),
         Ownership_(Time_, Store_, Client_, Site_,
@@ -301,6 +302,23 @@
   BOOST_TEST(Fixture.isReassigned());
 }
 
+/// This daemon has no connection whose end would show that the process has
+/// ended, as after a restart, or if the upstream has announced the end of each.
+BOOST_AUTO_TEST_CASE(KeysOfAnUpstreamWithoutConnectionsAreReassignedAtOnce) {
+  UpstreamFixture Fixture(
+      true,
+      {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"});
+  Fixture.startServing();
+  Fixture.stopListening();
+  Fixture.serveRequest();
+  Fixture.runUntilRejected();
+  Fixture.receiveTable();
+  const Instant HeldUntil = holdsEnd(Fixture.Ownership_.state(), OwnKeys);
+  BOOST_REQUIRE((HeldUntil > Fixture.Time_.now() + milliseconds(1000)));
+  Fixture.advance(milliseconds(1000));
+  BOOST_TEST(!Fixture.isReassigned());
+}
+
 /// A process that has ended holds nothing, and its keys are to be served again
 /// soon.
 BOOST_AUTO_TEST_CASE(KeysOfACrashedUpstreamWaitForTheirHolds) {
