--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -17,10 +17,8 @@
 
 namespace {
 
-/// Maximum number of connections that are accepted in one turn of the loop, and
-/// of those whose clients are still there.
+/// Maximum number of connections that are accepted in one turn of the loop.
 constexpr std::size_t MaxAcceptedPerTurn = 128;
-constexpr std::size_t MaxStartedPerTurn = 8;
 
 /// Returns whether the client is still there.
 bool startSession(const std::shared_ptr<HttpServer::Impl> &Server,
@@ -31,24 +29,26 @@
 
 /// Accepts a connection that a client has opened already, if there is one, and
 /// starts its session.
-/// \param Started is increased if the client is still there.
+/// \param Started set to whether the client is still there.
 /// \returns whether there was one.
 bool acceptOnePending(const std::shared_ptr<HttpServer::Impl> &Server,
-                      std::size_t &Started) {
+                      bool &Started) {
   tcp::socket Socket(Server->Acceptor_.get_executor());
   error_code Failure;
   Server->Acceptor_.accept(Socket, Failure);
-  if (!Failure && startSession(Server, std::move(Socket)))
-    ++Started;
-  return !Failure;
+  if (Failure)
+    return false;
+  Started = startSession(Server, std::move(Socket));
+  return true;
 }
 
-/// Accepts further connections in the same turn. If each cost a turn of a busy
-/// loop, their clients would have left when it is accepted.
-void acceptSomePending(const std::shared_ptr<HttpServer::Impl> &Server,
-                       std::size_t Started) {
+/// Accepts further connections in the same turn until the client of one is
+/// still there. If each abandoned connection cost a turn of a busy loop, the
+/// next ones would be abandoned when they are accepted.
+void skipAbandoned(const std::shared_ptr<HttpServer::Impl> &Server) {
+  bool Started = false;
   std::size_t Accepted = 1;
-  while (Accepted < MaxAcceptedPerTurn && Started < MaxStartedPerTurn &&
+  while (!Started && Accepted < MaxAcceptedPerTurn &&
          acceptOnePending(Server, Started))
     ++Accepted;
 }
@@ -56,9 +56,8 @@
 void acceptNext(const std::shared_ptr<HttpServer::Impl> &Server) {
   Server->Acceptor_.async_accept(
       [Server](error_code Failure, tcp::socket Socket) {
-        if (!Failure)
-          acceptSomePending(Server,
-                            startSession(Server, std::move(Socket)) ? 1 : 0);
+        if (!Failure && !startSession(Server, std::move(Socket)))
+          skipAbandoned(Server);
         if (Server->Acceptor_.is_open())
           acceptNext(Server);
       });
@@ -67,7 +66,7 @@
 /// Accepts the connections that clients have opened but the server has not
 /// accepted yet. Closing the acceptor would reset them and lose their requests.
 void acceptAllPending(const std::shared_ptr<HttpServer::Impl> &Server) {
-  std::size_t Started = 0;
+  bool Started = false;
   while (acceptOnePending(Server, Started))
     continue;
 }
