--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -524,12 +524,14 @@
 
 void HttpClient::reapIdle() {
   const Instant Now = Impl_->Time_.now();
-  for (auto &[Address, Target] : Impl_->Pools_)
+  for (auto &Entry : Impl_->Pools_) {
+    Pool &Target = Entry.second;
     Target.Open_ -= std::erase_if(
         Target.Idle_, [&](const std::unique_ptr<Connection> &Idle) {
           return Now - Idle->IdleSince_ >= Impl_->Options_.MaxIdleTime_ ||
                  !passesIdleCheck(*Idle, Target, Now);
         });
+  }
 }
 
 void HttpClient::closeEnded(const std::string &Address) {
