Review: one spoiled handover ends the grants of a daemon

Cause: a handover that is no UTF-8 makes encodeTable() throw inside OwnershipManager::tick(), which is then never entered again. Done: case 4, a script in which each instance spoils one byte of one answer to a release during evacuations.

--- a/review/rig/rig.hpp
+++ b/review/rig/rig.hpp
@@ -638,6 +638,9 @@
     return Held;
   }
 
+  /// Spoils a byte of the next answers to releases.
+  void spoilReleases(int Count) { ReleasesToSpoil_ = Count; }
+
   static constexpr int Slots = 18;
 
 private:
@@ -705,8 +708,14 @@
       return true;
     });
     Log_.line("instance %s: released %zu-%zu", id().c_str(), From, To);
+    std::string Handover = "h" + std::to_string(++Handovers_) + id();
+    if (ReleasesToSpoil_ > 0) {
+      --ReleasesToSpoil_;
+      Log_.line("instance %s: the answer has a wrong byte in X-Handover", id().c_str());
+      Handover[1] = '\xc3';
+    }
     Reply Answer;
-    Answer.Headers_.push_back({"X-Handover", "h" + std::to_string(++Handovers_) + id()});
+    Answer.Headers_.push_back({"X-Handover", Handover});
     return Answer;
   }
 
@@ -764,6 +773,7 @@
   std::atomic<bool> Up_{true};
   std::atomic<int> Running_{0};
   std::atomic<int> Handovers_{0};
+  std::atomic<int> ReleasesToSpoil_{0};
   std::mutex Mutex_;
   std::condition_variable WorkEnded_;
   std::vector<KeyState> Keys_;
