Review: a request that an earlier version answered crashes instances without end

Cause: recordCrash() leaves out requests that the upstream has answered before, and the list of these outlives the incarnation that answered.

--- a/review/rig/rig.hpp
+++ b/review/rig/rig.hpp
@@ -234,8 +234,13 @@
     const int On = 1;
     setsockopt(Listener_, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
     sockaddr_in Address = toAddress(Address_);
-    if (::bind(Listener_, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) != 0 ||
-        ::listen(Listener_, 512) != 0) {
+    // A socket of an ended instance may still be closing.
+    constexpr int Tries = 100;
+    int Try = 0;
+    while (::bind(Listener_, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) != 0 &&
+           ++Try < Tries)
+      sleepFor(0.02);
+    if (Try == Tries || ::listen(Listener_, 512) != 0) {
       std::perror("listen");
       std::_Exit(CannotRunExit);
     }
@@ -399,10 +404,15 @@
     Changed_.notify_all();
   }
 
-  /// Deletes old records; the newest of each key stays in log-newest.
-  void compact(const std::string &Name) {
+  /// Appends as the operator does, and deletes all records of the topic before
+  /// a read has got them. The newest of each key stays in log-newest.
+  void operateAndDropHistory(const std::string &Key, const std::string &Value) {
     std::lock_guard<std::mutex> Lock(Mutex_);
-    Topics_[Name].First_ = Topics_[Name].Entries_.size();
+    Topic &Operated = Topics_["keyed.op"];
+    Operated.Entries_.push_back({Key, Value});
+    Operated.First_ = Operated.Entries_.size();
+    Log_.line("store: op/%s written at offset %zu, records before %zu deleted", Key.c_str(),
+              Operated.Entries_.size() - 1, Operated.First_);
     Changed_.notify_all();
   }
 
@@ -562,6 +572,7 @@
   std::string Request_;
   std::string Instance_;
   int Key_;
+  std::string Target_;
 };
 
 /// An instance: one life of an application server. Sound in all it does.
@@ -574,6 +585,8 @@
     std::string Zone_;
     bool Sharded_ = false;
     double WorkSeconds_ = 0.02;
+    /// It crashes when it begins to run a request for this path; empty for none.
+    std::string FatalPath_;
     std::function<void(const Run &)> OnRun_;
   };
 
@@ -601,10 +614,20 @@
     }).detach();
   }
 
+  /// Leaves as planned: says so, serves on for a while, deregisters and ends.
+  void leave(const std::string &Control, double ServeFor) {
+    State_ = "draining";
+    heartbeat(Control);
+    Log_.line("instance %s says that it leaves", id().c_str());
+    sleepFor(ServeFor);
+    call(Control, "DELETE", "/instances/" + id(), {{"Host", Control}}, "", 1);
+    crash();
+  }
+
   void heartbeat(const std::string &Control) {
     const Json Body = {{"service", Settings_.Service_}, {"address", Settings_.Address_},
                        {"zone", Settings_.Zone_},       {"version", "v1"},
-                       {"slots", Slots},                {"state", "ready"},
+                       {"slots", Slots},                {"state", State_.load()},
                        {"cold-left-s", 0},              {"sequence", ++Sequence_},
                        {"born", Born_}};
     call(Control, "PUT", "/instances/" + Settings_.Id_,
@@ -615,7 +638,7 @@
   void crash() {
     Up_ = false;
     Server_.close();
-    Log_.line("instance %s crashes", Settings_.Id_.c_str());
+    Log_.line("instance %s ends", Settings_.Id_.c_str());
   }
   bool up() const { return Up_; }
 
@@ -749,7 +772,13 @@
     Log_.line("instance %s runs %s %s key %d, %zu bytes", id().c_str(), RequestId.c_str(),
               Request.target().c_str(), Key, Request.Body_.size());
     if (Settings_.OnRun_)
-      Settings_.OnRun_({now(), RequestId, id(), Key});
+      Settings_.OnRun_({now(), RequestId, id(), Key, Request.target()});
+    if (!Settings_.FatalPath_.empty() && Request.target() == Settings_.FatalPath_) {
+      crash();
+      Reply None;
+      None.Drop_ = true;
+      return None;
+    }
     sleepFor(Settings_.WorkSeconds_);
     {
       std::lock_guard<std::mutex> Lock(Mutex_);
@@ -771,6 +800,7 @@
   std::int64_t Born_;
   std::atomic<std::uint64_t> Sequence_{0};
   std::atomic<bool> Up_{true};
+  std::atomic<const char *> State_{"ready"};
   std::atomic<int> Running_{0};
   std::atomic<int> Handovers_{0};
   std::atomic<int> ReleasesToSpoil_{0};
@@ -803,8 +833,9 @@
 public:
   /// \param Sharded the number of hosts of the sharded service `cat`.
   /// \param Shared the number of hosts of the shared service `ord`.
-  Site(Record &Log, int Sharded, int Shared)
-      : Log_(Log), Store_(Log), Folder_(makeFolder()) {
+  /// \param WorkSeconds the time that a request takes at an instance.
+  Site(Record &Log, int Sharded, int Shared, double WorkSeconds = 0.02)
+      : Log_(Log), Store_(Log), Folder_(makeFolder()), WorkSeconds_(WorkSeconds) {
     alarm(MaxRunSeconds);
     static const char *Zones[] = {"kv-a", "kv-b", "kv-c"};
     for (int Index = 0; Index < Sharded + Shared; ++Index) {
@@ -876,16 +907,20 @@
              {{{"hostname", "cat.example"},
                {"paths", {Route("r-cat", "/cat/", "idempotent", "cat")}}},
               {{"hostname", "ord.example"},
-               {"paths", {Route("r-ord", "/ord/", "non_idempotent", "ord")}}}}}};
+               {"paths",
+                {Route("r-ord", "/ord/", "non_idempotent", "ord"),
+                 Route("r-view", "/view/", "idempotent", "ord")}}}}}};
   }
 
-  void startInstance(Host &On, const std::string &Id = "") {
+  void startInstance(Host &On, const std::string &FatalPath = "") {
     Instance::Options Options;
-    Options.Id_ = Id.empty() ? "i-" + On.Name_ + "-" + std::to_string(++On.Lives_) : Id;
+    Options.Id_ = "i-" + On.Name_ + "-" + std::to_string(++On.Lives_);
+    Options.FatalPath_ = FatalPath;
     Options.Service_ = On.Service_;
     Options.Address_ = On.Upstream_;
     Options.Zone_ = On.Zone_;
     Options.Sharded_ = On.Service_ == "cat";
+    Options.WorkSeconds_ = WorkSeconds_;
     Options.OnRun_ = [this](const Run &Each) {
       std::lock_guard<std::mutex> Lock(RunsMutex_);
       Runs_.push_back(Each);
@@ -1023,6 +1058,7 @@
   Record &Log_;
   Store Store_;
   std::string Folder_;
+  double WorkSeconds_;
   std::vector<Host> Hosts_;
   std::vector<std::shared_ptr<Instance>> Ended_;
   std::mutex RunsMutex_;
