Review: the trouble of case 4 inside the limits of garble

Cause: the two times of garbled answers overlapped, or spoiled more than 0.05 of an instance's answers, depending on how one counts. Done: they are 5.5 s apart, with 23 or more answers of each instance in that time; more clients.

--- a/review/4/handovers.cc
+++ b/review/4/handovers.cc
@@ -9,8 +9,13 @@
 
 namespace {
 
-constexpr double RunSeconds = 80;
+constexpr double RunSeconds = 95;
 constexpr double EvacuationSeconds = 1.5;
+/// How long one time of garbled answers lasts at most.
+constexpr double GarbleSeconds = 5.5;
+constexpr int BrowseClients = 40;
+constexpr int OrderClients = 60;
+constexpr double ThinkSeconds = 2;
 /// The rule: a kind of request is served less than this as often as all.
 constexpr double StarvedShare = 0.25;
 
@@ -39,12 +44,12 @@
   Tally Browses;
   Tally Orders;
   std::vector<std::thread> Clients;
-  for (int Number = 0; Number < 12; ++Number)
+  for (int Number = 0; Number < BrowseClients + OrderClients; ++Number)
     Clients.emplace_back([&, Number] {
       std::mt19937 Random(static_cast<unsigned>(Number));
       while (!Ended) {
         const Host &To = Small.hosts()[Random() % Small.hosts().size()];
-        const bool Browse = Number < 10;
+        const bool Browse = Number < BrowseClients;
         Tally &Kind = Browse ? Browses : Orders;
         ++Kind.Sent_;
         int Status = 0;
@@ -60,11 +65,11 @@
         }
         if (Status == 200)
           ++Kind.Served_;
-        sleepFor(0.5);
+        sleepFor(ThinkSeconds);
       }
     });
   const double StartedAt = now();
-  sleepFor(1);
+  sleepFor(GarbleSeconds);
   // host-0 and host-3 are in kv-a, host-1 in kv-b, host-2 in kv-c.
   const auto Spoil = [&](std::initializer_list<int> Numbers) {
     if (trouble())
@@ -73,6 +78,8 @@
   };
   Spoil({0, 3});
   evacuate(Small, "kv-a");
+  // The second time of trouble begins when the first one, of 5.5 s, is over.
+  sleepUntil(StartedAt + 2 * GarbleSeconds);
   Spoil({1, 2});
   evacuate(Small, "kv-b");
   evacuate(Small, "kv-c");
