OWNER: what was read before the store was restored proves nothing after it

Cause: offsets, epochs, leases, takeovers and tables were compared and trusted without the era of the store in which they were read. Daemons that knew the lost table never read the restored one, since its end is lower; the restarted daemon trusted the restored one.

Ruled out: a stale read (the restored table is the store's newest); a lost release (the former owner's upstream had released). Weighed: epochs tied to the era, so that every host rewrites its rows; it costs an append per host after each drill.

Change: an Offset has the era in its upper half, so later eras are greater and no fencing token is given out twice. Replies of an earlier era prove nothing.

--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -23,6 +23,7 @@
     {EventId::LogUnavailable, EventLevel::Warn, "log-unavailable"},
     {EventId::LogRestored, EventLevel::Info, "log-restored"},
     {EventId::LogGap, EventLevel::Warn, "log-gap"},
+    {EventId::StoreEraChanged, EventLevel::Warn, "store-era-changed"},
     {EventId::ConfigApplied, EventLevel::Info, "config-applied"},
     {EventId::ConfigReceived, EventLevel::Info, "config-received"},
     {EventId::ConfigUnreadable, EventLevel::Error, "config-unreadable"},
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -31,6 +31,7 @@
   LogUnavailable = 300,
   LogRestored = 301,
   LogGap = 302,
+  StoreEraChanged = 303,
   UpstreamAnnounced = 400,
   UpstreamLost = 401,
   UpstreamRestarted = 402,
--- a/core/types.h
+++ b/core/types.h
@@ -12,7 +12,8 @@
 /// record by which it joined, plus one. Zero is NoMember.
 using MemberId = std::uint64_t;
 
-/// A position in a topic of the store.
+/// A position in a topic of the store, with the era in which the store gave it
+/// out (store/store_era.h).
 using Offset = std::uint64_t;
 
 /// A fencing token: increases with each change of ownership.
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -89,6 +89,7 @@
   void pushRecord(const std::string &Topic, const StoreRecord &Record);
   void pushTable(const KeyTable &Before, const KeyTable &Table);
   std::string chooseRelay();
+  void onStoreEra(StoreEra Era, std::optional<StoreEra> Known);
   void tick();
   void measureLoopLag();
   void startShutdown(Instant RequestedAt);
@@ -156,8 +157,12 @@
       StorePollClient_(Loop_, Time,
                        clientOptions(std::chrono::milliseconds(4000),
                                      std::chrono::milliseconds(500))),
-      Store_(StoreCallClient_, StorePollClient_, Settings_.StoreAddress_,
-             [this] { return chooseRelay(); }),
+      Store_(
+          StoreCallClient_, StorePollClient_, Settings_.StoreAddress_,
+          [this] { return chooseRelay(); },
+          [this](StoreEra Era, std::optional<StoreEra> Known) {
+            onStoreEra(Era, Known);
+          }),
       Ownership_(Time, Store_, UpstreamClient_, Site_,
                  {Settings_.Host_, Settings_.Service_,
                   Settings_.UpstreamAddress_, Names_},
@@ -417,6 +422,20 @@
   return Addresses[Random_() % Addresses.size()];
 }
 
+void Daemon::Impl::onStoreEra(StoreEra Era, std::optional<StoreEra> Known) {
+  const auto Number = [](StoreEra Value) {
+    return static_cast<std::uint32_t>(Value);
+  };
+  logEvent(EventId::StoreEraChanged,
+           Known ? absl::StrCat(Number(Era), ", before ", Number(*Known))
+                 : absl::StrCat(Number(Era)));
+  Ownership_.onStoreEra(Era);
+  if (!Known)
+    return;
+  Watcher_.onStoreRestored();
+  UpstreamManager_.onStoreRestored();
+}
+
 void Daemon::Impl::tick() {
   measureLoopLag();
   TickTimer_ = Loop_.after(TickInterval, [this] { tick(); });
--- a/daemon/daemon_options.cpp
+++ b/daemon/daemon_options.cpp
@@ -72,6 +72,7 @@
   Options.DeclaredHold_ =
       std::min(Options.DeclaredHold_, Settings.Bounds_.MaxHold_);
   Options.SuspectAfter_ = Settings.SuspectAfter_;
+  Options.FirstStart_ = Settings.FirstStart_;
   return Options;
 }
 
--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/site_watcher.h"
 #include "net/http_client.h"
+#include "ownership/table_restoration.h"
 #include "platform/platform_codec.h"
 #include "store/store.h"
 
@@ -67,6 +68,11 @@
   tick();
 }
 
+void OwnershipManager::onStoreEra(StoreEra Era) {
+  lagoonhitch::onStoreEra(State_, Era, Time_.now());
+  Callbacks_.OnChanged_();
+}
+
 void OwnershipManager::onUpstreamChanged(const LocalUpstream &Upstream) {
   lagoonhitch::onUpstream(State_, Upstream);
   tick();
--- a/daemon/ownership_manager.h
+++ b/daemon/ownership_manager.h
@@ -63,6 +63,9 @@
   /// \param End where the topic ends.
   void onTable(const std::optional<KeyTable> &Table, Offset End);
 
+  /// Handles a later era of the store.
+  void onStoreEra(StoreEra Era);
+
   /// Handles the keys that the local upstream reports in a heartbeat. Reports
   /// are passed in the order in which the upstream sent them.
   void onHoldReport(const HoldReport &Report);
--- a/daemon/site_watcher.cpp
+++ b/daemon/site_watcher.cpp
@@ -44,19 +44,27 @@
       OwnHost_(std::move(OwnHost)), Callbacks_(std::move(Callbacks)),
       OperatorFollower_(
           Loop, Time, Source, OperatorTopic, FollowMode::LongPoll,
-          [this](const std::vector<StoreRecord> &Records, bool Snapshot) {
-            onOperatorRecords(Records, Snapshot);
+          [this](const std::vector<StoreRecord> &Records, RecordSet Set) {
+            onOperatorRecords(Records, Set);
           }),
-      MemberFollower_(Loop, Time, Source, MembersTopic, FollowMode::Pushed,
-                      [this](const std::vector<StoreRecord> &Records, bool) {
-                        onMemberRecords(Records);
-                      }) {}
+      MemberFollower_(
+          Loop, Time, Source, MembersTopic, FollowMode::Pushed,
+          [this](const std::vector<StoreRecord> &Records, RecordSet Set) {
+            onMemberRecords(Records, Set);
+          }) {}
 
 void SiteWatcher::start() {
   OperatorFollower_.start();
   MemberFollower_.start();
 }
 
+void SiteWatcher::onStoreRestored() {
+  OperatorFollower_.onStoreRestored();
+  MemberFollower_.onStoreRestored();
+  for (const auto &[Service, Follower] : TableFollowers_)
+    Follower->onStoreRestored();
+}
+
 void SiteWatcher::applyTopicEnds(const LoadDigest &Digest) {
   OperatorFollower_.hintEnd(Digest.ConfigEnd_);
   MemberFollower_.hintEnd(Digest.MembersEnd_);
@@ -149,9 +157,9 @@
 }
 
 void SiteWatcher::onOperatorRecords(const std::vector<StoreRecord> &Records,
-                                    bool Snapshot) {
+                                    RecordSet Set) {
   std::set<std::string> Zones;
-  if (!Snapshot)
+  if (Set != RecordSet::Newest)
     Zones = Site_.Fleet_.EvacuatedZones_;
   for (const StoreRecord &Record : Records) {
     if (Record.Key_ == ManifestKey) {
@@ -209,14 +217,15 @@
     const std::string Service = Name;
     TableFollowers_[Name] = std::make_unique<TopicFollower>(
         Loop_, Time_, Source_, tableTopic(Name), FollowMode::Pushed,
-        [this, Service](const std::vector<StoreRecord> &Records, bool) {
+        [this, Service](const std::vector<StoreRecord> &Records, RecordSet) {
           onTableRecords(Service, Records);
         });
     TableFollowers_[Name]->start();
   }
 }
 
-void SiteWatcher::onMemberRecords(const std::vector<StoreRecord> &Records) {
+void SiteWatcher::onMemberRecords(const std::vector<StoreRecord> &Records,
+                                  RecordSet Set) {
   const Instant Now = Time_.now();
   Site_.MembersRead_ = true;
   for (const StoreRecord &Record : Records) {
@@ -227,8 +236,12 @@
     }
     for (const UpstreamCrash &Crash : Member->Crashes_)
       recordCrash(Site_, Crash, Time_, Callbacks_.LogEvent_);
+    // The known record of a member may be newer than a restored one.
+    const bool Outdated = Set == RecordSet::Restored &&
+                          findMember(Site_.Fleet_, Record.Key_) != nullptr;
     if (Record.Key_ != OwnHost_) {
-      applyRecord(Site_.Fleet_, *Member, Now);
+      if (!Outdated)
+        applyRecord(Site_.Fleet_, *Member, Now);
       continue;
     }
     for (const UpstreamCrash &Crash : Member->Crashes_)
@@ -259,8 +272,8 @@
   Follower->second->skipRecord(TableKey, *Table.Offset_);
   KeyTable &Known = Site_.Tables_[Service];
   if (!Known.Offset_ || *Table.Offset_ > *Known.Offset_)
-    Known = std::move(Table);
-  Callbacks_.OnTable_(Service, Known, Follower->second->nextOffset());
+    Known = updatedTable(Known, Table);
+  Callbacks_.OnTable_(Service, Table, Follower->second->nextOffset());
   Callbacks_.OnChanged_();
 }
 
@@ -277,7 +290,7 @@
   }
   KeyTable &Known = Site_.Tables_[Service];
   if (Newest && (!Known.Offset_ || *Newest->Offset_ > *Known.Offset_))
-    Known = *Newest;
+    Known = updatedTable(Known, *Newest);
   Callbacks_.OnTable_(Service, Newest,
                       TableFollowers_.at(Service)->nextOffset());
   Callbacks_.OnChanged_();
--- a/daemon/site_watcher.h
+++ b/daemon/site_watcher.h
@@ -72,6 +72,9 @@
   /// Applies a manifest if its version is higher than the current one's.
   void applyManifest(Manifest Decoded);
 
+  /// Reads all topics again, after the store was restored from an older copy.
+  void onStoreRestored();
+
   /// Handles the topic ends in a peer's digest; topics that are behind them are
   /// read.
   void applyTopicEnds(const LoadDigest &Digest);
@@ -92,8 +95,8 @@
 private:
   void onManifestRecord(const StoreRecord &Record);
   void onOperatorRecords(const std::vector<StoreRecord> &Records,
-                         bool Snapshot);
-  void onMemberRecords(const std::vector<StoreRecord> &Records);
+                         RecordSet Set);
+  void onMemberRecords(const std::vector<StoreRecord> &Records, RecordSet Set);
   void onTableRecords(const std::string &Service,
                       const std::vector<StoreRecord> &Records);
   void onPushedCrashes(const StoreRecord &Record);
--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -1,6 +1,7 @@
 #include "daemon/topic_follower.h"
 
 #include "net/io_loop.h"
+#include "store/store_era.h"
 
 #include <algorithm>
 #include <utility>
@@ -41,6 +42,8 @@
 
 void TopicFollower::start() { readNewest(); }
 
+void TopicFollower::onStoreRestored() { readNewest(); }
+
 void TopicFollower::schedule(Duration Delay, void (TopicFollower::*Step)()) {
   Timer_ = Loop_.after(Delay, [this, Step] { (this->*Step)(); });
 }
@@ -116,7 +119,7 @@
   else
     PushedAhead_.insert(Record.Offset_);
   advanceTo(NextOffset_);
-  deliver({Record}, false);
+  deliver({Record}, RecordSet::Changes);
 }
 
 void TopicFollower::skipRecord(const std::string &Key, Offset RecordOffset) {
@@ -190,12 +193,14 @@
     return;
   }
   Failures_ = 0;
+  const bool Restored = Loaded_ && eraOf(Reply.End_) != eraOf(NextOffset_);
   updateStatistics(Reply);
   advanceTo(Reply.End_);
   Loaded_ = true;
   // Reading goes on even if the records can't be handled.
   continueReading();
-  deliver(std::move(Reply.Records_), true);
+  deliver(std::move(Reply.Records_),
+          Restored ? RecordSet::Restored : RecordSet::Newest);
 }
 
 void TopicFollower::onRead(ReadReply Reply) {
@@ -217,7 +222,7 @@
   else
     continueReading();
   if (!Reply.Records_.empty())
-    deliver(std::move(Reply.Records_), false);
+    deliver(std::move(Reply.Records_), RecordSet::Changes);
 }
 
 /// Uses the reply to a read that was repeated before it arrived.
@@ -226,7 +231,7 @@
     return;
   updateStatistics(Reply);
   advanceTo(Reply.End_);
-  deliver(std::move(Reply.Records_), false);
+  deliver(std::move(Reply.Records_), RecordSet::Changes);
 }
 
 /// Records how a reply was received, before NextOffset_ advances past it.
@@ -240,7 +245,7 @@
   HintedAt_.reset();
 }
 
-void TopicFollower::deliver(std::vector<StoreRecord> Records, bool Snapshot) {
+void TopicFollower::deliver(std::vector<StoreRecord> Records, RecordSet Set) {
   std::erase_if(Records, [this](const StoreRecord &Record) {
     const auto Found = LastOffsets_.find(Record.Key_);
     const bool Old =
@@ -249,7 +254,7 @@
   });
   for (const StoreRecord &Record : Records)
     LastOffsets_[Record.Key_] = Record.Offset_;
-  OnRecords_(Records, Snapshot);
+  OnRecords_(Records, Set);
 }
 
 } // namespace lagoonhitch
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -43,16 +43,26 @@
   Duration SinceHint_{};
 };
 
+/// What the records are that a TopicFollower delivers.
+enum class RecordSet {
+  /// Records that were appended.
+  Changes,
+  /// The newest record of each key: records may have been missed before, and
+  /// keys without one no longer exist.
+  Newest,
+  /// The newest record of each key in a copy of the topic that the store was
+  /// restored from. Later ones may have been lost, and be written again.
+  Restored,
+};
+
 /// Reads the newest record of each key, then follows the topic. A record that
 /// is not newer than one already delivered for its key is dropped, so a stale
 /// read has no effect.
 class TopicFollower {
 public:
-  /// Receives new records. Snapshot is set after a read of the newest record of
-  /// each key: records may have been missed before it, and keys that are not
-  /// among the topic's newest records no longer exist.
+  /// Receives new records.
   using RecordsCallback = std::function<void(
-      const std::vector<StoreRecord> &Records, bool Snapshot)>;
+      const std::vector<StoreRecord> &Records, RecordSet Set)>;
 
   /// \param OnRecords receives the records on the loop's thread.
   TopicFollower(IoLoop &Loop, const Clock &Time, Store &Source,
@@ -61,6 +71,10 @@
   /// Starts reading.
   void start();
 
+  /// Reports that the store was restored from an older copy. Reads what the
+  /// topic has now.
+  void onStoreRestored();
+
   /// Reports that the topic extends at least to End. Reads again if the records
   /// up to there do not arrive otherwise.
   void hintEnd(Offset End);
@@ -97,7 +111,7 @@
   void onEarlierRead(ReadReply Reply);
   void advanceTo(Offset Next);
   void updateStatistics(const ReadReply &Reply);
-  void deliver(std::vector<StoreRecord> Records, bool Snapshot);
+  void deliver(std::vector<StoreRecord> Records, RecordSet Set);
   void schedule(Duration Delay, void (TopicFollower::*Step)());
 
   IoLoop &Loop_;
--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -236,6 +236,11 @@
   publishMember();
 }
 
+void UpstreamManager::onStoreRestored() {
+  PublishedRecord_ = MemberRecord();
+  publishMember();
+}
+
 void UpstreamManager::onSiteChanged() { updateAdmission(); }
 
 void UpstreamManager::startHandover() {
--- a/daemon/upstream_manager.h
+++ b/daemon/upstream_manager.h
@@ -85,6 +85,10 @@
   /// now.
   void onKeysChanged() { Responder_.tick(); }
 
+  /// Writes the member record once more, after the store was restored from an
+  /// older copy.
+  void onStoreRestored();
+
   /// Reevaluates admission after a change of the manifest or of the evacuated
   /// zones.
   void onSiteChanged();
--- a/ownership/key_holds.cpp
+++ b/ownership/key_holds.cpp
@@ -29,13 +29,15 @@
 }
 
 /// Updates HeldKeys_ to match the table. Holds with an unchanged fencing token
-/// are kept.
+/// are kept. Rows with tokens of earlier eras of the store don't start new
+/// ones.
 void syncHeldKeys(KeyOwnershipState &State) {
   std::map<KeyId, HeldKeys> Next;
   std::set<KeyId> Kept;
   for (const KeyRow &Piece : rowsToHold(State)) {
     HeldKeys Keys;
     Keys.Row_ = Piece;
+    bool Found = eraOf(Piece.Fence_) == State.Era_;
     for (const auto &[First, Old] : State.HeldKeys_) {
       const bool Same = Old.Row_.Fence_ == Piece.Fence_ &&
                         sameIncarnation(Old.Row_.Owner_, Piece.Owner_) &&
@@ -44,13 +46,15 @@
       if (!Same)
         continue;
       Kept.insert(First);
+      Found = true;
       Keys = Old;
       // The result of a grant of a larger range does not apply to this part.
       Keys.GrantInFlight_ =
           Old.GrantInFlight_ && Old.Row_.Range_ == Piece.Range_;
       Keys.Row_ = Piece;
     }
-    Next[Piece.Range_.First_] = Keys;
+    if (Found)
+      Next[Piece.Range_.First_] = Keys;
   }
   for (const auto &[First, Old] : State.HeldKeys_)
     if (!Kept.contains(First) && Old.MayHoldUntil_ != Instant::min())
--- a/ownership/key_ownership.cpp
+++ b/ownership/key_ownership.cpp
@@ -5,6 +5,7 @@
 #include "ownership/key_holds.h"
 #include "ownership/key_plan.h"
 #include "ownership/key_takeover.h"
+#include "ownership/table_restoration.h"
 
 #include <xxhash.h>
 
@@ -39,7 +40,8 @@
 
 void addEpochRenewal(KeyOwnershipState &State, KeyActions &Actions,
                      Instant Now) {
-  if (State.RenewalInFlight_ || Now < State.NextRenewalAt_)
+  if (State.RenewalInFlight_ || Now < State.NextRenewalAt_ ||
+      !mayRenewLease(State))
     return;
   State.RenewalInFlight_ = true;
   KeyAction Action;
@@ -49,6 +51,15 @@
   Actions.push_back(std::move(Action));
 }
 
+/// Returns whether the known table is the last record of its topic.
+bool isTableAtTopicEnd(const KeyOwnershipState &State) {
+  if (eraOf(State.TopicEnd_) != State.Era_)
+    return false;
+  const bool IsLast =
+      State.Table_.Offset_ && *State.Table_.Offset_ + 1 == State.TopicEnd_;
+  return IsLast || indexOf(State.TopicEnd_) == 0;
+}
+
 void addTableAppend(KeyOwnershipState &State, const KeyOwnershipInputs &Inputs,
                     KeyActions &Actions, Instant Now) {
   if (Now < State.NextTableAppendAt_)
@@ -62,10 +73,7 @@
     // expect the topic to end at the same offset.
     State.PendingAppend_->OutcomeUnknown_ = false;
   } else {
-    const bool AtEnd = State.Table_.Offset_
-                           ? *State.Table_.Offset_ + 1 == State.TopicEnd_
-                           : State.TopicEnd_ == 0;
-    if (!AtEnd)
+    if (!isTableAtTopicEnd(State))
       return;
     std::optional<KeyTable> Next = planTable(State, Inputs, Now);
     if (!Next)
@@ -96,7 +104,8 @@
 
 void startMoves(KeyOwnershipState &State, const KeyOwnershipInputs &Inputs,
                 Instant Now) {
-  if (!hasLease(State, Now) || !isUpstreamAlive(State) || State.PendingAppend_)
+  if (!hasLease(State, Now) || !isUpstreamAlive(State) ||
+      State.PendingAppend_ || !areRowsValid(State))
     return;
   std::vector<KeyRow> Own;
   for (const KeyRow &Row : State.Table_.Rows_)
@@ -185,7 +194,8 @@
 } // namespace
 
 void onTable(KeyOwnershipState &State, const std::optional<KeyTable> &Table,
-             Offset End, Instant /*Now*/) {
+             Offset End, Instant Now) {
+  onStoreEra(State, eraOf(Table ? std::max(End, *Table->Offset_) : End), Now);
   if (!State.TopicRead_)
     State.FirstTopicEnd_ = std::max(End, Table ? *Table->Offset_ + 1 : 0);
   State.TopicRead_ = true;
@@ -195,7 +205,7 @@
   if (!Table ||
       (State.Table_.Offset_ && *Table->Offset_ <= *State.Table_.Offset_))
     return;
-  State.Table_ = *Table;
+  applyReadTable(State, *Table);
   resolvePendingAppend(State);
   if (!State.EpochAcknowledged_ && !State.RenewalInFlight_)
     State.Epoch_ =
@@ -209,6 +219,7 @@
   if (!State.TopicRead_)
     return Actions;
   dropExpiredGrants(State, Now);
+  dropHoldsWithoutLease(State, Now);
   addEpochRenewal(State, Actions, Now);
   updateTakeovers(State, Inputs, Actions, Now);
   startMoves(State, Inputs, Now);
@@ -231,6 +242,10 @@
   State.RenewalInFlight_ = false;
   switch (Result) {
   case AppendReply::Kind::Done:
+    if (!mayRenewLease(State)) {
+      State.NextRenewalAt_ = Now;
+      return;
+    }
     State.EpochAcknowledged_ = true;
     State.EpochStep_ = 1;
     State.LeaseUntil_ =
@@ -260,6 +275,8 @@
   case AppendReply::Kind::Done:
     State.Table_ = State.PendingAppend_->Table_;
     State.Table_.Offset_ = Reply.Offset_;
+    State.StoredTableEra_ = State.Table_.Era_;
+    State.StoreLacksHeldRows_ = false;
     State.TopicEnd_ = std::max(State.TopicEnd_, Reply.Offset_ + 1);
     State.PendingAppend_.reset();
     State.ConsecutiveConflicts_ = 0;
--- a/ownership/key_ownership_options.h
+++ b/ownership/key_ownership_options.h
@@ -36,6 +36,9 @@
   std::chrono::milliseconds PauseMargin_{150};
   /// How long the membership must be stable before keys are first assigned.
   std::chrono::milliseconds StableMembershipTime_{1000};
+  /// Whether the site starts for the first time, so that a store without a
+  /// table has not lost one.
+  bool FirstStart_ = false;
   /// Time without contact after which a host is suspected to have failed.
   std::chrono::milliseconds SuspectAfter_{2500};
   /// Delay per rank that keeps hosts from acting at the same time, and the
--- a/ownership/key_ownership_state.h
+++ b/ownership/key_ownership_state.h
@@ -144,6 +144,14 @@
   KeyTable Table_;
   /// Offset at which the table's topic ends.
   Offset TopicEnd_ = 0;
+  /// The latest known era of the store.
+  StoreEra Era_{};
+  /// When this daemon first knew of that era.
+  Instant EraSince_ = Instant::min();
+  /// The era of the table as the store has it. Table_ may have newer rows.
+  StoreEra StoredTableEra_{};
+  /// Whether the table in the store lacks rows of keys in HeldKeys_.
+  bool StoreLacksHeldRows_ = false;
   /// Whether the table's topic has been read at least once.
   bool TopicRead_ = false;
   std::optional<PendingAppend> PendingAppend_;
--- a/ownership/key_plan.cpp
+++ b/ownership/key_plan.cpp
@@ -2,6 +2,7 @@
 
 #include "ownership/key_balance.h"
 #include "ownership/key_holds.h"
+#include "ownership/table_restoration.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -44,6 +45,10 @@
                       Instant Now) {
   if (State.Table_.Offset_ || !acceptsKeys(Inputs, State.Host_))
     return false;
+  const bool MayHaveLostTable =
+      State.Era_ != StoreEra() && !State.Options_.FirstStart_;
+  if (MayHaveLostTable && !haveEarlierLeasesEnded(State, Now))
+    return false;
   const std::size_t Count = static_cast<std::size_t>(
       std::count_if(Inputs.Peers_.begin(), Inputs.Peers_.end(),
                     [](const KeyPeer &Peer) { return Peer.AcceptsKeys_; }));
@@ -108,11 +113,16 @@
   for (const KeyRow &Row : rowsOf(State.Table_, State.Host_)) {
     const bool Alive = isUpstreamAlive(State) &&
                        sameIncarnation(Row.Owner_, localOwner(State));
-    if (Alive && Row.Owner_.Epoch_ == State.Epoch_)
+    // A higher token may have been issued in an earlier era of the store.
+    const bool NeedsFence =
+        eraOf(Row.Fence_) < State.Era_ && !holdsRow(State, Row);
+    if (Alive && Row.Owner_.Epoch_ == State.Epoch_ && !NeedsFence)
       continue;
     if (Alive) {
       KeyRow Renewed = Row;
       Renewed.Owner_.Epoch_ = State.Epoch_;
+      if (NeedsFence)
+        Renewed.Fence_ = State.TopicEnd_ + 1;
       assignKeys(Next, Renewed);
       Changed = true;
       continue;
@@ -193,7 +203,14 @@
 std::optional<KeyTable> planTable(KeyOwnershipState &State,
                                   const KeyOwnershipInputs &Inputs,
                                   Instant Now) {
+  const bool Restored =
+      State.Table_.Offset_ &&
+      (!areRowsValid(State) || eraOf(*State.Table_.Offset_) != State.Era_ ||
+       State.StoredTableEra_ != State.Era_);
+  if (Restored)
+    return planRestoredTable(State, Inputs, Now);
   KeyTable Next = State.Table_;
+  Next.Era_ = State.Era_;
   bool Changed = planInitialTable(State, Inputs, Next, Now);
   Changed = planOwnRows(State, Inputs, Next, Now) || Changed;
   Changed = planMoves(State, Inputs, Next, Now) || Changed;
--- a/ownership/key_table.cpp
+++ b/ownership/key_table.cpp
@@ -33,6 +33,11 @@
   return true;
 }
 
+KeyRow withRange(KeyRow Row, const KeyRange &Range) {
+  Row.Range_ = Range;
+  return Row;
+}
+
 /// Encodes an owner as [host, upstream, born, epoch]. Each owner is written
 /// once per table.
 Json encodeOwner(const KeyOwner &Owner) {
@@ -122,6 +127,36 @@
   Table.Rows_ = std::move(Rows);
 }
 
+bool isOfItsEra(const KeyTable &Table) {
+  return Table.Offset_ && Table.Era_ == eraOf(*Table.Offset_);
+}
+
+KeyTable combineTables(const KeyTable &Known, const KeyTable &Read) {
+  KeyTable Combined = Known;
+  Combined.Offset_ = Read.Offset_;
+  Combined.Era_ = std::max(Known.Era_, Read.Era_);
+  for (const KeyRow &Row : Read.Rows_) {
+    KeyId Next = Row.Range_.First_;
+    for (const KeyRow &Other : Known.Rows_) {
+      const bool KeepsOther =
+          overlaps(Other.Range_, Row.Range_) && Other.Fence_ >= Row.Fence_;
+      if (!KeepsOther)
+        continue;
+      if (Other.Range_.First_ > Next)
+        assignKeys(Combined, withRange(Row, {Next, Other.Range_.First_ - 1}));
+      Next = std::max(Next, Other.Range_.Last_ + 1);
+    }
+    if (Next <= Row.Range_.Last_)
+      assignKeys(Combined, withRange(Row, {Next, Row.Range_.Last_}));
+  }
+  mergeRows(Combined);
+  return Combined;
+}
+
+KeyTable updatedTable(const KeyTable &Known, const KeyTable &Read) {
+  return isOfItsEra(Read) ? Read : combineTables(Known, Read);
+}
+
 std::string encodeTable(const KeyTable &Table) {
   std::vector<KeyOwner> Owners;
   Json OwnerArray = Json::array();
@@ -140,8 +175,11 @@
       Entry.push_back(Row.Handover_);
     RowArray.push_back(std::move(Entry));
   }
-  return Json{{"owners", std::move(OwnerArray)}, {"rows", std::move(RowArray)}}
-      .dump();
+  Json Encoded = {{"owners", std::move(OwnerArray)},
+                  {"rows", std::move(RowArray)}};
+  if (Table.Era_ != StoreEra())
+    Encoded["era"] = static_cast<std::uint32_t>(Table.Era_);
+  return Encoded.dump();
 }
 
 std::optional<KeyTable> decodeTable(const std::string &Text,
@@ -153,6 +191,8 @@
       Owners.push_back(decodeOwner(Owner));
     KeyTable Table;
     Table.Offset_ = RecordOffset;
+    Table.Era_ = static_cast<StoreEra>(
+        unsignedOrDefault<std::uint32_t>(Source, "era", 0));
     for (const Json &Row : Source.at("rows"))
       Table.Rows_.push_back(decodeRow(Row, Owners));
     if (!isOrdered(Table.Rows_))
--- a/ownership/key_table.h
+++ b/ownership/key_table.h
@@ -6,6 +6,7 @@
 
 #include "core/key_range.h"
 #include "core/types.h"
+#include "store/store_era.h"
 
 #include <cstdint>
 #include <optional>
@@ -48,6 +49,10 @@
   std::vector<KeyRow> Rows_;
   /// The offset of the record; std::nullopt if there is none yet.
   std::optional<Offset> Offset_;
+  /// The era of the store in which the rows were last known to be the newest
+  /// ones. A record with an earlier era than its offset's was restored, or
+  /// repairs a restored one.
+  StoreEra Era_{};
 };
 
 /// Returns the row that contains a key, nullptr if there is none.
@@ -60,6 +65,18 @@
 /// necessary.
 void assignKeys(KeyTable &Table, const KeyRow &Row);
 
+/// Returns a table with the rows of both; for each key, the row with the higher
+/// fencing token, and that of Known if they are equal. Offset_ is Read's.
+KeyTable combineTables(const KeyTable &Known, const KeyTable &Read);
+
+/// Returns what is known after a read of a table that is newer than the known
+/// one. A table of an earlier era may lack rows that are known.
+KeyTable updatedTable(const KeyTable &Known, const KeyTable &Read);
+
+/// Returns whether the table was written in the store's present era by a daemon
+/// that could rely on its rows.
+bool isOfItsEra(const KeyTable &Table);
+
 /// Merges adjacent rows that have the same owner, fencing token and handover
 /// data.
 void mergeRows(KeyTable &Table);
--- a/ownership/table_change.cpp
+++ b/ownership/table_change.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
+/// Returns whether all daemons that know the table before an offset know the
+/// same rows, so that a change can be applied to it.
 bool isNextOffset(const KeyTable &Before, Offset RecordOffset) {
-  return Before.Offset_ && *Before.Offset_ + 1 == RecordOffset;
+  return isOfItsEra(Before) && *Before.Offset_ + 1 == RecordOffset;
 }
 
 } // namespace
@@ -17,6 +19,7 @@
   if (!After.Offset_ || !isNextOffset(Before, *After.Offset_))
     return std::nullopt;
   KeyTable Changed;
+  Changed.Era_ = After.Era_;
   for (const KeyRow &Row : After.Rows_)
     if (std::find(Before.Rows_.begin(), Before.Rows_.end(), Row) ==
         Before.Rows_.end())
@@ -24,7 +27,7 @@
   std::string Text = encodeTable(Changed);
   const std::optional<KeyTable> Result =
       applyChange(Before, Text, *After.Offset_);
-  if (!Result || Result->Rows_ != After.Rows_)
+  if (!Result || Result->Era_ != After.Era_ || Result->Rows_ != After.Rows_)
     return std::nullopt;
   return Text;
 }
@@ -35,7 +38,7 @@
   if (!isNextOffset(Before, RecordOffset))
     return std::nullopt;
   const std::optional<KeyTable> Changed = decodeTable(Text, RecordOffset);
-  if (!Changed)
+  if (!Changed || Changed->Era_ != Before.Era_)
     return std::nullopt;
   KeyTable After = Before;
   After.Offset_ = RecordOffset;
--- a/settings/host_settings.cpp
+++ b/settings/host_settings.cpp
@@ -52,6 +52,17 @@
     Target = Field->get<double>();
   }
 
+  /// Reads a field that may be missing.
+  void readFlag(const char *Name, bool &Target) {
+    const Json *Field = find(Name);
+    if (Field == nullptr)
+      return;
+    if (Field->is_boolean())
+      Field->get_to(Target);
+    else
+      addFault(Name, Field, "true or false");
+  }
+
   std::vector<SettingsFault> takeFaults() { return std::move(Faults_); }
 
 private:
@@ -102,6 +113,7 @@
   Fields.readString("peers", Settings.PeersAddress_);
   Fields.readString("admin", Settings.AdminAddress_);
   Fields.readString("store", Settings.StoreAddress_);
+  Fields.readFlag("first_start", Settings.FirstStart_);
   std::vector<SettingsFault> Faults = Fields.takeFaults();
   const Json None = Json::object();
   const Json &Bounds = Source.is_object() && Source.contains("bounds")
--- a/store/store.h
+++ b/store/store.h
@@ -18,8 +18,10 @@
 namespace lagoonhitch {
 
 /// Provides topics that keep the newest record of each key indefinitely,
-/// conditional appends, and fenced producers. Each callback is called exactly
-/// once, on the event loop's thread, and never before the call has returned.
+/// conditional appends, and fenced producers. Offsets of a later era of the
+/// store are greater than those of an earlier one. Each callback is called
+/// exactly once, on the event loop's thread, and never before the call has
+/// returned.
 class Store {
 public:
   using AppendDone = std::function<void(AppendReply)>;
--- a/store/store_reply.h
+++ b/store/store_reply.h
@@ -36,7 +36,8 @@
 struct ReadReply {
   enum class Kind {
     Done,
-    /// The records at the requested offset are no longer retained.
+    /// The records at the requested offset are no longer retained, or the
+    /// offset is of an earlier era.
     Expired,
     Failed,
   };
--- a/tests/schedule/key_fault.h
+++ b/tests/schedule/key_fault.h
@@ -51,10 +51,13 @@
   GrantsSentLate,
   /// An upstream refuses new connections, but runs and holds its keys.
   UpstreamRefuses,
+  /// The store is away for up to three seconds and returns from a copy of its
+  /// content that is older than the fault by Duration_.
+  StoreRestored,
 };
 
 /// Number of fault kinds.
-inline constexpr int KeyFaultKindCount = 19;
+inline constexpr int KeyFaultKindCount = 20;
 
 /// A fault in a schedule.
 struct KeyFault {
--- a/tests/schedule/key_schedule_test.cpp
+++ b/tests/schedule/key_schedule_test.cpp
@@ -88,6 +88,71 @@
   RC_ASSERT(describeViolations(Simulation) == "");
 }
 
+/// Review, case 1: the table of a handover is lost, and the daemon that handed
+/// its keys over starts again.
+BOOST_AUTO_TEST_CASE(LostHandoverGivesKeysNoSecondHolder) {
+  KeySimulation Simulation(HostCount, 7, grantMethodUnderTest());
+  Simulation.run(std::chrono::seconds(5), {});
+  const std::chrono::milliseconds FaultStart(500);
+  Simulation.run(std::chrono::seconds(40),
+                 {{KeyFaultKind::DrainUpstream, FaultStart,
+                   std::chrono::milliseconds(4000), 1},
+                  {KeyFaultKind::KillDaemon, std::chrono::milliseconds(2500),
+                   std::chrono::milliseconds(2500), 1},
+                  {KeyFaultKind::StoreRestored, std::chrono::milliseconds(3000),
+                   std::chrono::milliseconds(3000), 0}});
+  BOOST_TEST(Simulation.heldKeyCount() == SampledKeyCount);
+  BOOST_TEST(describeViolations(Simulation) == "");
+}
+
+/// Each daemon that remembers the lost table is gone as well.
+BOOST_AUTO_TEST_CASE(LostTableThatNobodyRemembersGivesKeysNoSecondHolder) {
+  KeySimulation Simulation(HostCount, 7, grantMethodUnderTest());
+  Simulation.run(std::chrono::seconds(5), {});
+  Simulation.run(
+      std::chrono::seconds(40),
+      {{KeyFaultKind::DrainUpstream, std::chrono::milliseconds(500),
+        std::chrono::milliseconds(4000), 1},
+       {KeyFaultKind::KillAllDaemons, std::chrono::milliseconds(2500),
+        std::chrono::milliseconds(800), 1},
+       {KeyFaultKind::StoreRestored, std::chrono::milliseconds(2500),
+        std::chrono::milliseconds(3000), 0}});
+  BOOST_TEST(Simulation.heldKeyCount() == SampledKeyCount);
+  BOOST_TEST(describeViolations(Simulation) == "");
+}
+
+/// Random schedules in which the store is restored once or twice.
+RC_BOOST_PROP(RestoredStoreKeepsOwnersExclusive, ()) {
+  const std::uint64_t Seed = *rc::gen::arbitrary<std::uint64_t>();
+  std::vector<KeyFault> Faults = arbitraryFaults(6);
+  for (int Drill = 0; Drill < 2; ++Drill) {
+    KeyFault Fault = *rc::gen::resize(rc::kNominalSize, arbitraryFault());
+    Fault.Kind_ = KeyFaultKind::StoreRestored;
+    Faults.push_back(Fault);
+  }
+  KeySimulation Simulation(HostCount, Seed, grantMethodUnderTest());
+  Simulation.run(std::chrono::seconds(5), {});
+  Simulation.run(std::chrono::seconds(30), Faults);
+  RC_ASSERT(describeViolations(Simulation) == "");
+}
+
+/// After a drill that loses nothing but epochs, no keys change owner, and the
+/// holds do not lapse.
+BOOST_AUTO_TEST_CASE(KeysStayHeldWhenTheStoreIsRestored) {
+  KeySimulation Simulation(HostCount, 7, grantMethodUnderTest());
+  Simulation.run(std::chrono::seconds(8), {});
+  const std::vector<KeyRow> Before = Simulation.latestTable().Rows_;
+  Simulation.run(std::chrono::milliseconds(100),
+                 {{KeyFaultKind::StoreRestored, std::chrono::milliseconds(0),
+                   std::chrono::milliseconds(2000), 0}});
+  for (int Second = 0; Second < 20; ++Second) {
+    BOOST_TEST(Simulation.heldKeyCount() == SampledKeyCount);
+    Simulation.run(std::chrono::seconds(1), {});
+  }
+  BOOST_TEST((Simulation.latestTable().Rows_ == Before));
+  BOOST_TEST(describeViolations(Simulation) == "");
+}
+
 BOOST_AUTO_TEST_CASE(KeysAreAssignedOnceWithoutFaults) {
   KeySimulation Simulation(HostCount, 7, grantMethodUnderTest());
   Simulation.run(std::chrono::seconds(20), {});
--- a/tests/schedule/key_simulation.cpp
+++ b/tests/schedule/key_simulation.cpp
@@ -1,5 +1,7 @@
 #include "tests/schedule/key_simulation.h"
 
+#include "ownership/table_restoration.h"
+
 #include <algorithm>
 
 namespace lagoonhitch {
@@ -13,6 +15,8 @@
 constexpr std::chrono::milliseconds HeartbeatInterval{250};
 constexpr std::chrono::milliseconds StoreCallTimeout{1000};
 constexpr std::chrono::milliseconds GrantTimeout{700};
+/// Longest time for which the store is away before it is restored.
+constexpr std::chrono::milliseconds MaxRestoreTime{3000};
 constexpr double HostCapacity = 60;
 /// Distance between two sampled keys.
 constexpr KeyId KeySampleStep = 257;
@@ -218,12 +222,13 @@
           runOnDaemon(
               HostIndex, Incarnation, [this, HostIndex, Action, SentAt, Reply] {
                 SimulatedHost &Sender = Hosts_[HostIndex];
+                const AppendReply::Kind Result = receiveReply(HostIndex, Reply);
                 if (Action.Host_ == Sender.Name_)
-                  onEpochReply(Sender.Ownership_, Action.Epoch_, Reply.Kind_,
-                               SentAt, Now_);
+                  onEpochReply(Sender.Ownership_, Action.Epoch_, Result, SentAt,
+                               Now_);
                 else
                   onTakeoverEpochReply(Sender.Ownership_, Action.Host_,
-                                       Action.Epoch_, Reply.Kind_, Now_);
+                                       Action.Epoch_, Result, Now_);
               });
         });
     return;
@@ -237,7 +242,8 @@
     appendToStore(HostIndex, Append,
                   [this, HostIndex, Incarnation, AppendId](AppendReply Reply) {
                     runOnDaemon(HostIndex, Incarnation,
-                                [this, HostIndex, AppendId, Reply] {
+                                [this, HostIndex, AppendId, Reply]() mutable {
+                                  Reply.Kind_ = receiveReply(HostIndex, Reply);
                                   onTableReply(Hosts_[HostIndex].Ownership_,
                                                AppendId, Reply, Now_);
                                 });
@@ -253,6 +259,32 @@
   }
 }
 
+AppendReply KeySimulation::applyAppend(const StoreAppend &Append) {
+  const AppendReply Reply = appendRecords(Store_, Append);
+  TableAppendCalls_ += Append.Topic_ == TableTopic ? 1 : 0;
+  if (Reply.Kind_ != AppendReply::Kind::Done)
+    return Reply;
+  AppliedAppends_.emplace(Now_, Append);
+  if (Append.Topic_ == TableTopic)
+    checkTable(*decodeTable(Append.Records_.front().Value_, Reply.Offset_));
+  return Reply;
+}
+
+/// Returns what a reply proves. As the store's client does, a reply of a later
+/// era is reported first, and one of an earlier era proves nothing.
+AppendReply::Kind KeySimulation::receiveReply(std::size_t HostIndex,
+                                              const AppendReply &Reply) {
+  const bool HasEra = Reply.Kind_ == AppendReply::Kind::Done ||
+                      Reply.Kind_ == AppendReply::Kind::Conflict ||
+                      Reply.Kind_ == AppendReply::Kind::Fenced;
+  KeyOwnershipState &State = Hosts_[HostIndex].Ownership_;
+  if (!HasEra)
+    return Reply.Kind_;
+  onStoreEra(State, eraOf(Reply.End_), Now_);
+  return eraOf(Reply.End_) < State.Era_ ? AppendReply::Kind::Unknown
+                                        : Reply.Kind_;
+}
+
 void KeySimulation::appendToStore(
     std::size_t HostIndex, const StoreAppend &Append,
     const std::function<void(AppendReply)> &OnReply) {
@@ -263,15 +295,7 @@
     scheduleAfter(randomDelay(2, 8), [OnReply, Failed] { OnReply(Failed); });
     return;
   }
-  const auto Apply = [this, Append]() {
-    const AppendReply Reply = appendRecords(Store_, Append);
-    TableAppendCalls_ += Append.Topic_ == TableTopic ? 1 : 0;
-    const bool NewTable =
-        Append.Topic_ == TableTopic && Reply.Kind_ == AppendReply::Kind::Done;
-    if (NewTable)
-      checkTable(*decodeTable(Append.Records_.front().Value_, Reply.Offset_));
-    return Reply;
-  };
+  const auto Apply = [this, Append]() { return applyAppend(Append); };
   if (Host.StoreUnreachable_ || StoreDown_) {
     scheduleAfter(StoreCallTimeout, [OnReply, Failed] { OnReply(Failed); });
     return;
@@ -296,7 +320,10 @@
   });
 }
 
+/// Checks that tokens rise. Only tables of their era assign keys.
 void KeySimulation::checkTable(const KeyTable &Table) {
+  if (!isOfItsEra(Table))
+    return;
   for (const KeyRow &Row : Table.Rows_)
     for (const KeyRow &Previous : LatestTable_.Rows_) {
       if (!overlaps(Previous.Range_, Row.Range_))
@@ -439,6 +466,27 @@
   });
 }
 
+/// Takes the store away and lets it return from a copy. Appends that are on
+/// their way may still be applied then.
+void KeySimulation::restoreStore(std::chrono::milliseconds CopyAge) {
+  const Instant CopiedAt = Now_ - CopyAge;
+  StoreDown_ = true;
+  scheduleAfter(std::min(CopyAge, MaxRestoreTime), [this, CopiedAt] {
+    StoreDown_ = false;
+    AppliedAppends_.erase(AppliedAppends_.upper_bound(CopiedAt),
+                          AppliedAppends_.end());
+    StoreModel Copy;
+    for (const auto &[Time, Append] : AppliedAppends_)
+      appendRecords(Copy, Append);
+    restoreCopy(Store_, std::move(Copy));
+    const ReadReply Newest = readNewestPerKey(Store_, TableTopic);
+    LatestTable_ = KeyTable();
+    if (!Newest.Records_.empty())
+      LatestTable_ = *decodeTable(Newest.Records_.front().Value_,
+                                  Newest.Records_.front().Offset_);
+  });
+}
+
 void KeySimulation::killDaemon(std::size_t HostIndex,
                                std::chrono::milliseconds Downtime) {
   SimulatedHost &Host = Hosts_[HostIndex];
@@ -546,6 +594,9 @@
   case KeyFaultKind::UpstreamRefuses:
     SetForDuration(Host.Upstream_.RefusesConnections_);
     return;
+  case KeyFaultKind::StoreRestored:
+    restoreStore(Fault.Duration_);
+    return;
   case KeyFaultKind::LoadSpike: {
     Host.Rate_ = HostCapacity * 2;
     scheduleAfter(Fault.Duration_,
--- a/tests/schedule/key_simulation.h
+++ b/tests/schedule/key_simulation.h
@@ -137,6 +137,10 @@
   void releaseUndeclared(SimulatedUpstream &Upstream,
                          const HoldDeclaration &Declaration);
   void injectFault(const KeyFault &Fault);
+  AppendReply applyAppend(const StoreAppend &Append);
+  AppendReply::Kind receiveReply(std::size_t HostIndex,
+                                 const AppendReply &Reply);
+  void restoreStore(std::chrono::milliseconds CopyAge);
   void killDaemon(std::size_t HostIndex, std::chrono::milliseconds Downtime);
   void crashUpstream(std::size_t HostIndex, std::chrono::milliseconds Downtime);
   std::chrono::milliseconds randomDelay(int Low, int High);
@@ -149,6 +153,8 @@
   StoreModel Store_;
   KeyTable LatestTable_;
   std::size_t TableAppendCalls_ = 0;
+  /// The appends that make up the store's content, by their time.
+  std::multimap<Instant, StoreAppend> AppliedAppends_;
   bool StoreDown_ = false;
   bool StoreRejects_ = false;
   bool StoreSlow_ = false;
--- a/tests/standin/store_model.h
+++ b/tests/standin/store_model.h
@@ -4,6 +4,7 @@
 /// \file
 /// An in-memory model of the platform's store.
 
+#include "store/store_era.h"
 #include "store/store_reply.h"
 
 #include <cstdint>
@@ -16,7 +17,7 @@
 
 /// The records and producer epochs of one topic.
 struct TopicModel {
-  /// All records, indexed by offset.
+  /// All records, by their position. Their Offset_ is not used.
   std::vector<StoreRecord> Records_;
   /// Reads from offsets before this one fail as expired. The newest record of
   /// each key is always available.
@@ -27,6 +28,7 @@
 
 /// The topics by name.
 struct StoreModel {
+  StoreEra Era_{};
   std::map<std::string, TopicModel> Topics_;
 };
 
@@ -34,7 +36,8 @@
 struct StoreAppend {
   std::string Topic_;
   std::vector<StoreRecord> Records_;
-  /// Offset at which the topic must end; std::nullopt for any.
+  /// Offset at which the topic must end; std::nullopt for any. Only its
+  /// position counts: the store doesn't know in which era it was given out.
   std::optional<Offset> ExpectedEnd_;
   /// The producer whose epoch is checked and updated; empty for none.
   std::string Producer_;
@@ -50,6 +53,9 @@
 ReadReply readRecords(const StoreModel &Model, const std::string &Topic,
                       Offset From);
 
+/// Replaces the content by an earlier one, which starts the next era.
+void restoreCopy(StoreModel &Model, StoreModel Copy);
+
 /// Returns the newest record of each key, except keys whose newest value is
 /// empty.
 ReadReply readNewestPerKey(const StoreModel &Model, const std::string &Topic);
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -455,8 +455,9 @@
   const std::string Head =
       Ok + "Content-Length: " + std::to_string(Size) + "\r\n\r\n" + Start;
   ClientFixture Fixture({Head, Piece, milliseconds(30)});
-  StoreClient Source(Fixture.Client_, Fixture.Client_,
-                     Fixture.Server_.address(), [] { return std::string(); });
+  StoreClient Source(
+      Fixture.Client_, Fixture.Client_, Fixture.Server_.address(),
+      [] { return std::string(); }, [](StoreEra, std::optional<StoreEra>) {});
   std::optional<ReadReply> Received;
   const auto Done = [&Received](ReadReply Reply) {
     Received = std::move(Reply);
--- a/tests/unit/follower_test.cpp
+++ b/tests/unit/follower_test.cpp
@@ -131,7 +131,7 @@
   explicit FollowerFixture(FollowMode Mode)
       : Source_(Loop_),
         Follower_(Loop_, Time_, Source_, Topic, Mode,
-                  [this](const std::vector<StoreRecord> &Records, bool) {
+                  [this](const std::vector<StoreRecord> &Records, RecordSet) {
                     for (const StoreRecord &Record : Records)
                       Delivered_.push_back(Record.Value_);
                   }) {}
@@ -312,6 +312,27 @@
   BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
 }
 
+/// The offsets of lost records are given out again, to other records.
+BOOST_AUTO_TEST_CASE(ReadsTheRecordsAtOffsetsThatAreGivenOutAgain) {
+  FollowerFixture Fixture(FollowMode::Pushed);
+  Fixture.appendRecord("k", "v0");
+  Fixture.appendRecord("k", "v1");
+  const StoreModel Copy = Fixture.Source_.State_;
+  Fixture.appendRecord("k", "lost2");
+  Fixture.appendRecord("k", "lost3");
+  Fixture.Follower_.start();
+  Fixture.runFor(milliseconds(20));
+  restoreCopy(Fixture.Source_.State_, Copy);
+  Fixture.appendRecord("k", "v2");
+  Fixture.Follower_.onStoreRestored();
+  Fixture.runFor(milliseconds(20));
+  Fixture.appendRecord("k", "v3");
+  Fixture.Follower_.hintEnd(makeOffset(StoreEra(1), 4));
+  Fixture.runFor(milliseconds(400));
+  BOOST_TEST(Fixture.Delivered_ ==
+             (std::vector<std::string>{"lost3", "v2", "v3"}));
+}
+
 BOOST_AUTO_TEST_CASE(EncodesAndDecodesPushedRecords) {
   const std::string Message =
       encodePushedRecord({"keyed.keys.s", {"table", "{\"rows\":[]}", 7}});
--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -167,8 +167,9 @@
                   Exchange->respond(Response);
                 }),
         Client_(Loop_, Time_, HttpClientOptions()),
-        Store_(Client_, Client_, Server_.address(),
-               [] { return std::string(); }) {}
+        Store_(
+            Client_, Client_, Server_.address(), [] { return std::string(); },
+            [](StoreEra, std::optional<StoreEra>) {}) {}
 
   static HttpServerOptions options() {
     HttpServerOptions Options;
@@ -307,7 +308,7 @@
     LoopFixture Fixture;
     CountingStore Source(Fixture.Loop_);
     TopicFollower Follower(Fixture.Loop_, Fixture.Time_, Source, "t", Mode,
-                           [](const std::vector<StoreRecord> &Records, bool) {
+                           [](const std::vector<StoreRecord> &Records, RecordSet) {
                              if (!Records.empty())
                                throw std::runtime_error("odd entry");
                            });
--- a/tests/unit/peer_service_test.cpp
+++ b/tests/unit/peer_service_test.cpp
@@ -52,7 +52,9 @@
                     Running_.push_back(Exchange);
                   }),
         Client_(Loop_, Time_, HttpClientOptions()),
-        Store_(Client_, Client_, "127.0.0.1:1", [] { return std::string(); }),
+        Store_(
+            Client_, Client_, "127.0.0.1:1", [] { return std::string(); },
+            [](StoreEra, std::optional<StoreEra>) {}),
         Gateway_(Loop_, Time_, Client_, platformHeaders(), Service,
                  Upstream_.address(), KeyHooks(),
                  {[] {},
--- a/tests/unit/relayed_read_test.cpp
+++ b/tests/unit/relayed_read_test.cpp
@@ -71,8 +71,10 @@
   explicit RelayFixture(const std::string &StoreAddress)
       : Client_(Loop_, Time_, HttpClientOptions()),
         RelayClient_(Loop_, Time_, HttpClientOptions()),
-        RelayStore_(RelayClient_, RelayClient_, StoreAddress,
-                    [] { return std::string(); }),
+        RelayStore_(
+            RelayClient_, RelayClient_, StoreAddress,
+            [] { return std::string(); },
+            [](StoreEra, std::optional<StoreEra>) {}),
         Gateway_(
             Loop_, Time_, RelayClient_, platformHeaders(), Service,
             UnreachableAddress, KeyHooks(),
@@ -87,8 +89,10 @@
                  if (!RelayIsStuck_)
                    Peers_.handle(std::move(Request), Exchange);
                }),
-        Source_(Client_, Client_, UnreachableAddress,
-                [this] { return Relay_.address(); }) {
+        Source_(
+            Client_, Client_, UnreachableAddress,
+            [this] { return Relay_.address(); },
+            [](StoreEra, std::optional<StoreEra>) {}) {
     for (int Failed = 0; Failed < ReadsBeforeRelay; ++Failed)
       read();
   }
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -2,6 +2,7 @@
 /// Tests that valid settings load and that faults name the invalid field.
 
 #define BOOST_TEST_MODULE settings
+#include "settings/host_settings.h"
 #include "settings/rule_match.h"
 #include "settings/settings_check.h"
 #include "settings/settings_error.h"
@@ -167,6 +168,18 @@
   BOOST_TEST(checkSettings(Invalid).size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(ReadsWhetherTheSiteStartsForTheFirstTime) {
+  Json Host;
+  for (const char *Name : {"host", "zone", "service", "upstream", "callers",
+                           "ready", "announce", "peers", "admin", "store"})
+    Host[Name] = "x";
+  BOOST_TEST(!parseHostSettings(Host).FirstStart_);
+  Host["first_start"] = true;
+  BOOST_TEST(parseHostSettings(Host).FirstStart_);
+  Host["first_start"] = "yes";
+  BOOST_CHECK_THROW(parseHostSettings(Host), SettingsError);
+}
+
 BOOST_AUTO_TEST_CASE(ThrowsForAMissingFile) {
   BOOST_CHECK_THROW(mergeSettings({"no-such-file.json", "", ""}),
                     SettingsError);
--- a/tests/unit/slow_read_test.cpp
+++ b/tests/unit/slow_read_test.cpp
@@ -128,7 +128,7 @@
 struct SlowReadFixture {
   SlowReadFixture()
       : Follower_(Loop_, Time_, Source_, "t", FollowMode::LongPoll,
-                  [this](const std::vector<StoreRecord> &Records, bool) {
+                  [this](const std::vector<StoreRecord> &Records, RecordSet) {
                     for (const StoreRecord &Record : Records)
                       Delivered_ = Record.Value_;
                   }) {}
