EVAC: records that are read again unchanged count as present

Cause: the reader drops records that it has delivered before, also from a read of the newest record of each key, and the rest was taken for the whole list, so every evacuation that was known before seemed to be over.

Evidence: each daemon logs evacuation-changed without the zone right after its read of the newest records; the store has the record.

Change: the reader compares the newest records with those that it has delivered and delivers the difference, with a record without a value for a key that is gone. No handler sees a list any more.

--- a/daemon/site_watcher.cpp
+++ b/daemon/site_watcher.cpp
@@ -42,11 +42,9 @@
                          SiteCallbacks Callbacks)
     : Loop_(Loop), Time_(Time), Source_(Source), Site_(Site),
       OwnHost_(std::move(OwnHost)), Callbacks_(std::move(Callbacks)),
-      OperatorFollower_(
-          Loop, Time, Source, OperatorTopic, FollowMode::LongPoll,
-          [this](const std::vector<StoreRecord> &Records, RecordSet Set) {
-            onOperatorRecords(Records, Set);
-          }),
+      OperatorFollower_(Loop, Time, Source, OperatorTopic, FollowMode::LongPoll,
+                        [this](const std::vector<StoreRecord> &Records,
+                               RecordSet) { onOperatorRecords(Records); }),
       MemberFollower_(
           Loop, Time, Source, MembersTopic, FollowMode::Pushed,
           [this](const std::vector<StoreRecord> &Records, RecordSet Set) {
@@ -156,14 +154,13 @@
     Digest.TableEnd_ = Table->second->nextOffset();
 }
 
-void SiteWatcher::onOperatorRecords(const std::vector<StoreRecord> &Records,
-                                    RecordSet Set) {
-  std::set<std::string> Zones;
-  if (Set != RecordSet::Newest)
-    Zones = Site_.Fleet_.EvacuatedZones_;
+void SiteWatcher::onOperatorRecords(const std::vector<StoreRecord> &Records) {
+  std::set<std::string> Zones = Site_.Fleet_.EvacuatedZones_;
   for (const StoreRecord &Record : Records) {
     if (Record.Key_ == ManifestKey) {
-      onManifestRecord(Record);
+      // The manifest in force stays, whatever becomes of its record.
+      if (!Record.Value_.empty())
+        onManifestRecord(Record);
       continue;
     }
     const std::optional<std::string> Zone = evacuatedZone(Record.Key_);
@@ -229,6 +226,9 @@
   const Instant Now = Time_.now();
   Site_.MembersRead_ = true;
   for (const StoreRecord &Record : Records) {
+    // Members are not removed; hosts that are gone send no digests.
+    if (Record.Value_.empty())
+      continue;
     const std::optional<MemberRecord> Member = decodeMember(Record.Value_);
     if (!Member || Member->Host_ != Record.Key_) {
       Callbacks_.LogEvent_(EventId::RecordUnreadable, Record.Key_);
@@ -281,6 +281,8 @@
                                  const std::vector<StoreRecord> &Records) {
   std::optional<KeyTable> Newest;
   for (const StoreRecord &Record : Records) {
+    if (Record.Value_.empty())
+      continue;
     std::optional<KeyTable> Table = decodeTable(Record.Value_, Record.Offset_);
     if (!Table) {
       Callbacks_.LogEvent_(EventId::RecordUnreadable, Service);
--- a/daemon/site_watcher.h
+++ b/daemon/site_watcher.h
@@ -94,8 +94,7 @@
 
 private:
   void onManifestRecord(const StoreRecord &Record);
-  void onOperatorRecords(const std::vector<StoreRecord> &Records,
-                         RecordSet Set);
+  void onOperatorRecords(const std::vector<StoreRecord> &Records);
   void onMemberRecords(const std::vector<StoreRecord> &Records, RecordSet Set);
   void onTableRecords(const std::string &Service,
                       const std::vector<StoreRecord> &Records);
--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -4,6 +4,7 @@
 #include "store/store_era.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace lagoonhitch {
@@ -31,6 +32,8 @@
 /// the records are read once more: bytes that trickle are no reason to wait
 /// while another connection may work.
 constexpr std::chrono::milliseconds MaxArrivalTime{1000};
+/// Time in which records that the store lost are written again.
+constexpr std::chrono::milliseconds RewriteTime{2500};
 
 } // namespace
 
@@ -126,8 +129,8 @@
   if (!Loaded_)
     return;
   advanceTo(RecordOffset + 1);
-  Offset &Last = LastOffsets_[Key];
-  Last = std::max(Last, RecordOffset);
+  LastRecord &Last = LastRecords_[Key];
+  Last = {std::max(Last.Offset_, RecordOffset), true};
 }
 
 /// Advances NextOffset_ to an offset and past the pushed records that follow it
@@ -199,8 +202,8 @@
   Loaded_ = true;
   // Reading goes on even if the records can't be handled.
   continueReading();
-  deliver(std::move(Reply.Records_),
-          Restored ? RecordSet::Restored : RecordSet::Newest);
+  deliverNewest(std::move(Reply),
+                Restored ? RecordSet::Restored : RecordSet::Changes);
 }
 
 void TopicFollower::onRead(ReadReply Reply) {
@@ -245,15 +248,38 @@
   HintedAt_.reset();
 }
 
+/// Delivers the difference between the newest records and the known ones. After
+/// a restoration, keys that are missing may only not be written again yet; they
+/// are looked for once more.
+void TopicFollower::deliverNewest(ReadReply Reply, RecordSet Set) {
+  if (Set == RecordSet::Restored)
+    RewriteTimer_ = Loop_.after(RewriteTime, [this] { readNewest(); });
+  std::set<std::string_view> Present(Reply.UnreadableKeys_.begin(),
+                                     Reply.UnreadableKeys_.end());
+  for (const StoreRecord &Record : Reply.Records_)
+    Present.insert(Record.Key_);
+  std::vector<StoreRecord> Removed;
+  for (auto &[Key, Last] : LastRecords_) {
+    const bool IsRemoved = Set == RecordSet::Changes && Last.Exists_ &&
+                           Last.Offset_ < Reply.End_ && !Present.contains(Key);
+    if (!IsRemoved)
+      continue;
+    Last.Exists_ = false;
+    Removed.push_back({Key, "", Last.Offset_});
+  }
+  if (!Removed.empty())
+    OnRecords_(Removed, Set);
+  deliver(std::move(Reply.Records_), Set);
+}
+
 void TopicFollower::deliver(std::vector<StoreRecord> Records, RecordSet Set) {
   std::erase_if(Records, [this](const StoreRecord &Record) {
-    const auto Found = LastOffsets_.find(Record.Key_);
-    const bool Old =
-        Found != LastOffsets_.end() && Record.Offset_ <= Found->second;
-    return Old;
+    const auto Found = LastRecords_.find(Record.Key_);
+    return Found != LastRecords_.end() &&
+           Record.Offset_ <= Found->second.Offset_;
   });
   for (const StoreRecord &Record : Records)
-    LastOffsets_[Record.Key_] = Record.Offset_;
+    LastRecords_[Record.Key_] = {Record.Offset_, !Record.Value_.empty()};
   OnRecords_(Records, Set);
 }
 
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -45,11 +45,9 @@
 
 /// What the records are that a TopicFollower delivers.
 enum class RecordSet {
-  /// Records that were appended.
+  /// What has changed since the records that were delivered before. Keys that
+  /// no longer exist have a record without a value.
   Changes,
-  /// The newest record of each key: records may have been missed before, and
-  /// keys without one no longer exist.
-  Newest,
   /// The newest record of each key in a copy of the topic that the store was
   /// restored from. Later ones may have been lost, and be written again.
   Restored,
@@ -111,6 +109,7 @@
   void onEarlierRead(ReadReply Reply);
   void advanceTo(Offset Next);
   void updateStatistics(const ReadReply &Reply);
+  void deliverNewest(ReadReply Reply, RecordSet Set);
   void deliver(std::vector<StoreRecord> Records, RecordSet Set);
   void schedule(Duration Delay, void (TopicFollower::*Step)());
 
@@ -152,8 +151,15 @@
   std::uint32_t RepeatedReads_ = 0;
   /// When a peer first reported an end beyond NextOffset_.
   std::optional<Instant> HintedAt_;
-  /// Offset of the last delivered record, by key.
-  std::map<std::string, Offset> LastOffsets_;
+  /// The last delivered record of a key.
+  struct LastRecord {
+    Offset Offset_ = 0;
+    /// Whether it had a value.
+    bool Exists_ = false;
+  };
+  std::map<std::string, LastRecord> LastRecords_;
+  /// Reads the newest records again once lost ones have been rewritten.
+  std::shared_ptr<void> RewriteTimer_;
   std::shared_ptr<void> Timer_;
   std::shared_ptr<void> HintTimer_;
 };
--- a/store/store_reply.h
+++ b/store/store_reply.h
@@ -9,6 +9,7 @@
 #include "store/store_record.h"
 
 #include <cstddef>
+#include <string>
 #include <vector>
 
 namespace lagoonhitch {
@@ -43,6 +44,8 @@
   };
   Kind Kind_ = Kind::Failed;
   std::vector<StoreRecord> Records_;
+  /// Keys whose newest record is malformed and therefore not in Records_.
+  std::vector<std::string> UnreadableKeys_;
   /// The offset at which the topic ends as far as it was read.
   Offset End_ = 0;
   /// Size of the reply.
--- a/tests/unit/follower_test.cpp
+++ b/tests/unit/follower_test.cpp
@@ -49,6 +49,13 @@
     return *std::static_pointer_cast<std::size_t>(Read);
   }
 
+  /// Forgets all records but the newest of each key, one of which can't be
+  /// read.
+  void dropHistory(const std::string &UnreadableKey) {
+    RecordsExpired_ = true;
+    UnreadableKey_ = UnreadableKey;
+  }
+
   /// Lets the replies to the long polls that wait arrive piece by piece.
   /// \param LostPieces how many pieces at the end never arrive.
   void answerLongPolls(int Pieces, milliseconds Pause, int LostPieces = 0) {
@@ -106,6 +113,12 @@
     ++Reads_;
     ReadReply Reply =
         readNewestPerKey(StaleState_ ? *StaleState_ : State_, TopicName);
+    const std::size_t Unreadable =
+        std::erase_if(Reply.Records_, [this](const StoreRecord &Record) {
+          return Record.Key_ == UnreadableKey_;
+        });
+    if (Unreadable > 0)
+      Reply.UnreadableKeys_ = {UnreadableKey_};
     Timers_.push_back(
         Loop_.after(NewestDelay_, [Done, Reply] { Done(Reply); }));
   }
@@ -115,6 +128,8 @@
   std::optional<StoreModel> StaleState_;
   /// Whether reads find that their records are no longer retained.
   bool RecordsExpired_ = false;
+  /// A key whose record is malformed; empty for none.
+  std::string UnreadableKey_;
   /// How many of the next reads get no reply.
   int LostReplies_ = 0;
   /// How long the reply to a read takes.
@@ -133,7 +148,7 @@
         Follower_(Loop_, Time_, Source_, Topic, Mode,
                   [this](const std::vector<StoreRecord> &Records, RecordSet) {
                     for (const StoreRecord &Record : Records)
-                      Delivered_.push_back(Record.Value_);
+                      Delivered_.push_back(Record.Key_ + ":" + Record.Value_);
                   }) {}
 
   void appendRecord(const std::string &Key, const std::string &Value) {
@@ -167,7 +182,7 @@
   Fixture.Follower_.hintEnd(2);
   Fixture.runFor(milliseconds(300));
   BOOST_TEST(Fixture.Source_.Reads_ == Reads);
-  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0", "v1"}));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"k:v0", "k:v1"}));
 }
 
 BOOST_AUTO_TEST_CASE(ReadsAMissedRecordAfterAHint) {
@@ -177,7 +192,7 @@
   Fixture.appendRecord("k", "v0");
   Fixture.Follower_.hintEnd(1);
   Fixture.runFor(milliseconds(400));
-  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"k:v0"}));
 }
 
 BOOST_AUTO_TEST_CASE(IgnoresOlderRecords) {
@@ -187,7 +202,7 @@
   Fixture.Follower_.start();
   Fixture.runFor(milliseconds(20));
   Fixture.Follower_.onPushedRecord({"k", "v0", 0}, true);
-  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v1"}));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"k:v1"}));
 }
 
 /// Members that start at the same time push their records in any order.
@@ -217,7 +232,7 @@
   Fixture.Follower_.onPushedRecord({"b", "b0", 1}, false);
   Fixture.Follower_.hintEnd(2);
   Fixture.runFor(milliseconds(400));
-  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"b0", "a0"}));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"b:b0", "a:a0"}));
 }
 
 BOOST_AUTO_TEST_CASE(RepeatsAnUnansweredLongPollAfterAHint) {
@@ -229,7 +244,7 @@
   BOOST_TEST(Fixture.Delivered_.empty());
   Fixture.Follower_.hintEnd(1);
   Fixture.runFor(milliseconds(50));
-  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"k:v0"}));
 }
 
 /// A large record takes a second over a full link, and peers that have it
@@ -247,7 +262,7 @@
     Fixture.Follower_.hintEnd(1);
     Fixture.runFor(milliseconds(100));
   }
-  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"k:v0"}));
   BOOST_TEST(Fixture.Source_.Reads_ - ReadsBefore <= 4);
 }
 
@@ -266,7 +281,7 @@
   }
   BOOST_TEST(Fixture.Source_.Reads_ == ReadsBefore);
   Fixture.runFor(milliseconds(200));
-  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"k:v0"}));
 }
 
 /// The reply is the only one that can have the expired records.
@@ -281,7 +296,7 @@
     Fixture.Follower_.hintEnd(1);
     Fixture.runFor(milliseconds(100));
   }
-  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"k:v0"}));
 }
 
 BOOST_AUTO_TEST_CASE(RepeatsAReadWhoseReplyStopsArriving) {
@@ -294,7 +309,7 @@
     Fixture.runFor(milliseconds(90));
     Fixture.Follower_.hintEnd(1);
   }
-  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"k:v0"}));
 }
 
 /// A new manifest must be in force within two seconds.
@@ -309,7 +324,48 @@
     Fixture.Follower_.hintEnd(1);
     Fixture.runFor(milliseconds(100));
   }
-  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"v0"}));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"k:v0"}));
+}
+
+/// Review, case 2: a key that is read again unchanged seemed to be removed.
+BOOST_AUTO_TEST_CASE(KeysReadAgainUnchangedAreNotRemoved) {
+  FollowerFixture Fixture(FollowMode::LongPoll);
+  Fixture.appendRecord("kept", "v0");
+  Fixture.appendRecord("removed", "v1");
+  Fixture.appendRecord("unreadable", "v2");
+  Fixture.Follower_.start();
+  Fixture.runFor(milliseconds(20));
+  Fixture.Delivered_.clear();
+  Fixture.appendRecord("removed", "");
+  Fixture.appendRecord("changed", "v4");
+  Fixture.Source_.dropHistory("unreadable");
+  Fixture.Follower_.hintEnd(5);
+  Fixture.runFor(milliseconds(300));
+  Fixture.Follower_.hintEnd(5);
+  Fixture.runFor(milliseconds(300));
+  BOOST_TEST(Fixture.Delivered_ ==
+             (std::vector<std::string>{"removed:", "changed:v4"}));
+}
+
+/// A key that the copy lacks may be written again in a moment.
+BOOST_AUTO_TEST_CASE(KeysThatARestoredCopyLacksAreRemovedLater) {
+  FollowerFixture Fixture(FollowMode::LongPoll);
+  Fixture.appendRecord("old", "v0");
+  const StoreModel Copy = Fixture.Source_.State_;
+  Fixture.appendRecord("rewritten", "v1");
+  Fixture.appendRecord("gone", "v2");
+  Fixture.Follower_.start();
+  Fixture.runFor(milliseconds(20));
+  Fixture.Delivered_.clear();
+  restoreCopy(Fixture.Source_.State_, Copy);
+  Fixture.Follower_.onStoreRestored();
+  Fixture.runFor(milliseconds(500));
+  BOOST_TEST(Fixture.Delivered_ == (std::vector<std::string>{"old:v0"}));
+  Fixture.appendRecord("rewritten", "v1");
+  Fixture.Follower_.hintEnd(makeOffset(StoreEra(1), 2));
+  Fixture.runFor(milliseconds(2500));
+  BOOST_TEST(Fixture.Delivered_ ==
+             (std::vector<std::string>{"old:v0", "rewritten:v1", "gone:"}));
 }
 
 /// The offsets of lost records are given out again, to other records.
@@ -330,7 +386,7 @@
   Fixture.Follower_.hintEnd(makeOffset(StoreEra(1), 4));
   Fixture.runFor(milliseconds(400));
   BOOST_TEST(Fixture.Delivered_ ==
-             (std::vector<std::string>{"lost3", "v2", "v3"}));
+             (std::vector<std::string>{"k:lost3", "k:v2", "k:v3"}));
 }
 
 BOOST_AUTO_TEST_CASE(EncodesAndDecodesPushedRecords) {
