Starved: an exception in a tick no longer ends a daemon's grants

Cause: the byte went into the table, which is JSON; encoding it threw out of OwnershipManager::tick(), and its flag against reentry stayed set.

Flags: ScopedFlag; an action that throws is logged and counts as one of unknown outcome; the flags of a publication and of a health check are set after the call; a duty that throws keeps no other of the daemon's tick from running.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -91,6 +91,7 @@
   std::string chooseRelay();
   void onStoreEra(StoreEra Era, std::optional<StoreEra> Known);
   void tick();
+  template <typename Duty> void runDuty(Duty Run);
   void measureLoopLag();
   void startShutdown(Instant RequestedAt);
   void continueShutdown();
@@ -439,17 +440,27 @@
 void Daemon::Impl::tick() {
   measureLoopLag();
   TickTimer_ = Loop_.after(TickInterval, [this] { tick(); });
-  UpstreamManager_.tick();
-  Digests_.tick();
-  Ownership_.tick();
-  Gateway_.tick();
-  UpstreamClient_.reapIdle();
-  PeerClient_.reapIdle();
-  PeerService_.tick();
+  runDuty([this] { UpstreamManager_.tick(); });
+  runDuty([this] { Digests_.tick(); });
+  runDuty([this] { Ownership_.tick(); });
+  runDuty([this] { Gateway_.tick(); });
+  runDuty([this] { UpstreamClient_.reapIdle(); });
+  runDuty([this] { PeerClient_.reapIdle(); });
+  runDuty([this] { PeerService_.tick(); });
   if (Shutdown_)
     continueShutdown();
 }
 
+/// Runs one of the duties of a tick. One that fails does not keep the others
+/// from running.
+template <typename Duty> void Daemon::Impl::runDuty(Duty Run) {
+  try {
+    Run();
+  } catch (const std::exception &Failure) {
+    logEvent(EventId::HandlerFailed, Failure.what());
+  }
+}
+
 void Daemon::Impl::measureLoopLag() {
   const std::optional<Duration> Reported =
       measureLag(Lag_, TickInterval, Time_.now());
--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -1,5 +1,6 @@
 #include "daemon/ownership_manager.h"
 
+#include "core/scoped_flag.h"
 #include "daemon/site_watcher.h"
 #include "net/http_client.h"
 #include "ownership/table_restoration.h"
@@ -203,32 +204,63 @@
   // An action may complete at once and call tick() again.
   if (Ticking_)
     return;
-  Ticking_ = true;
+  const ScopedFlag Guard(Ticking_);
   const Instant Now = Time_.now();
   tickContactClock(ContactClock_, Now);
   decayRates(Now);
   updateGrantMethod();
-  if (isSharded(Site_, Config_.Service_))
-    execute(onKeyTick(State_, inputs(), Now));
-  Ticking_ = false;
+  if (!isSharded(Site_, Config_.Service_))
+    return;
+  for (const KeyAction &Action : onKeyTick(State_, inputs(), Now)) {
+    try {
+      execute(Action);
+    } catch (const std::exception &Failure) {
+      Callbacks_.LogEvent_(EventId::HandlerFailed, Failure.what());
+      onNotExecuted(Action);
+    }
+  }
 }
 
-void OwnershipManager::execute(const KeyActions &Actions) {
-  for (const KeyAction &Action : Actions) {
-    switch (Action.Kind_) {
-    case KeyAction::Kind::AppendEpoch:
-      appendEpoch(Action);
-      break;
-    case KeyAction::Kind::AppendTable:
-      appendTable(Action);
-      break;
-    case KeyAction::Kind::Grant:
-      grant(Action);
-      break;
-    case KeyAction::Kind::Release:
-      release(Action);
-      break;
-    }
+void OwnershipManager::execute(const KeyAction &Action) {
+  switch (Action.Kind_) {
+  case KeyAction::Kind::AppendEpoch:
+    appendEpoch(Action);
+    return;
+  case KeyAction::Kind::AppendTable:
+    appendTable(Action);
+    return;
+  case KeyAction::Kind::Grant:
+    grant(Action);
+    return;
+  case KeyAction::Kind::Release:
+    release(Action);
+    return;
+  }
+}
+
+/// Reports an action that failed before its call was sent, or during it.
+/// Without a result it would count as in flight for ever.
+void OwnershipManager::onNotExecuted(const KeyAction &Action) {
+  const Instant Now = Time_.now();
+  AppendReply Unknown;
+  switch (Action.Kind_) {
+  case KeyAction::Kind::AppendEpoch:
+    if (Action.Host_ == Config_.Host_)
+      onEpochReply(State_, Action.Epoch_, Unknown.Kind_, Now, Now);
+    else
+      onTakeoverEpochReply(State_, Action.Host_, Action.Epoch_, Unknown.Kind_,
+                           Now);
+    return;
+  case KeyAction::Kind::AppendTable:
+    onTableReply(State_, Action.AppendId_, Unknown, Now);
+    return;
+  case KeyAction::Kind::Grant:
+    onGrantReply(State_, Action.Row_, GrantResult::Unknown, Now, Action.Hold_,
+                 Now);
+    return;
+  case KeyAction::Kind::Release:
+    onReleaseReply(State_, Action.Row_, std::nullopt, Now);
+    return;
   }
 }
 
--- a/daemon/ownership_manager.h
+++ b/daemon/ownership_manager.h
@@ -113,7 +113,8 @@
 private:
   KeyOwnershipInputs inputs() const;
   void decayRates(Instant Now);
-  void execute(const KeyActions &Actions);
+  void execute(const KeyAction &Action);
+  void onNotExecuted(const KeyAction &Action);
   void appendEpoch(const KeyAction &Action);
   void appendTable(const KeyAction &Action);
   void onTableAppended(std::uint64_t Number, const AppendReply &Reply);
--- a/daemon/upstream_manager.cpp
+++ b/daemon/upstream_manager.cpp
@@ -311,7 +311,6 @@
   const ServiceSpec *Spec = serviceSpec();
   if (HealthCheckInFlight_ || Spec == nullptr || !Incarnation_)
     return;
-  HealthCheckInFlight_ = true;
   HealthCheckedAt_ = Time_.now();
   Gateway_.chargeHealthCheck();
   HttpRequest Probe;
@@ -324,6 +323,8 @@
       [this, Incarnation = AdmittedIncarnation_](const HttpResult &Result) {
         onHealthResult(Incarnation, Result);
       });
+  // Set last, so that it isn't left set if the call fails.
+  HealthCheckInFlight_ = true;
 }
 
 void UpstreamManager::onHealthResult(const std::string &Incarnation,
@@ -388,7 +389,6 @@
   if (Publishing_ || Record == PublishedRecord_ || Now < NextPublishAt_ ||
       !Incarnation_ || !Site_.MembersRead_)
     return;
-  Publishing_ = true;
   MemberStore_.append(
       MembersTopic, Record.Host_, encodeMember(Record), std::nullopt,
       [this, Record](const AppendReply &Reply) {
@@ -401,6 +401,8 @@
         PushRecord_(MembersTopic,
                     {Record.Host_, encodeMember(Record), Reply.Offset_});
       });
+  // Set last, so that it isn't left set if the call fails.
+  Publishing_ = true;
 }
 
 } // namespace lagoonhitch
--- a/membership/member_record.cpp
+++ b/membership/member_record.cpp
@@ -103,7 +103,7 @@
                  {"state", upstreamStateName(Record.State_)}};
   if (!Record.Crashes_.empty())
     Fields["crashes"] = encodeCrashes(Record.Crashes_);
-  return Fields.dump();
+  return dumpReplacingInvalid(Fields);
 }
 
 std::optional<MemberRecord> decodeMember(const std::string &Encoded) {
--- a/ownership/key_table.cpp
+++ b/ownership/key_table.cpp
@@ -179,7 +179,7 @@
                   {"rows", std::move(RowArray)}};
   if (Table.Era_ != StoreEra())
     Encoded["era"] = static_cast<std::uint32_t>(Table.Era_);
-  return Encoded.dump();
+  return dumpReplacingInvalid(Encoded);
 }
 
 std::optional<KeyTable> decodeTable(const std::string &Text,
--- a/tests/unit/keys_test.cpp
+++ b/tests/unit/keys_test.cpp
@@ -297,4 +297,14 @@
   BOOST_TEST(Change->size() < 200U);
 }
 
+/// A row that can't be written must not keep all others from being written.
+BOOST_AUTO_TEST_CASE(BytesThatAreNoTextDoNotKeepATableFromBeingWritten) {
+  KeyTable Table;
+  Table.Rows_ = {{{0, LastKey}, {"a", "u-a", 7, 1}, 1, "h\xc3"}};
+  const std::optional<KeyTable> Decoded = decodeTable(encodeTable(Table), 0);
+  BOOST_REQUIRE(Decoded.has_value());
+  BOOST_REQUIRE(Decoded->Rows_.size() == 1U);
+  BOOST_TEST((Decoded->Rows_[0].Owner_ == Table.Rows_[0].Owner_));
+}
+
 } // namespace lagoonhitch
--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -307,11 +307,12 @@
   for (const FollowMode Mode : {FollowMode::LongPoll, FollowMode::Pushed}) {
     LoopFixture Fixture;
     CountingStore Source(Fixture.Loop_);
-    TopicFollower Follower(Fixture.Loop_, Fixture.Time_, Source, "t", Mode,
-                           [](const std::vector<StoreRecord> &Records, RecordSet) {
-                             if (!Records.empty())
-                               throw std::runtime_error("odd entry");
-                           });
+    TopicFollower Follower(
+        Fixture.Loop_, Fixture.Time_, Source, "t", Mode,
+        [](const std::vector<StoreRecord> &Records, RecordSet) {
+          if (!Records.empty())
+            throw std::runtime_error("odd entry");
+        });
     Follower.start();
     Fixture.runFor(milliseconds(50));
     Follower.hintEnd(2);
