CONFIG: a few hosts read the operators' records at short intervals

Cause: a long poll whose reply is lost looks like one that waits. All hosts poll in step, so the store lost the polls of all at the same moment, and each waited 10.7 s. Announcements between hosts need one host that knows.

Ruled out: slow decoding or a busy loop (no late ticks); lost announcements (there are none).

Change: three hosts wait 2 s and announce what they find at once; the others wait 7.5 to 10 s, differently for each host and read.

Tests: EvacuationIsKnownSoonAfterTheStoreHasLostARead failed on the code before; poll_schedule_test is for the order.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -15,6 +15,7 @@
 #include "daemon/site_watcher.h"
 #include "daemon/upstream_gateway.h"
 #include "daemon/upstream_manager.h"
+#include "membership/poll_schedule.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/io_loop.h"
@@ -84,6 +85,7 @@
   void openOptionalServers();
   void logStart();
   void onManifest();
+  void announceOperatorRecords();
   void handleReadiness(HttpExchange &Exchange) const;
   LoadDigest makeDigest();
   void pushRecord(const std::string &Topic, const StoreRecord &Record);
@@ -283,6 +285,7 @@
   Callbacks.OnManifest_ = [this] { onManifest(); };
   Callbacks.OnEvacuationsChanged_ = [this] {
     UpstreamManager_.onSiteChanged();
+    announceOperatorRecords();
   };
   Callbacks.OnChanged_ = [this] { Router_.onSiteChanged(); };
   Callbacks.OnTable_ = [this](const std::string &Service,
@@ -361,6 +364,13 @@
   Options.IdleTimeout_ = Limits.IdleTimeout_;
   CallerServer_.setLimits(Options);
   UpstreamManager_.onSiteChanged();
+  announceOperatorRecords();
+}
+
+/// Lets the hosts that read at long intervals know at once of new records.
+void Daemon::Impl::announceOperatorRecords() {
+  if (readsOften(Site_.Fleet_, Settings_.Host_, Time_.now()))
+    Digests_.sendNow();
 }
 
 void Daemon::Impl::handleReadiness(HttpExchange &Exchange) const {
--- a/daemon/site_watcher.cpp
+++ b/daemon/site_watcher.cpp
@@ -1,6 +1,7 @@
 #include "daemon/site_watcher.h"
 
 #include "daemon/crash_record.h"
+#include "membership/poll_schedule.h"
 #include "net/io_loop.h"
 #include "ownership/table_change.h"
 #include "platform/platform_codec.h"
@@ -42,9 +43,14 @@
                          SiteCallbacks Callbacks)
     : Loop_(Loop), Time_(Time), Source_(Source), Site_(Site),
       OwnHost_(std::move(OwnHost)), Callbacks_(std::move(Callbacks)),
-      OperatorFollower_(Loop, Time, Source, OperatorTopic, FollowMode::LongPoll,
-                        [this](const std::vector<StoreRecord> &Records,
-                               RecordSet) { onOperatorRecords(Records); }),
+      OperatorFollower_(
+          Loop, Time, Source, OperatorTopic, FollowMode::LongPoll,
+          [this](const std::vector<StoreRecord> &Records, RecordSet) {
+            onOperatorRecords(Records);
+          },
+          [this](std::uint64_t ReadNumber) {
+            return readTimeout(Site_.Fleet_, OwnHost_, ReadNumber, Time_.now());
+          }),
       MemberFollower_(
           Loop, Time, Source, MembersTopic, FollowMode::Pushed,
           [this](const std::vector<StoreRecord> &Records, RecordSet Set) {
--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Longest time that one read waits for new records.
-constexpr std::chrono::milliseconds LongPollTimeout{10000};
+constexpr std::chrono::milliseconds LongestPollTimeout{10000};
 /// Pause between two long polls, so that changes close together are read as one
 /// batch.
 constexpr std::chrono::milliseconds ReadPause{20};
@@ -39,9 +39,15 @@
 
 TopicFollower::TopicFollower(IoLoop &Loop, const Clock &Time, Store &Source,
                              std::string Topic, FollowMode Mode,
-                             RecordsCallback OnRecords)
+                             RecordsCallback OnRecords, PollTimeout Timeout)
     : Loop_(Loop), Time_(Time), Source_(Source), Topic_(std::move(Topic)),
-      Mode_(Mode), OnRecords_(std::move(OnRecords)), RereadDelay_(HintDelay) {}
+      Mode_(Mode), OnRecords_(std::move(OnRecords)),
+      Timeout_(std::move(Timeout)), RereadDelay_(HintDelay) {}
+
+std::chrono::milliseconds
+TopicFollower::longestPollTimeout(std::uint64_t /*ReadNumber*/) {
+  return LongestPollTimeout;
+}
 
 void TopicFollower::start() { readNewest(); }
 
@@ -173,7 +179,7 @@
   ReadStartedAt_ = Time_.now();
   Reading_ = true;
   const std::chrono::milliseconds Wait = Mode_ == FollowMode::LongPoll
-                                             ? LongPollTimeout
+                                             ? Timeout_(Number)
                                              : std::chrono::milliseconds(0);
   OpenReads_[Number] =
       Source_.read(Topic_, NextOffset_, Wait, [this, Number](ReadReply Reply) {
--- a/daemon/topic_follower.h
+++ b/daemon/topic_follower.h
@@ -62,9 +62,19 @@
   using RecordsCallback = std::function<void(
       const std::vector<StoreRecord> &Records, RecordSet Set)>;
 
+  /// Returns how long a long poll waits for new records.
+  /// \param ReadNumber counts the reads.
+  using PollTimeout =
+      std::function<std::chrono::milliseconds(std::uint64_t ReadNumber)>;
+
   /// \param OnRecords receives the records on the loop's thread.
+  /// \param Timeout how long long polls wait; not used in the other mode.
   TopicFollower(IoLoop &Loop, const Clock &Time, Store &Source,
-                std::string Topic, FollowMode Mode, RecordsCallback OnRecords);
+                std::string Topic, FollowMode Mode, RecordsCallback OnRecords,
+                PollTimeout Timeout = longestPollTimeout);
+
+  /// Returns the longest time that a long poll may wait.
+  static std::chrono::milliseconds longestPollTimeout(std::uint64_t ReadNumber);
 
   /// Starts reading.
   void start();
@@ -119,6 +129,7 @@
   std::string Topic_;
   FollowMode Mode_;
   RecordsCallback OnRecords_;
+  PollTimeout Timeout_;
   Offset NextOffset_ = 0;
   /// Offsets after a gap at NextOffset_ whose records were pushed.
   std::set<Offset> PushedAhead_;
--- a/settings/daemon_settings.h
+++ b/settings/daemon_settings.h
@@ -37,8 +37,8 @@
   /// Maximum size of a caller's request body.
   std::size_t MaxBodyBytes_ = 1024 * 1024;
 
-  /// Whether the site starts for the first time, so that no daemon of an earlier
-  /// time can have granted keys.
+  /// Whether the site starts for the first time, so that no daemon of an
+  /// earlier time can have granted keys.
   bool FirstStart_ = false;
   /// Name of this host; unique within the site.
   std::string Host_;
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// Tests that a daemon remembers evacuated zones while the store drops records.
+/// Tests that a daemon knows the evacuated zones while the store drops records
+/// or loses replies.
 
 #define BOOST_TEST_MODULE evacuation
 #include "daemon/site_watcher.h"
@@ -22,6 +23,8 @@
 
 using std::chrono::milliseconds;
 
+/// By how much a client waits longer than a read may take.
+constexpr milliseconds ClientMargin{700};
 constexpr const char *Evacuation = "evacuate/kv-a";
 
 /// A store that deletes all records but the newest of each key as soon as they
@@ -34,8 +37,12 @@
               std::optional<Offset>, AppendDone) override {}
   void appendEpoch(const std::string &, std::uint64_t, AppendDone) override {}
 
-  ReadHandle read(const std::string &Topic, Offset From, milliseconds,
+  ReadHandle read(const std::string &Topic, Offset From, milliseconds Timeout,
                   ReadDone Done) override {
+    if (LosesReads_) {
+      reply(Timeout + ClientMargin, std::move(Done), ReadReply());
+      return nullptr;
+    }
     ReadReply Reply = readRecords(State_, Topic, From);
     if (!Reply.Records_.empty())
       Reply.Kind_ = ReadReply::Kind::Expired;
@@ -50,6 +57,8 @@
   }
 
   StoreModel State_;
+  /// Whether reads get no reply, so that the client gives them up.
+  bool LosesReads_ = false;
 
 private:
   void reply(milliseconds Delay, ReadDone Done, const ReadReply &Reply) {
@@ -118,4 +127,18 @@
   BOOST_TEST(Fixture.zones() == (std::set<std::string>{"kv-b"}));
 }
 
+/// Review, case 5: the store lost the reads of all hosts at the same moment,
+/// and each host waited 10.7 s for the reply.
+BOOST_AUTO_TEST_CASE(EvacuationIsKnownSoonAfterTheStoreHasLostARead) {
+  EvacuationFixture Fixture;
+  Fixture.Watcher_.start();
+  Fixture.runFor(milliseconds(100));
+  Fixture.Source_.LosesReads_ = true;
+  Fixture.runFor(milliseconds(100));
+  Fixture.Source_.LosesReads_ = false;
+  Fixture.operate(Evacuation, "{}");
+  Fixture.runFor(milliseconds(3000));
+  BOOST_TEST(Fixture.zones() == (std::set<std::string>{"kv-a"}));
+}
+
 } // namespace lagoonhitch
