Faults: chunk headers and trailers of requests have a limit

Report: bytes without end from a faulty upstream end the process of the host that keeps them.

What was found: responses are bounded in all their parts. Chunk headers and trailers of requests are not, and an upstream sends requests and heartbeats: more than 32 MB were accepted within the request's timeout in a test, 375 MB are possible over 3 s at 1,000 Mbit/s (calculated), and a host has 260 MB.

Cause: the parser keeps them in a buffer without a limit until they are complete.

Change: the buffer takes the limit for headers and 64 KB more; then the request is rejected with 431 and the connection closed. discardInput() clears the buffer first, as there may be no room left in it.

--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr std::size_t ReadChunkBytes = 8192;
+/// Bytes that a read may take beyond the limit for headers.
+constexpr std::size_t MaxUnparsedBytes = std::size_t{64} * 1024;
 /// Maximum number of requests of one connection that are handled at a time.
 constexpr std::size_t MaxPendingExchanges = 16;
 /// Size of waiting responses, in bytes, from which no further request of the
@@ -29,7 +31,8 @@
 constexpr std::string_view ProgressResponse = "HTTP/1.1 102 Processing\r\n\r\n";
 
 unsigned parseErrorStatus(const error_code &Failure) {
-  if (Failure == http::error::header_limit)
+  if (Failure == http::error::header_limit ||
+      Failure == http::error::buffer_overflow)
     return 431;
   if (Failure == http::error::body_limit)
     return 413;
@@ -159,6 +162,10 @@
   Parser_->header_limit(
       static_cast<std::uint32_t>(Server_->Options_.MaxHeaderBytes_));
   Parser_->body_limit(Server_->Options_.MaxBodyBytes_);
+  // The parser limits neither chunk headers nor trailers, and keeps them here
+  // until they are complete.
+  Buffer_.max_size(std::max(Server_->Options_.MaxHeaderBytes_, Buffer_.size()) +
+                   MaxUnparsedBytes);
   if (Buffer_.size() > 0) {
     readRequest();
     return;
@@ -454,6 +461,7 @@
 
 void HttpSession::discardInput() {
   Reading_ = true;
+  Buffer_.clear();
   Stream_.async_read_some(
       Buffer_.prepare(ReadChunkBytes),
       [Self = shared_from_this()](error_code Failure, std::size_t) {
--- a/tests/unit/server_test.cpp
+++ b/tests/unit/server_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <cstddef>
@@ -189,4 +190,33 @@
   BOOST_TEST(Fixture.read(Closed).starts_with("HTTP/1.1 200"));
 }
 
+/// An upstream that sends a request or a heartbeat with bytes without end. The
+/// daemon kept them all until the request's timeout.
+BOOST_DATA_TEST_CASE(
+    RequestWithoutEndIsCutAtItsLimits,
+    boost::unit_test::data::make(
+        {"PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4;",
+         "PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "0\r\nA: ",
+         "PUT / HTTP/1.1\r\nHost: ", "aaaa"}),
+    Head) {
+  constexpr std::size_t PieceBytes = std::size_t{64} * 1024;
+  constexpr std::size_t MaxAcceptedBytes = std::size_t{16} * 1024 * 1024;
+  ServerFixture Fixture;
+  std::string Piece = Head;
+  std::size_t Sent = 0;
+  boost::system::error_code Failure;
+  const auto IsOpen = [&Failure] {
+    return !Failure || Failure == boost::asio::error::would_block;
+  };
+  while (IsOpen() && Sent < 2 * MaxAcceptedBytes) {
+    Sent += Fixture.Client_.write_some(boost::asio::buffer(Piece), Failure);
+    if (!Failure)
+      Piece.assign(PieceBytes, 'a');
+    else
+      Fixture.runFor(milliseconds(1));
+  }
+  BOOST_TEST(Sent < MaxAcceptedBytes);
+}
+
 } // namespace lagoonhitch
