Events: who ended a run, and which configuration had no route

Event 702, run-cut, has the cause, how long the request ran and the time to its deadline. Event 700 has the host, the path and the version of the configuration if no route matches.

--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -44,6 +44,7 @@
     {EventId::HandlerFailed, EventLevel::Error, "handler-failed"},
     {EventId::RequestRefused, EventLevel::Info, "request-refused"},
     {EventId::RequestFailed, EventLevel::Warn, "request-failed"},
+    {EventId::RunCut, EventLevel::Warn, "run-cut"},
 };
 
 } // namespace
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -52,6 +52,7 @@
   HandlerFailed = 602,
   RequestRefused = 700,
   RequestFailed = 701,
+  RunCut = 702,
 };
 
 /// One entry of the catalogue.
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -30,6 +30,7 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <optional>
 #include <random>
 #include <utility>
@@ -93,7 +94,7 @@
   std::string chooseRelay();
   void onStoreEra(StoreEra Era, std::optional<StoreEra> Known);
   void tick();
-  template <typename Duty> void runDuty(Duty Run);
+  void runDuty(const std::function<void()> &Run);
   void measureLoopLag();
   void startShutdown(Instant RequestedAt);
   void continueShutdown();
@@ -277,6 +278,11 @@
   };
   Callbacks.OnLeaving_ = [this] { UpstreamManager_.onLeavingStated(); };
   Callbacks.OnRunsLost_ = [this] { UpstreamManager_.onRunsLost(); };
+  Callbacks.OnRunCut_ = [this](const std::string &Request,
+                               const std::string &Why) {
+    Metrics_.countEvent(eventInfo(EventId::RunCut).Name_);
+    Events_.write(EventId::RunCut, {{"request", Request}, {"why", Why}});
+  };
   return Callbacks;
 }
 
@@ -463,7 +469,7 @@
 
 /// Runs one of the duties of a tick. One that fails does not keep the others
 /// from running.
-template <typename Duty> void Daemon::Impl::runDuty(Duty Run) {
+void Daemon::Impl::runDuty(const std::function<void()> &Run) {
   try {
     Run();
   } catch (const std::exception &Failure) {
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -100,6 +100,8 @@
     reject(Request, "no configuration is known yet", NoManifestRetryAfter);
     return;
   case RoutedRequest::Kind::NoRoute:
+    LogEvent_(EventId::RequestRefused, Request->Routed_.CallerRequestId_,
+              describeMissingRoute(*Request));
     reply(Request, errorResponse(NotFound, "no route takes this path"),
           Outcome::NotRun);
     return;
@@ -518,6 +520,18 @@
                       " ms ago, ", Request.StatusQueries_, " status queries");
 }
 
+/// Describes which request has no route in which configuration.
+std::string
+RequestRouter::describeMissingRoute(const OpenRequest &Request) const {
+  constexpr std::size_t MaxTargetLength = 120;
+  const HttpRequest &Source = Request.GatewayRequest_.HttpRequest_;
+  const std::string *Host = findHeader(Source.Headers_, "Host");
+  return absl::StrCat(
+      "no route takes ", Host == nullptr ? "" : *Host,
+      Source.Target_.substr(0, MaxTargetLength), ", configuration ",
+      Site_.Manifest_ == nullptr ? 0 : Site_.Manifest_->Version_);
+}
+
 /// Describes a decision about a request and the state that it is based on.
 std::string RequestRouter::describeDecision(const OpenRequest &Request,
                                             const std::string &Reason) const {
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -122,6 +122,7 @@
              Outcome FinalOutcome);
   std::string describeAttempt(const OpenRequest &Request,
                               const char *Cause) const;
+  std::string describeMissingRoute(const OpenRequest &Request) const;
   std::string describeDecision(const OpenRequest &Request,
                                const std::string &Reason) const;
 
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -1,9 +1,12 @@
 #include "daemon/upstream_gateway.h"
 
+#include "daemon/attempt_description.h"
 #include "daemon/upstream_notice.h"
 #include "net/http_client.h"
 #include "net/io_loop.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -265,6 +268,9 @@
   }
   if (CallResult.Status_ == HttpCallStatus::ConnectionLost)
     recordLostRun(Entry);
+  if (CallResult.Status_ == HttpCallStatus::ConnectionLost ||
+      CallResult.Status_ == HttpCallStatus::TimedOut)
+    reportCutRun(Entry, describeLostCall(CallResult.Status_));
   GatewayResult Result = classify(Entry, std::move(CallResult));
   const bool Ran = Result.Outcome_ == Outcome::Ran;
   finishRequest(Queue_, Entry.QueuedRequest_,
@@ -276,6 +282,20 @@
   dispatchQueued();
 }
 
+void UpstreamGateway::reportCutRun(const OpenRequest &Entry,
+                                   const char *Cause) const {
+  if (!Callbacks_.OnRunCut_)
+    return;
+  const Instant Now = Time_.now();
+  const std::string *Id =
+      findHeader(Entry.Request_.HttpRequest_.Headers_, Names_.RequestId_);
+  Callbacks_.OnRunCut_(
+      Id == nullptr ? std::string() : *Id,
+      absl::StrCat(Cause, "; ran ", toMillis(Now - Entry.Since_).count(),
+                   " ms, ", toMillis(Entry.Request_.Deadline_ - Now).count(),
+                   " ms before its deadline"));
+}
+
 void UpstreamGateway::recordLostRun(const OpenRequest &Entry) {
   constexpr std::size_t MaxSummaryLength = 120;
   LostRun Run;
@@ -396,6 +416,7 @@
   }
   if (!Entry.Request_.Idempotent_)
     return false;
+  reportCutRun(Entry, "given up by its caller or entry daemon");
   UpstreamClient_.cancel(Entry.Call_);
   finishRequest(Queue_, Entry.QueuedRequest_, std::nullopt);
   complete(Number, GatewayResult());
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -56,6 +56,11 @@
   std::function<void()> OnLeaving_;
   /// Called soon after requests have been lost with their connections.
   std::function<void()> OnRunsLost_;
+  /// Called when a request that was sent to the upstream ends without its
+  /// response.
+  /// \param Request the caller's ID of the request.
+  std::function<void(const std::string &Request, const std::string &Why)>
+      OnRunCut_{};
 };
 
 /// Admits requests to the local upstream: forwards them while it has capacity,
@@ -164,6 +169,7 @@
   void startQueued(const QueuedRequest &Request);
   HttpRequest makeUpstreamRequest(const OpenRequest &Entry) const;
   void onUpstreamResult(std::uint64_t Number, HttpResult CallResult);
+  void reportCutRun(const OpenRequest &Entry, const char *Cause) const;
   void recordLostRun(const OpenRequest &Entry);
   GatewayResult classify(const OpenRequest &Entry, HttpResult CallResult);
   void reject(std::uint64_t Number, RejectReason Reason, Duration RetryAfter);
