LOST: an attempt that a status query did not find never runs

Cause, probable: a gateway that is late reads an attempt after it has answered a status query about it with "does not run"; the entry daemon gives the attempt up when it has begun, and its second attempt is refused.

Change: gateways record idempotent attempts too, without their answers. One that a query did not find is rejected when it arrives, so the entry daemon can send the next one at once.

--- a/daemon/attempt_description.cpp
+++ b/daemon/attempt_description.cpp
@@ -7,17 +7,20 @@
 namespace lagoonhitch {
 
 AttemptLookup toAttemptLookup(HttpCallStatus Status,
-                              AttemptStatusReply::Kind Reply, bool Idempotent) {
+                              const AttemptStatusReply &Reply,
+                              bool Idempotent) {
   if (Status == HttpCallStatus::NotSent)
     return AttemptLookup::Unreachable;
   if (Status != HttpCallStatus::Completed)
     return AttemptLookup::TimedOut;
-  switch (Reply) {
+  switch (Reply.Kind_) {
   case AttemptStatusReply::Kind::Running:
     return AttemptLookup::Running;
   case AttemptStatusReply::Kind::Ended:
-    // Gateways keep no record of idempotent attempts.
-    return Idempotent ? AttemptLookup::NotRunning : AttemptLookup::Ended;
+    // Gateways keep no answers to idempotent attempts.
+    return Idempotent && Reply.Result_.Outcome_ != Outcome::NotRun
+               ? AttemptLookup::NotRunning
+               : AttemptLookup::Ended;
   case AttemptStatusReply::Kind::Unknown:
     return AttemptLookup::Unknown;
   }
--- a/daemon/attempt_description.h
+++ b/daemon/attempt_description.h
@@ -21,7 +21,7 @@
 /// \param Reply the gateway's reply, if the call was completed.
 /// \param Idempotent whether the attempt is idempotent.
 AttemptLookup toAttemptLookup(HttpCallStatus Status,
-                              AttemptStatusReply::Kind Reply, bool Idempotent);
+                              const AttemptStatusReply &Reply, bool Idempotent);
 
 /// Describes how the call of an attempt ended without a response.
 const char *describeLostCall(HttpCallStatus Status);
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -105,7 +105,6 @@
     return;
   }
   const bool AlreadyKnown =
-      !Request.Idempotent_ &&
       !beginAttempt(Attempts_, Request.Id_, Request.Deadline_, Now);
   if (AlreadyKnown) {
     Rejection.RejectReason_ = RejectReason::AlreadyResolved;
@@ -394,11 +393,12 @@
   OpenRequest Entry = std::move(Found->second);
   Requests_.erase(Found);
   NumbersById_.erase(Entry.Request_.Id_);
-  if (!Entry.Request_.Idempotent_)
-    finishAttempt(
-        Attempts_, Entry.Request_.Id_,
-        std::max(Entry.Request_.Deadline_, Entry.Request_.LatestLookup_),
-        toStoredAnswer(Result), AttemptTableOptions_, Time_.now());
+  // An idempotent request can be run again if its answer is lost.
+  finishAttempt(
+      Attempts_, Entry.Request_.Id_,
+      std::max(Entry.Request_.Deadline_, Entry.Request_.LatestLookup_),
+      Entry.Request_.Idempotent_ ? nullptr : toStoredAnswer(Result),
+      AttemptTableOptions_, Time_.now());
   if (Entry.Callback_)
     Entry.Callback_(std::move(Result));
 }
--- a/routing/request_plan.h
+++ b/routing/request_plan.h
@@ -100,10 +100,10 @@
 enum class AttemptLookup {
   /// The attempt waits or runs.
   Running,
-  /// The attempt has ended or will never run, and the reply has its result.
+  /// The attempt has ended or will never run, and the reply has its result. One
+  /// that has not arrived is rejected when it does.
   Ended,
-  /// The attempt has ended or has not arrived: the daemon does not run it and
-  /// keeps no record of it, since it is idempotent.
+  /// The attempt has ended, and its answer is not kept, since it is idempotent.
   NotRunning,
   /// The daemon has no information about the attempt.
   Unknown,
--- a/tests/schedule/request_schedule_test.cpp
+++ b/tests/schedule/request_schedule_test.cpp
@@ -80,6 +80,20 @@
              static_cast<std::size_t>(CallCount));
 }
 
+/// Report of a planned stop (LOST): an entry daemon learned that an attempt did
+/// not run, which had not arrived yet, and gave it up when it had begun.
+BOOST_AUTO_TEST_CASE(AttemptsThatArriveLateAreNotCutWhenTheyRun) {
+  constexpr std::uint64_t SeedCount = 100;
+  RequestFaults Faults = longIdempotentRuns(100);
+  Faults.SlowArrivalPercent_ = 100;
+  Faults.SlowLookupPercent_ = 100;
+  for (std::uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
+    RequestSimulation Simulation(Seed, Faults);
+    Simulation.run(CallCount);
+    BOOST_TEST(Simulation.violations().empty());
+  }
+}
+
 /// Lost connections alone must not make an outcome unknown, since the entry
 /// daemon looks up the attempt's status at the gateway.
 BOOST_AUTO_TEST_CASE(LostConnectionsLeaveNoUnknownOutcome) {
--- a/tests/schedule/request_simulation.cpp
+++ b/tests/schedule/request_simulation.cpp
@@ -35,7 +35,7 @@
     Result.Outcome_ = Outcome::NotRun;
     Result.RejectReason_ = RejectReason::AlreadyResolved;
   }
-  if (Info.Status_ == AttemptStatus::Finished) {
+  if (Info.Status_ == AttemptStatus::Finished && Info.Answer_) {
     Result.Outcome_ = Info.Answer_->Outcome_;
     Result.Status_ = Info.Answer_->Status_;
   }
@@ -128,7 +128,8 @@
   ++Current.Plan_.SentAttempts_;
   Current.Plan_.AnswerWaitEnd_.reset();
   const bool Lost = chance(Faults_.LostConnectionPercent_);
-  const bool Late = Lost && chance(Faults_.LateArrivalPercent_);
+  const bool Late = Lost ? chance(Faults_.LateArrivalPercent_)
+                         : chance(Faults_.SlowArrivalPercent_);
   const std::uint32_t Attempt = Current.Attempt_.Number_ + 1;
   const bool SameGateway = Current.Plan_.Keyed_ && Attempt > 1;
   const std::size_t GatewayIndex =
@@ -196,9 +197,11 @@
   scheduleAfter(randomDelay(1, 20), [=, this] {
     const LookupResult Result =
         receiveLookup(CallIndex, Attempt, GatewayIndex, ProcessId);
-    if (!Lost)
-      scheduleAfter(randomDelay(1, 20),
-                    [=, this] { handleLookup(CallIndex, Attempt, Result); });
+    if (Lost)
+      return;
+    const bool Slow = chance(Faults_.SlowLookupPercent_);
+    scheduleAfter(Slow ? randomDelay(200, 370) : randomDelay(1, 20),
+                  [=, this] { handleLookup(CallIndex, Attempt, Result); });
   });
 }
 
@@ -209,9 +212,10 @@
     return;
   Call &Current = Calls_[CallIndex];
   Current.Attempt_.LookupInFlight_ = false;
-  // Gateways keep no record of idempotent attempts.
-  const bool Unrecorded =
-      Result.Lookup_ == AttemptLookup::Ended && Current.Plan_.Idempotent_;
+  // Gateways keep no answers to idempotent attempts.
+  const bool Unrecorded = Result.Lookup_ == AttemptLookup::Ended &&
+                          Current.Plan_.Idempotent_ &&
+                          Result.Recorded_.Outcome_ != Outcome::NotRun;
   const AttemptLookup Lookup =
       Unrecorded ? AttemptLookup::NotRunning : Result.Lookup_;
   if (!shouldStopWaiting(Current.Plan_, Lookup, !Current.Attempt_.Broken_,
@@ -303,7 +307,6 @@
   AttemptResult Rejected;
   Rejected.Outcome_ = Outcome::NotRun;
   const bool CannotBegin =
-      !Plan.Idempotent_ &&
       !beginAttempt(Gateways_[GatewayIndex].Attempts_, idOf(CallIndex, Attempt),
                     Plan.Deadline_, Now_);
   if (CannotBegin || Now_ >= Plan.Deadline_) {
@@ -313,8 +316,7 @@
   }
   if (chance(Faults_.RejectionPercent_)) {
     Rejected.RejectReason_ = RejectReason::Unavailable;
-    if (!Plan.Idempotent_)
-      recordResult(CallIndex, Attempt, GatewayIndex, Outcome::NotRun);
+    recordResult(CallIndex, Attempt, GatewayIndex, Outcome::NotRun);
     respond(CallIndex, Attempt, Rejected, Lost);
     return;
   }
@@ -342,8 +344,7 @@
                                   std::size_t GatewayIndex, bool Lost) {
   Gateways_[GatewayIndex].Running_.erase(idOf(CallIndex, Attempt));
   setPhase(CallIndex, Attempt, Phase::AnswerUnderWay);
-  if (!Calls_[CallIndex].Plan_.Idempotent_)
-    recordResult(CallIndex, Attempt, GatewayIndex, Outcome::Ran);
+  recordResult(CallIndex, Attempt, GatewayIndex, Outcome::Ran);
   AttemptResult Ran;
   Ran.Outcome_ = Outcome::Ran;
   Ran.Status_ = 200;
@@ -358,7 +359,10 @@
   Stored.Status_ = 200;
   finishAttempt(Gateways_[GatewayIndex].Attempts_, idOf(CallIndex, Attempt),
                 Calls_[CallIndex].Plan_.Deadline_,
-                std::make_shared<const Answer>(Stored), Options_, Now_);
+                Calls_[CallIndex].Plan_.Idempotent_
+                    ? nullptr
+                    : std::make_shared<const Answer>(Stored),
+                Options_, Now_);
 }
 
 /// Sends a gateway's response over the attempt's connection.
--- a/tests/schedule/request_simulation.h
+++ b/tests/schedule/request_simulation.h
@@ -42,6 +42,10 @@
   int UnreachableLookupPercent_ = 0;
   /// Status look-ups without a response, half of which reach the gateway.
   int LostLookupPercent_ = 0;
+  /// Attempts over a connection that works which the gateway reads late.
+  int SlowArrivalPercent_ = 0;
+  /// Status look-ups whose reply takes almost as long as it may.
+  int SlowLookupPercent_ = 0;
 };
 
 /// Runs requests through the decisions of an entry daemon and the attempt
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -156,4 +156,20 @@
   BOOST_TEST(Fixture.ReportedRuns_ == Slots);
 }
 
+/// The entry daemon may send the request again as soon as it has the reply.
+BOOST_AUTO_TEST_CASE(AttemptThatAStatusQueryDidNotFindIsNotRun) {
+  GatewayFixture Fixture(endlessScript("HTTP/1.1 200 OK\r\n\r\n"));
+  for (const bool Idempotent : {false, true}) {
+    const std::uint64_t Sequence = Idempotent ? 1 : 2;
+    const AttemptInfo Found =
+        Fixture.Gateway_.lookUpStatus({1, Sequence, 1}, RequestTimeout);
+    BOOST_TEST((Found.Status_ == AttemptStatus::Rejected));
+    Fixture.Results_.clear();
+    Fixture.serve(Sequence, Idempotent);
+    BOOST_REQUIRE(Fixture.Results_.size() == 1U);
+    BOOST_TEST((Fixture.Results_[0].Outcome_ == Outcome::NotRun));
+  }
+  BOOST_TEST(Fixture.Gateway_.load().Running_ == 0U);
+}
+
 } // namespace lagoonhitch
