OWNER: topics are read again when the store states its first era late

A store whose replies have no era at first, and one later, is treated as restored: the lease is renewed only when the table has been read in the new era. The readers were told only of a change from a known era, and would have read the table up to 30 s later, beyond the lease. Found by reading; FirstReadIsNotRepeatedForTheFirstEra guards that a usual start costs no read more.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -447,8 +447,6 @@
            Known ? absl::StrCat(Number(Era), ", before ", Number(*Known))
                  : absl::StrCat(Number(Era)));
   Ownership_.onStoreEra(Era);
-  if (!Known)
-    return;
   Watcher_.onStoreRestored();
   UpstreamManager_.onStoreRestored();
 }
--- a/daemon/topic_follower.cpp
+++ b/daemon/topic_follower.cpp
@@ -51,7 +51,11 @@
 
 void TopicFollower::start() { readNewest(); }
 
-void TopicFollower::onStoreRestored() { readNewest(); }
+void TopicFollower::onStoreRestored() {
+  // Otherwise the first read is under way.
+  if (Loaded_)
+    readNewest();
+}
 
 void TopicFollower::schedule(Duration Delay, void (TopicFollower::*Step)()) {
   Timer_ = Loop_.after(Delay, [this, Step] { (this->*Step)(); });
--- a/tests/unit/follower_test.cpp
+++ b/tests/unit/follower_test.cpp
@@ -368,6 +368,19 @@
              (std::vector<std::string>{"old:v0", "rewritten:v1", "gone:"}));
 }
 
+/// Each daemon sees its first era with its first read.
+BOOST_AUTO_TEST_CASE(FirstReadIsNotRepeatedForTheFirstEra) {
+  FollowerFixture Fixture(FollowMode::Pushed);
+  Fixture.Source_.NewestDelay_ = milliseconds(20);
+  Fixture.Follower_.start();
+  Fixture.Follower_.onStoreRestored();
+  Fixture.runFor(milliseconds(50));
+  BOOST_TEST(Fixture.Source_.Reads_ == 1);
+  Fixture.Follower_.onStoreRestored();
+  Fixture.runFor(milliseconds(50));
+  BOOST_TEST(Fixture.Source_.Reads_ == 2);
+}
+
 /// The offsets of lost records are given out again, to other records.
 BOOST_AUTO_TEST_CASE(ReadsTheRecordsAtOffsetsThatAreGivenOutAgain) {
   FollowerFixture Fixture(FollowMode::Pushed);
