Load reports carry work, waits and hot keys

Interfaces for the parts described in docs/design/README.md, agreed on before they are built. The numbers follow the fields that daemons of the version before know, or stand in headers of their own that these drop, so both versions work beside each other.

--- a/daemon/caller_interface.h
+++ b/daemon/caller_interface.h
@@ -37,6 +37,8 @@
   bool Idempotent_ = false;
   /// Maximum number of attempts that run or may have run.
   std::uint32_t MaxAttempts_ = 1;
+  /// Identifies the route, whose requests need similar work; zero if unknown.
+  std::uint32_t Class_ = 0;
   /// Priority rank; zero is the highest.
   std::uint32_t Rank_ = 0;
   /// Time from the request's arrival to its deadline.
--- a/daemon/forward_codec.cpp
+++ b/daemon/forward_codec.cpp
@@ -20,6 +20,8 @@
 constexpr const char *RejectionHeader = "Lagoonhitch-Refusal";
 constexpr const char *AttemptStatusHeader = "Lagoonhitch-Fate";
 constexpr const char *LoadHeader = "Lagoonhitch-Load";
+constexpr const char *WorkHeader = "Lagoonhitch-Work";
+constexpr const char *ClassHeader = "Lagoonhitch-Class";
 constexpr const char *NoKey = "-";
 constexpr unsigned RejectedStatus = 503;
 
@@ -79,6 +81,56 @@
   return Valid ? std::optional<LoadReport>(Load) : std::nullopt;
 }
 
+/// Encodes the work of the upstream and, if known, that of the run.
+std::string encodeWork(const UpstreamWork &Work,
+                       const std::optional<std::uint32_t> &RunMillis) {
+  std::string Text =
+      absl::StrCat(Work.SlowdownPercent_, ";", Work.CurrentSlowdownPercent_,
+                   ";", Work.RemainingMillis_);
+  for (const std::uint32_t Wait : Work.WaitMillis_)
+    absl::StrAppend(&Text, ";", Wait);
+  if (RunMillis)
+    absl::StrAppend(&Text, ";", *RunMillis);
+  return Text;
+}
+
+/// Decodes the work of the upstream and of the run. Ignores a malformed header.
+void decodeWork(const std::string *Text, GatewayResult &Result) {
+  if (Text == nullptr || !Result.Load_)
+    return;
+  constexpr std::size_t WorkParts = 3 + ReportedRanks;
+  const std::vector<std::string> Parts = absl::StrSplit(*Text, ';');
+  if (Parts.size() != WorkParts && Parts.size() != WorkParts + 1)
+    return;
+  std::vector<std::uint32_t> Numbers(Parts.size());
+  for (std::size_t Index = 0; Index < Parts.size(); ++Index)
+    if (!absl::SimpleAtoi(Parts[Index], &Numbers[Index]))
+      return;
+  UpstreamWork &Work = Result.Load_->Work_;
+  Work.SlowdownPercent_ = Numbers[0];
+  Work.CurrentSlowdownPercent_ = Numbers[1];
+  Work.RemainingMillis_ = Numbers[2];
+  std::copy_n(Numbers.begin() + 3, ReportedRanks, Work.WaitMillis_.begin());
+  if (Parts.size() > WorkParts)
+    Result.RunWorkMillis_ = Numbers[WorkParts];
+}
+
+/// Sets the class of a request and whether it is chained. Without a readable
+/// header, the class is unknown.
+void decodeClass(const std::string *Text, GatewayRequest &Request) {
+  if (Text == nullptr)
+    return;
+  const std::vector<std::string> Parts = absl::StrSplit(*Text, ';');
+  std::uint32_t Class = 0;
+  std::uint32_t Chained = 0;
+  const bool Valid = Parts.size() == 2 && absl::SimpleAtoi(Parts[0], &Class) &&
+                     absl::SimpleAtoi(Parts[1], &Chained);
+  if (!Valid)
+    return;
+  Request.Class_ = Class;
+  Request.Chained_ = Chained != 0;
+}
+
 } // namespace
 
 HttpRequest encodeForwardedRequest(const GatewayRequest &Request, Instant Now) {
@@ -92,6 +144,9 @@
                     millisUntil(Request.ObjectiveAt_, Now), ";",
                     toMillis(Request.Objective_).count(), ";",
                     toMillis(Now.time_since_epoch()).count())});
+  Message.Headers_.push_back(
+      {ClassHeader,
+       absl::StrCat(Request.Class_, ";", Request.Chained_ ? 1 : 0)});
   return Message;
 }
 
@@ -137,6 +192,7 @@
   Request.ObjectiveAt_ = Now + std::chrono::milliseconds(ObjectiveAtMillis);
   Request.Objective_ = std::chrono::milliseconds(ObjectiveMillis);
   Request.SentAt_ = Instant(std::chrono::milliseconds(SentMillis));
+  decodeClass(findHeader(Message.Headers_, ClassHeader), Request);
   eraseReservedHeaders(Message.Headers_);
   Request.HttpRequest_ = std::move(Message);
   return Request;
@@ -154,8 +210,11 @@
          absl::StrCat(static_cast<int>(Result.RejectReason_), ";",
                       toMillis(Result.RetryAfter_).count(), ";",
                       Result.RejectedByUpstream_ ? 1 : 0)});
-  if (Result.Load_)
+  if (Result.Load_) {
     Message.Headers_.push_back({LoadHeader, encodeLoad(*Result.Load_)});
+    Message.Headers_.push_back(
+        {WorkHeader, encodeWork(Result.Load_->Work_, Result.RunWorkMillis_)});
+  }
   return Message;
 }
 
@@ -164,6 +223,7 @@
   Result.Outcome_ = parseOutcome(findHeader(Message.Headers_, OutcomeHeader));
   parseRejection(findHeader(Message.Headers_, RejectionHeader), Result);
   Result.Load_ = decodeLoad(findHeader(Message.Headers_, LoadHeader));
+  decodeWork(findHeader(Message.Headers_, WorkHeader), Result);
   eraseReservedHeaders(Message.Headers_);
   Result.Response_ = std::move(Message);
   return Result;
--- a/daemon/gateway_request.h
+++ b/daemon/gateway_request.h
@@ -28,6 +28,10 @@
   /// The request's key; std::nullopt if any upstream of the service can execute
   /// it.
   std::optional<KeyId> Key_;
+  /// Identifies the route, whose requests need similar work; zero if unknown.
+  std::uint32_t Class_ = 0;
+  /// Whether a running request waits for this one: an upstream has sent it.
+  bool Chained_ = false;
   /// Priority rank; zero is the highest.
   std::uint32_t Rank_ = 0;
   /// Whether the request may be executed more than once.
--- a/daemon/gateway_result.h
+++ b/daemon/gateway_result.h
@@ -10,6 +10,7 @@
 #include "membership/load_digest.h"
 #include "net/http_message.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace lagoonhitch {
@@ -26,6 +27,9 @@
   bool RejectedByUpstream_ = false;
   /// The upstream's load, if the gateway reports it.
   std::optional<LoadReport> Load_;
+  /// The work of the run, in milliseconds at usual speed; std::nullopt if
+  /// unknown.
+  std::optional<std::uint32_t> RunWorkMillis_;
   /// The upstream's response, if it executed the request.
   HttpResponse Response_;
 };
--- a/daemon/manifest_caller_interface.cpp
+++ b/daemon/manifest_caller_interface.cpp
@@ -3,6 +3,7 @@
 #include "manifest/route_match.h"
 
 #include <absl/strings/numbers.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -11,6 +12,14 @@
 
 namespace {
 
+/// Returns the class of a route's requests.
+std::uint32_t classOf(const Route &Matched) {
+  const XXH64_hash_t Seed =
+      XXH3_64bits(Matched.Hostname_.data(), Matched.Hostname_.size());
+  return static_cast<std::uint32_t>(XXH3_64bits_withSeed(
+      Matched.Prefix_.data(), Matched.Prefix_.size(), Seed));
+}
+
 std::optional<std::int64_t> parseNumber(const std::string *Text) {
   std::int64_t Number = 0;
   if (Text == nullptr || !absl::SimpleAtoi(*Text, &Number))
@@ -43,6 +52,7 @@
   Routed.Service_ = pickService(*Found, Draw);
   Routed.Idempotent_ = Found->Idempotent_;
   Routed.MaxAttempts_ = Found->MaxAttempts_;
+  Routed.Class_ = classOf(*Found);
   Routed.Rank_ = Found->Priority_;
   Routed.Objective_ = Found->Objective_;
   Routed.Timeout_ = Found->Timeout_;
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -134,6 +134,7 @@
   const RoutedRequest &Routed = Request.Routed_;
   Outgoing.Service_ = Routed.Service_;
   Outgoing.Key_ = Routed.Key_;
+  Outgoing.Class_ = Routed.Class_;
   Outgoing.Rank_ = Routed.Rank_;
   Outgoing.Idempotent_ = Routed.Idempotent_;
   Outgoing.Deadline_ = Request.ArrivedAt_ + Routed.Timeout_;
--- a/daemon/settings_caller_interface.cpp
+++ b/daemon/settings_caller_interface.cpp
@@ -4,6 +4,7 @@
 #include "settings/rule_match.h"
 
 #include <absl/strings/numbers.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -54,6 +55,9 @@
   Routed.Service_ = Service->Name_;
   Routed.Idempotent_ = Rule.Idempotent_;
   Routed.MaxAttempts_ = Rule.Idempotent_ ? MaxRepeatableAttempts : 1;
+  Routed.Class_ = static_cast<std::uint32_t>(XXH3_64bits_withSeed(
+      Rule.Path_.data(), Rule.Path_.size(),
+      XXH3_64bits(Rule.Method_.data(), Rule.Method_.size())));
   Routed.Rank_ = rankOf(Rule.Priority_);
   Routed.Timeout_ = Rule.Timeout_;
   std::int64_t Requested = 0;
--- a/membership/fleet.cpp
+++ b/membership/fleet.cpp
@@ -57,6 +57,7 @@
   Digest.Slots_ = Load.Slots_;
   Digest.ProcessingMillis_ = Load.ProcessingMillis_;
   Digest.RateLimit_ = Load.RateLimit_;
+  Digest.Work_ = Load.Work_;
   Member.LoadReportedAt_ = Now;
   Member.SentSinceLoadUpdate_ = 0;
 }
--- a/membership/load_digest.h
+++ b/membership/load_digest.h
@@ -4,8 +4,12 @@
 /// \file
 /// The digests and reports by which daemons share their upstreams' load.
 
+#include "membership/hot_key.h"
+#include "membership/upstream_work.h"
+
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace lagoonhitch {
 
@@ -46,6 +50,11 @@
   std::uint64_t MembersEnd_ = 0;
   /// End offset of the topic of the service's key table, as far as known.
   std::uint64_t TableEnd_ = 0;
+  /// The upstream's work and speed; unknown if the daemon reports none.
+  UpstreamWork Work_;
+  /// Owned keys with more requests than the upstream can run; at most
+  /// MaxHotKeys.
+  std::vector<HotKey> HotKeys_;
 };
 
 /// The load of an upstream, as its daemon reports it with a response. The
@@ -56,6 +65,7 @@
   std::uint32_t Slots_ = 0;
   std::uint32_t ProcessingMillis_ = 0;
   std::uint32_t RateLimit_ = 0;
+  UpstreamWork Work_;
 };
 
 } // namespace lagoonhitch
