--- a/daemon/forward_codec.cpp
+++ b/daemon/forward_codec.cpp
@@ -86,7 +86,7 @@
                        const std::optional<std::uint32_t> &RunMillis) {
   std::string Text =
       absl::StrCat(Work.SlowdownPercent_, ";", Work.CurrentSlowdownPercent_,
-                   ";", Work.RemainingMillis_);
+                   ";", Work.FailurePercent_, ";", Work.RemainingMillis_);
   for (const std::uint32_t Wait : Work.WaitMillis_)
     absl::StrAppend(&Text, ";", Wait);
   if (RunMillis)
@@ -98,7 +98,7 @@
 void decodeWork(const std::string *Text, GatewayResult &Result) {
   if (Text == nullptr || !Result.Load_)
     return;
-  constexpr std::size_t WorkParts = 3 + ReportedRanks;
+  constexpr std::size_t WorkParts = 4 + ReportedRanks;
   const std::vector<std::string> Parts = absl::StrSplit(*Text, ';');
   if (Parts.size() != WorkParts && Parts.size() != WorkParts + 1)
     return;
@@ -109,8 +109,9 @@
   UpstreamWork &Work = Result.Load_->Work_;
   Work.SlowdownPercent_ = Numbers[0];
   Work.CurrentSlowdownPercent_ = Numbers[1];
-  Work.RemainingMillis_ = Numbers[2];
-  std::copy_n(Numbers.begin() + 3, ReportedRanks, Work.WaitMillis_.begin());
+  Work.FailurePercent_ = Numbers[2];
+  Work.RemainingMillis_ = Numbers[3];
+  std::copy_n(Numbers.begin() + 4, ReportedRanks, Work.WaitMillis_.begin());
   if (Parts.size() > WorkParts)
     Result.RunWorkMillis_ = Numbers[WorkParts];
 }
--- a/membership/upstream_work.h
+++ b/membership/upstream_work.h
@@ -22,6 +22,9 @@
   std::uint32_t SlowdownPercent_ = 0;
   /// The same as last observed; zero if unknown.
   std::uint32_t CurrentSlowdownPercent_ = 0;
+  /// Responses that report a failure of the upstream, in percent of the recent
+  /// ones.
+  std::uint32_t FailurePercent_ = 0;
   /// What the running and the waiting requests still need, in milliseconds.
   std::uint32_t RemainingMillis_ = 0;
   /// How long a request of each rank would wait for its start if it came now,
--- a/net/digest_codec.cpp
+++ b/net/digest_codec.cpp
@@ -28,7 +28,7 @@
 /// that do not know them ignore what follows.
 using WorkFields = std::vector<std::uint32_t>;
 
-constexpr std::size_t FieldsOfWork = 3 + ReportedRanks;
+constexpr std::size_t FieldsOfWork = 4 + ReportedRanks;
 constexpr std::size_t FieldsOfHotKey = 3;
 
 /// Unpacks an array that consists of exactly the fields of T.
@@ -57,7 +57,7 @@
 WorkFields workFieldsOf(const LoadDigest &Digest) {
   const UpstreamWork &Work = Digest.Work_;
   WorkFields Fields = {Work.SlowdownPercent_, Work.CurrentSlowdownPercent_,
-                       Work.RemainingMillis_};
+                       Work.FailurePercent_, Work.RemainingMillis_};
   Fields.insert(Fields.end(), Work.WaitMillis_.begin(), Work.WaitMillis_.end());
   const std::size_t HotKeys = std::min(Digest.HotKeys_.size(), MaxHotKeys);
   for (std::size_t Index = 0; Index < HotKeys; ++Index) {
@@ -79,8 +79,9 @@
   UpstreamWork &Work = Digest.Work_;
   Work.SlowdownPercent_ = Fields[0];
   Work.CurrentSlowdownPercent_ = Fields[1];
-  Work.RemainingMillis_ = Fields[2];
-  std::copy_n(Fields.begin() + 3, ReportedRanks, Work.WaitMillis_.begin());
+  Work.FailurePercent_ = Fields[2];
+  Work.RemainingMillis_ = Fields[3];
+  std::copy_n(Fields.begin() + 4, ReportedRanks, Work.WaitMillis_.begin());
   for (std::size_t At = FieldsOfWork; At < Fields.size(); At += FieldsOfHotKey)
     if (Fields[At] <= LastKey)
       Digest.HotKeys_.push_back(
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -353,7 +353,7 @@
   Digest.Process_ = 1ULL << 62U;
   Digest.Sequence_ = 100000;
   Digest.TableEnd_ = 100000;
-  Digest.Work_ = {150, 480, 30000, {0, 20, 400, 70000}};
+  Digest.Work_ = {150, 480, 12, 30000, {0, 20, 400, 70000}};
   const std::string Plain = encodeDigest(Digest);
   BOOST_TEST(Plain.size() < 100U);
   Digest.HotKeys_ = {{24068, 40, 180}, {LastKey, 7, 9}};
