A status outside 100 to 599 makes a broken response

Cause: the parser takes any three digits, and the reader checked the version only. An upstream in trouble answered with status 000, and all daemons of a site passed that on to the caller. Such bytes are now no response: the connection is closed, the outcome of the request is unknown, an idempotent one may be sent again, others get 502.

Considered: passing on 600 to 999, which RFC 9110 tells clients to treat like 500. No caller can rely on them, and the bytes behind a status that HTTP does not define can't be trusted; so they are treated alike.

response_status: 11 failures before, none now; cut_response, client and extra_response pass.

--- a/net/response_reader.cpp
+++ b/net/response_reader.cpp
@@ -20,6 +20,13 @@
   return Bytes.substr(0, Version.size()) == Version.substr(0, Bytes.size());
 }
 
+/// Returns whether HTTP defines the class of the response's status (RFC 9110,
+/// section 15). The parser takes any three digits.
+bool hasDefinedStatus(const http::response<http::string_body> &Response) {
+  return http::to_status_class(Response.result_int()) !=
+         http::status_class::unknown;
+}
+
 /// Returns whether a final response follows this one.
 bool isInterim(const http::response<http::string_body> &Response) {
   return http::to_status_class(Response.result_int()) ==
@@ -105,7 +112,10 @@
     StartParsed_ = StartParsed_ || Parsed > 0;
     ParsedBytes_ += Parsed;
     Buffer_.consume(Parsed);
-    if (Parser_->is_header_done() && !hasKnownCodings(Parser_->get()))
+    const bool IsInvalid = Parser_->is_header_done() &&
+                           !(hasDefinedStatus(Parser_->get()) &&
+                             hasKnownCodings(Parser_->get()));
+    if (IsInvalid)
       return false;
     if (Parser_->is_done() && isInterim(Parser_->get())) {
       SkippedBytes_ += ParsedBytes_;
