lagoonhitch manifest check: errors, entries without effect, differences

Operators asked for a check of a configuration before it is sent. The file is decoded by decodeManifest(), as in the daemons; checkManifest() and compareManifests() are free functions over the decoded manifest.

Considered: refusing a manifest with errors in the daemon. The store has acknowledged it then, and a daemon that keeps the version before would serve routes that are no longer valid; so the check is for operators only.

--- a/cli/commands.cpp
+++ b/cli/commands.cpp
@@ -1,6 +1,7 @@
 #include "cli/commands.h"
 
 #include "cli/admin_client.h"
+#include "cli/manifest_command.h"
 #include "core/clock.h"
 #include "settings/host_settings.h"
 #include "settings/settings_check.h"
@@ -168,6 +169,11 @@
     return runExplain(Time, Line, Out);
   if (Arguments.size() == 1 && Arguments[0] == "audit")
     return runAudit(Time, Line, Out);
+  const bool ChecksManifest = Arguments.size() == 3 &&
+                              Arguments[0] == "manifest" &&
+                              Arguments[1] == "check";
+  if (ChecksManifest)
+    return runManifestCheck({Arguments[2], Line.InForceFile_, Line.Json_}, Out);
   const bool Checks = Arguments.size() >= 2 && Arguments[0] == "settings" &&
                       Arguments[1] == "check";
   if (!Checks)
--- a/cli/commands.h
+++ b/cli/commands.h
@@ -25,6 +25,8 @@
   /// Settings file of a host whose configuration is in the platform's store; if
   /// set, the other files are ignored.
   std::string PlatformFile_;
+  /// File with the manifest in force; empty for none.
+  std::string InForceFile_;
   /// Number of the first audit entry to print.
   std::uint64_t Since_ = 0;
   /// Whether to print JSON instead of text.
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -21,19 +21,22 @@
 ABSL_FLAG(std::string, platform, "",
           "settings file of a host (JSON) whose configuration is in the "
           "platform's store");
+ABSL_FLAG(std::string, against, "",
+          "file with the manifest in force (JSON), to compare with");
 ABSL_FLAG(std::uint64_t, since, 0, "number of the first audit entry to print");
 ABSL_FLAG(bool, json, false, "print JSON");
 
 namespace {
 
 constexpr const char *Usage =
-    "queries daemons and checks settings files.\n\n"
+    "queries daemons and checks settings files and manifests.\n\n"
     "  lagoonhitch status\n"
     "  lagoonhitch explain SERVICE KEY\n"
     "  lagoonhitch audit [--since=NUMBER]\n"
     "  lagoonhitch settings check --settings=FILE [--overlay=FILE] "
     "[--host=FILE]\n"
-    "  lagoonhitch settings check --platform=FILE\n\n"
+    "  lagoonhitch settings check --platform=FILE\n"
+    "  lagoonhitch manifest check FILE [--against=FILE]\n\n"
     "Exit codes: 0 success, 1 rejected or failed, 2 invalid usage.";
 
 lagoonhitch::CommandLine readCommandLine(int Argc, char **Argv) {
@@ -45,6 +48,7 @@
   Line.OverlayFile_ = absl::GetFlag(FLAGS_overlay);
   Line.HostFile_ = absl::GetFlag(FLAGS_host);
   Line.PlatformFile_ = absl::GetFlag(FLAGS_platform);
+  Line.InForceFile_ = absl::GetFlag(FLAGS_against);
   Line.Since_ = absl::GetFlag(FLAGS_since);
   Line.Json_ = absl::GetFlag(FLAGS_json);
   return Line;
