--- a/manifest/manifest_difference.cpp
+++ b/manifest/manifest_difference.cpp
@@ -73,10 +73,15 @@
 void compareFields(const std::string &Place, const Fields &Before,
                    const Fields &After,
                    std::vector<ManifestDifference> &Found) {
-  for (const auto &[Name, Value] : Before)
-    if (After.at(Name) != Value)
-      Found.push_back({ManifestDifference::Kind::Changed, Place + ", " + Name,
-                       Value, After.at(Name)});
+  for (const auto &[Name, Value] : Before) {
+    if (After.at(Name) == Value)
+      continue;
+    std::string Field = Place;
+    Field += ", ";
+    Field += Name;
+    Found.push_back(
+        {ManifestDifference::Kind::Changed, Field, Value, After.at(Name)});
+  }
 }
 
 void compareEntries(const Entries &Before, const Entries &After,
