Gateways report the share of requests that their upstream fails

Cause: an upstream that answers 500 after 2 ms lowers its average processing time and looks fast and idle, so placement sends it more requests. Nobody reports that it fails.

Change: limits/failure_rate counts the requests that failed by the upstream's own fault: a status of 500 or above without the not-run header, or a connection that broke or carried no valid response. Rejections, refused connections, cancelled requests, requests that ran into their deadline and a 504 within the last 100 ms before it are no samples. Samples decay by number (10) and by time (3 s), and fewer than 4 count as 4. load() reports the share.

Ruled out: a decay by time alone needs a thousand failures at 500 requests/s before it reacts; a decay by number alone never ends for an upstream without requests.

--- a/daemon/gateway_request.cpp
+++ b/daemon/gateway_request.cpp
@@ -25,4 +25,8 @@
   return fingerprintOf(Identity);
 }
 
+bool isFromThisDaemon(const GatewayRequest &Request) {
+  return Request.SentAt_ == Instant();
+}
+
 } // namespace lagoonhitch
--- a/daemon/gateway_request.h
+++ b/daemon/gateway_request.h
@@ -56,6 +56,9 @@
 RequestFingerprint fingerprintOf(const GatewayRequest &Request,
                                  const HeaderNames &Names);
 
+/// Returns whether a request's entry daemon is this process.
+bool isFromThisDaemon(const GatewayRequest &Request);
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_DAEMON_GATEWAY_REQUEST_H
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -1,6 +1,8 @@
 #include "daemon/upstream_gateway.h"
 
 #include "daemon/attempt_description.h"
+#include "daemon/request_end.h"
+#include "daemon/stored_answer.h"
 #include "daemon/upstream_notice.h"
 #include "net/http_client.h"
 #include "net/io_loop.h"
@@ -37,25 +39,6 @@
 
 constexpr unsigned MisdirectedRequest = 421;
 
-AnswerPtr toStoredAnswer(const GatewayResult &Result) {
-  std::shared_ptr<lagoonhitch::Answer> Stored =
-      std::make_shared<lagoonhitch::Answer>();
-  Stored->Outcome_ = Result.Outcome_;
-  Stored->RejectReason_ = Result.RejectReason_;
-  Stored->RetryAfter_ = Result.RetryAfter_;
-  Stored->RejectedByUpstream_ = Result.RejectedByUpstream_;
-  Stored->Status_ = Result.Response_.Status_;
-  for (const HttpHeader &Header : Result.Response_.Headers_)
-    Stored->Headers_.emplace_back(Header.Name_, Header.Value_);
-  Stored->Body_ = Result.Response_.Body_;
-  return Stored;
-}
-
-/// Returns whether the entry daemon is this process.
-bool isFromThisDaemon(const GatewayRequest &Request) {
-  return Request.SentAt_ == Instant();
-}
-
 } // namespace
 
 UpstreamGateway::UpstreamGateway(IoLoop &Loop, const Clock &Time,
@@ -78,6 +61,7 @@
   UpstreamId_ = Upstream;
   IncarnationSince_ = Time_.now();
   ++Incarnation_;
+  FailureRate_ = {};
   resetForUpstream(Queue_, Slots);
 }
 
@@ -284,10 +268,18 @@
   if (CallResult.Status_ == HttpCallStatus::ConnectionLost ||
       CallResult.Status_ == HttpCallStatus::TimedOut)
     reportCutRun(Entry, describeLostCall(CallResult.Status_));
+  const HttpCallStatus CallStatus = CallResult.Status_;
   GatewayResult Result = classify(Entry, std::move(CallResult));
+  const Instant Now = Time_.now();
+  const std::optional<bool> Failed = isOwnFailure(
+      requestEnd(CallStatus, Result, Entry.Request_.Deadline_ - Now));
+  if (Failed && Entry.Incarnation_ == Incarnation_)
+    addRequestEnd(FailureRate_, *Failed, FailureRateOptions(), Now);
   const bool Ran = Result.Outcome_ == Outcome::Ran;
+  // The time to a failure is not the time that a success takes.
   finishRequest(Queue_, Entry.QueuedRequest_,
-                Ran ? std::optional<Duration>(Time_.now() - Entry.Since_)
+                Ran && !Failed.value_or(false)
+                    ? std::optional<Duration>(Now - Entry.Since_)
                     : std::nullopt);
   if (Ran)
     addAnswered(AnsweredRequests_, fingerprintOf(Entry.Request_, Names_));
@@ -479,7 +471,11 @@
 }
 
 LoadReport UpstreamGateway::load() const {
-  return loadReport(Queue_, Time_.now());
+  const Instant Now = Time_.now();
+  LoadReport Load = loadReport(Queue_, Now);
+  Load.Work_.FailurePercent_ =
+      failurePercent(FailureRate_, FailureRateOptions(), Now);
+  return Load;
 }
 
 std::optional<AttemptInfo>
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -9,6 +9,7 @@
 #include "daemon/gateway_request.h"
 #include "daemon/gateway_result.h"
 #include "limits/admission_queue.h"
+#include "limits/failure_rate.h"
 #include "limits/stated_rate_limit.h"
 #include "net/header_names.h"
 #include "net/http_result.h"
@@ -202,6 +203,8 @@
   std::string UpstreamId_;
   bool Accepting_ = false;
   AdmissionQueue Queue_;
+  /// Failures of the upstream's current incarnation.
+  FailureRate FailureRate_;
   AttemptTable Attempts_;
   AttemptTableOptions AttemptTableOptions_;
   std::map<std::uint64_t, OpenRequest> Requests_;
--- a/tests/unit/upstream_calls.h
+++ b/tests/unit/upstream_calls.h
@@ -35,6 +35,9 @@
   /// time.
   GatewayResult serve(const std::string &Id, std::uint32_t Attempt);
 
+  /// Returns the upstream's load, as the gateway reports it.
+  LoadReport load() const { return Gateway_.load(); }
+
   /// Returns the number of open connections to the upstream.
   std::size_t openConnections() const;
 
