Entry daemons avoid upstreams that fail more often than the others

Cause: an upstream that fails all requests within 2 ms passes its health check, is always idle and attracts requests.

Change: routing/upstream_health compares what the upstreams of a service report, or what this daemon saw without a report, with their median. The cost of an upstream is multiplied by the attempts that a success takes. From 30 points above the median on, until less than 15, it gets only probes: 3 a second over all daemons, by first attempts, idempotent ones before others.

Ruled out: absolute limits, which avoid all upstreams if a service behind them is down; a cost factor alone, which an idle upstream outweighs; clearing own observations with each report, since those of older daemons come with each result and say nothing.

--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -38,6 +38,7 @@
     {EventId::UpstreamLeaving, EventLevel::Info, "upstream-leaving"},
     {EventId::RequestLostInCrash, EventLevel::Warn, "request-lost-in-crash"},
     {EventId::RequestQuarantined, EventLevel::Error, "request-quarantined"},
+    {EventId::UpstreamAvoided, EventLevel::Warn, "upstream-avoided"},
     {EventId::LinkSettled, EventLevel::Warn, "link-settled"},
     {EventId::RingFull, EventLevel::Error, "ring-full"},
     {EventId::LateTick, EventLevel::Warn, "late-tick"},
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -41,6 +41,7 @@
   UpstreamLeaving = 406,
   RequestLostInCrash = 407,
   RequestQuarantined = 408,
+  UpstreamAvoided = 409,
   ConfigApplied = 310,
   ConfigUnreadable = 311,
   EvacuationChanged = 312,
--- a/daemon/admin_service.cpp
+++ b/daemon/admin_service.cpp
@@ -234,6 +234,8 @@
   DaemonMetrics_.setUpstreamRate(
       Settings_.Service_, Gateway_.statedRateLimit().PerSecond_.value_or(0),
       static_cast<double>(Gateway_.sentRequests()));
+  DaemonMetrics_.setUpstreamFailures(Settings_.Service_,
+                                     Gateway_.load().Work_.FailurePercent_);
   std::size_t Owned = 0;
   for (const KeyRow &Row : rowsOf(Ownership_.state().Table_, Settings_.Host_))
     Owned += sizeOf(Row.Range_);
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -30,9 +30,6 @@
 constexpr std::chrono::milliseconds NoManifestRetryAfter{500};
 /// How long an unreachable host is not selected.
 constexpr std::chrono::milliseconds AvoidUnreachableFor{700};
-/// How long a host is not selected after its gateway rejected a request as
-/// unavailable.
-constexpr std::chrono::milliseconds AvoidUnavailableFor{250};
 constexpr std::chrono::milliseconds StatusQueryTimeout{400};
 constexpr std::chrono::milliseconds StatusQueryInterval{250};
 /// Time without a response after which the attempt's status is queried over a
@@ -79,6 +76,8 @@
       Gateway_(Gateway), DaemonMetrics_(DaemonMetrics),
       Names_(std::move(Names)), RetryBudgetOptions_(RetryBudget),
       Config_(std::move(Config)), LogEvent_(std::move(LogEvent)),
+      HostSelector_(Site, Gateway, DaemonMetrics, Config_.Host_, Config_.Zone_,
+                    LogEvent_),
       Random_(Config_.Process_) {}
 
 RequestRouter::~RequestRouter() = default;
@@ -187,15 +186,7 @@
                          !isAboutToEnd(*Member, Now));
     return Usable ? std::optional<std::string>(Owner) : std::nullopt;
   }
-  // The local gateway's load is more recent than any digest.
-  if (FleetMember *Own = findMember(Site_.Fleet_, Config_.Host_))
-    applyLoadReport(*Own, Gateway_.load(), Now);
-  HostChoice Choice;
-  Choice.Service_ = Request.GatewayRequest_.Service_;
-  Choice.OwnHost_ = Config_.Host_;
-  Choice.OwnZone_ = Config_.Zone_;
-  Choice.Tried_ = Tried;
-  return chooseHost(Site_.Fleet_, Choice, HostChoiceOptions_, Random_(), Now);
+  return HostSelector_.select(Request, Tried, Random_(), Now);
 }
 
 /// Returns whether a host is available for the attempt after the current one.
@@ -413,15 +404,6 @@
   scheduleStatusQuery(Request, StatusQueryInterval);
 }
 
-void RequestRouter::updateMember(FleetMember &Member,
-                                 const GatewayResult &Result, Instant Now) {
-  if (Result.RejectReason_ == RejectReason::Unavailable)
-    Member.AvoidUntil_ =
-        std::max(Member.AvoidUntil_, Now + AvoidUnavailableFor);
-  if (Result.Load_)
-    applyLoadReport(Member, *Result.Load_, Now);
-}
-
 void RequestRouter::endAttempt(EntryRequest &Request) {
   FleetMember *Member = findMember(Site_.Fleet_, Request.Host_);
   if (Member != nullptr && Member->InFlight_ > 0)
@@ -439,8 +421,7 @@
     return;
   endAttempt(*Request);
   const Instant Now = Time_.now();
-  if (FleetMember *Member = findMember(Site_.Fleet_, Request->Host_))
-    updateMember(*Member, Result, Now);
+  HostSelector_.onResult(*Request, Result, Now);
   AttemptResult AttemptOutcome;
   AttemptOutcome.Outcome_ = Result.Outcome_;
   AttemptOutcome.Status_ = Result.Response_.Status_;
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -9,11 +9,11 @@
 #include "daemon/caller_interface.h"
 #include "daemon/gateway_request.h"
 #include "daemon/gateway_result.h"
+#include "daemon/shared_host_selector.h"
 #include "daemon/site_state.h"
 #include "limits/shared_retry_budget.h"
 #include "net/header_names.h"
 #include "net/http_result.h"
-#include "routing/host_choice.h"
 #include "routing/request_plan.h"
 
 #include <cstdint>
@@ -114,8 +114,6 @@
   bool takeRetryToken(const std::string &Service, RetryCause Cause);
   void avoidHost(const EntryRequest &Request);
   void endAttempt(EntryRequest &Request);
-  static void updateMember(FleetMember &Member, const GatewayResult &Result,
-                           Instant Now);
   bool giveUpAttempt(EntryRequest &Request);
   void onDeadlineExpired(const EntryRequestPtr &Request);
   void onAbandoned(const EntryRequestPtr &Request);
@@ -137,7 +135,7 @@
   SharedRetryBudgetOptions RetryBudgetOptions_;
   RequestRouterConfig Config_;
   EventCallback LogEvent_;
-  HostChoiceOptions HostChoiceOptions_;
+  SharedHostSelector HostSelector_;
   std::map<std::string, SharedRetryBudget> RetryBudgets_;
   std::map<std::uint64_t, EntryRequestPtr> OpenRequests_;
   std::uint64_t LastNumber_ = 0;
--- a/observe/metrics.cpp
+++ b/observe/metrics.cpp
@@ -54,6 +54,17 @@
           .Name("lagoonhitch_upstream_requests_sent")
           .Help("Requests sent to the upstream since the daemon's start")
           .Register(Registry_);
+  prometheus::Family<prometheus::Gauge> &UpstreamFailures_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_upstream_failure_percent")
+          .Help("Recent requests to the upstream that failed by its own fault")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Gauge> &AvoidedUpstreams_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_avoided_upstreams")
+          .Help("Upstreams that get only probes because they fail more often "
+                "than the others of their service")
+          .Register(Registry_);
   prometheus::Histogram &LoopLag_ =
       prometheus::BuildHistogram()
           .Name("lagoonhitch_loop_lag_seconds")
@@ -95,6 +106,14 @@
   Impl_->UpstreamSent_.Add({{"service", Service}}).Set(Sent);
 }
 
+void Metrics::setUpstreamFailures(const std::string &Service, double Percent) {
+  Impl_->UpstreamFailures_.Add({{"service", Service}}).Set(Percent);
+}
+
+void Metrics::setAvoidedUpstreams(const std::string &Service, double Count) {
+  Impl_->AvoidedUpstreams_.Add({{"service", Service}}).Set(Count);
+}
+
 void Metrics::observeLoopLag(Duration Lag) {
   Impl_->LoopLag_.Observe(std::chrono::duration<double>(Lag).count());
 }
--- a/observe/metrics.h
+++ b/observe/metrics.h
@@ -40,6 +40,14 @@
   /// \param Sent the number of requests sent to it since the daemon's start.
   void setUpstreamRate(const std::string &Service, double Limit, double Sent);
 
+  /// Sets the share of the local upstream's recent requests that failed by its
+  /// own fault, in percent.
+  void setUpstreamFailures(const std::string &Service, double Percent);
+
+  /// Sets how many upstreams of a service this daemon avoids because they fail
+  /// more often than the others.
+  void setAvoidedUpstreams(const std::string &Service, double Count);
+
   /// Records how late the serving loop ran a timer.
   void observeLoopLag(Duration Lag);
 
--- a/routing/host_choice.cpp
+++ b/routing/host_choice.cpp
@@ -35,13 +35,22 @@
 /// Bits of the random number that are skipped for each drawn upstream.
 constexpr std::size_t BitsPerDraw = 12;
 
+/// Returns the expected cost of all attempts until one succeeds.
+std::chrono::duration<double> costOfSuccess(const FleetMember &Member,
+                                            const HostChoice &Choice,
+                                            const HostChoiceOptions &Options,
+                                            Instant Now) {
+  return std::chrono::duration<double>(costOf(Member, Choice, Options, Now)) *
+         expectedAttempts(Choice.Health_, Member.Record_.Host_);
+}
+
 const FleetMember *cheaperOf(const FleetMember *Left, const FleetMember *Right,
                              const HostChoice &Choice,
                              const HostChoiceOptions &Options, Instant Now) {
   if (Left == nullptr || Right == nullptr)
     return Left == nullptr ? Right : Left;
-  return costOf(*Left, Choice, Options, Now) <=
-                 costOf(*Right, Choice, Options, Now)
+  return costOfSuccess(*Left, Choice, Options, Now) <=
+                 costOfSuccess(*Right, Choice, Options, Now)
              ? Left
              : Right;
 }
@@ -57,6 +66,8 @@
     return !isAboutToEnd(Member, Now);
   return Member.Digest_.Accepting_ && !Member.Digest_.Stopping_ &&
          Now >= Member.AvoidUntil_ &&
+         (Member.Record_.Host_ == Choice.Probe_ ||
+          !isAvoided(Choice.Health_, Member.Record_.Host_)) &&
          hasRecentLoad(Member, Options.MaxLoadAge_, Now);
 }
 
@@ -146,6 +157,9 @@
                                       std::uint64_t Random, Instant Now) {
   std::vector<const FleetMember *> Candidates =
       candidatesOf(State, Choice, Options, true, Now);
+  for (const FleetMember *Member : Candidates)
+    if (Member->Record_.Host_ == Choice.Probe_)
+      return Choice.Probe_;
   if (Candidates.empty())
     Candidates = candidatesOf(State, Choice, Options, false, Now);
   if (Candidates.empty())
--- a/routing/host_choice.h
+++ b/routing/host_choice.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 #include "membership/fleet.h"
+#include "routing/upstream_health.h"
 
 #include <cstdint>
 #include <optional>
@@ -32,6 +33,10 @@
   std::string OwnHost_;
   /// Hosts to which the request has been sent already.
   std::set<std::string> Tried_;
+  /// The health of the service's upstreams; nullptr if unknown.
+  const ServiceHealth *Health_ = nullptr;
+  /// The avoided host that the request is to probe; empty for none.
+  std::string Probe_;
 };
 
 /// Returns the estimated cost of running a request on a member's upstream, as
@@ -43,8 +48,10 @@
 /// ones in other zones. The best of all would be the same host for all entry
 /// daemons with the same load reports, until the next report. Which of several
 /// equally cheap hosts is chosen is random. Hosts that currently reject
-/// requests, were unreachable a moment ago or have no recent load information
-/// are considered only if there is no other.
+/// requests, were unreachable a moment ago, have no recent load information or
+/// are avoided because their upstream fails are considered only if there is no
+/// other. The host to probe is chosen if it would be considered but for its
+/// failures.
 /// \param Random a uniformly distributed random number.
 /// \returns std::nullopt if no untried upstream of the service accepts
 /// requests.
--- a/tests/standin/upstream_standin.cpp
+++ b/tests/standin/upstream_standin.cpp
@@ -197,8 +197,9 @@
   recordRun(Started, nullptr);
   if (!CrashOn_.empty() && Request.Target_.find(CrashOn_) != std::string::npos)
     std::abort();
-  Timers_[RunId] =
-      Loop_.after(Options_.ServiceTime_, [this, RunId] { finishRun(RunId); });
+  Timers_[RunId] = Loop_.after(FailsAtOnce_ ? std::chrono::microseconds(0)
+                                            : Options_.ServiceTime_,
+                               [this, RunId] { finishRun(RunId); });
 }
 
 /// Ends a run. If the deadline has passed, for example because the process was
@@ -210,7 +211,7 @@
   const Instant Now = Time_.now();
   const Instant End = std::min(Now, Ended.Deadline_);
   recordRun(Ended, &End);
-  unsigned Status = 200;
+  unsigned Status = FailsAtOnce_ ? 500 : 200;
   if (FailsOnce_) {
     Status = 500;
     Failed_.insert(headerText(Ended.Request_, "X-Request-Id"));
@@ -268,6 +269,7 @@
   CrashOn_ = Mode.value("crash_on", CrashOn_);
   LeavingStated_ = Mode.value("leaving_stated", LeavingStated_);
   FailsOnce_ = Mode.value("fails_once", FailsOnce_);
+  FailsAtOnce_ = Mode.value("fails_at_once", FailsAtOnce_);
   if (Mode.contains("cold_ms"))
     ColdUntil_ =
         Time_.now() + std::chrono::milliseconds(Mode.at("cold_ms").get<int>());
--- a/tests/standin/upstream_standin.h
+++ b/tests/standin/upstream_standin.h
@@ -134,6 +134,8 @@
   /// Whether it fails requests at the end of their run, and has no capacity for
   /// them when they are sent again.
   bool FailsOnce_ = false;
+  /// Whether it answers each request with 500 as soon as it gets it.
+  bool FailsAtOnce_ = false;
   /// The IDs of the requests that it has failed for that reason.
   std::set<std::string> Failed_;
   Instant ColdUntil_;
