Failing owners of keys get no further keys

Cause: an upstream that fails requests within milliseconds has free capacity by its load, so busy owners move keys to it.

Change: a host whose reported failures exceed the median of its service by 30 points accepts no keys, unless more than half of the hosts would be excluded. It keeps the keys that it has. AcceptsKeys_ only selects receivers: no rule moves keys away because of it (read in ownership/, all uses).

Ruled out for now: moving keys away from a failing owner. It needs a rule for how long a rate must last, and would add moves while a service behind all owners comes and goes.

--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -5,10 +5,13 @@
 #include "net/http_client.h"
 #include "ownership/table_restoration.h"
 #include "platform/platform_codec.h"
+#include "routing/upstream_health.h"
 #include "store/store.h"
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace lagoonhitch {
@@ -172,6 +175,8 @@
   const FleetMember *Own = findMember(Site_.Fleet_, Config_.Host_);
   Inputs.Uptime_ = Now - ContactClock_.ListeningSince_;
   Inputs.ContactTimeout_ = contactTimeout(nullptr, Own);
+  const std::set<std::string> Failing =
+      failingHosts(Site_.Fleet_, Config_.Service_, UpstreamHealthOptions());
   for (const auto &[Host, Member] : Site_.Fleet_.Members_) {
     if (Member.Record_.Service_ != Config_.Service_)
       continue;
@@ -184,7 +189,8 @@
                                gainedSince(Host, Member.Digest_.TableEnd_);
     Peer.AcceptsKeys_ =
         acceptsRequests(Site_.Fleet_, Member) && Member.Digest_.Accepting_ &&
-        !Member.Digest_.Stopping_ && hasRecentDigest(Member, MaxDigestAge, Now);
+        !Member.Digest_.Stopping_ &&
+        hasRecentDigest(Member, MaxDigestAge, Now) && !Failing.contains(Host);
     Peer.SinceLastContact_ = silenceOf(ContactClock_, Member, Now);
     Peer.ContactTimeout_ = contactTimeout(&Member, Own);
     Peer.Rate_ = Member.Digest_.KeyRate_ * KeyRateUnit;
