Gateway learns the work of requests and the speed of its upstream

Cause: nothing used the slowdown that upstreams report with each response, which predicts the duration of a run best, and processing times were averaged by latency objective, which different routes share.

Change: the slowdown is read from the load header of responses and health checks; values outside of 1 to 10000 % are ignored. limits/upstream_speed keeps its mean over time and its latest value, which fades to the mean, and integrates the work that a run gets. limits/work_estimate keeps mean and spread of the work of at most 256 classes. Load reports carry slowdown, remaining work and waits by rank, and results the work of the run, if the upstream reports a slowdown; otherwise they are as before. Admission does not use the estimates yet. toStoredAnswer() moves to gateway_result.cpp.

Ruled out: dividing a run's duration by the slowdown at its end. Runs outlast most slow moments, so the speed is integrated over the run. The measured autocorrelation as the weight of the latest value: it includes the long-term share of about 0.35, which is in the mean already.

Runs: work_test (25 cases), door_test and fleet_test without errors.

--- a/daemon/gateway_result.h
+++ b/daemon/gateway_result.h
@@ -9,6 +9,7 @@
 #include "core/reject_reason.h"
 #include "membership/load_digest.h"
 #include "net/http_message.h"
+#include "recovery/attempt_table.h"
 
 #include <cstdint>
 #include <optional>
@@ -34,6 +35,9 @@
   HttpResponse Response_;
 };
 
+/// Returns the result as it is stored for status queries.
+AnswerPtr toStoredAnswer(const GatewayResult &Result);
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_DAEMON_GATEWAY_RESULT_H
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -36,20 +36,8 @@
 constexpr std::chrono::milliseconds DisconnectedRunTime{1500};
 
 constexpr unsigned MisdirectedRequest = 421;
-
-AnswerPtr toStoredAnswer(const GatewayResult &Result) {
-  std::shared_ptr<lagoonhitch::Answer> Stored =
-      std::make_shared<lagoonhitch::Answer>();
-  Stored->Outcome_ = Result.Outcome_;
-  Stored->RejectReason_ = Result.RejectReason_;
-  Stored->RetryAfter_ = Result.RetryAfter_;
-  Stored->RejectedByUpstream_ = Result.RejectedByUpstream_;
-  Stored->Status_ = Result.Response_.Status_;
-  for (const HttpHeader &Header : Result.Response_.Headers_)
-    Stored->Headers_.emplace_back(Header.Name_, Header.Value_);
-  Stored->Body_ = Result.Response_.Body_;
-  return Stored;
-}
+/// Responses with this status or a higher one report a failure of the upstream.
+constexpr unsigned FirstFailureStatus = 500;
 
 /// Returns whether the entry daemon is this process.
 bool isFromThisDaemon(const GatewayRequest &Request) {
@@ -133,7 +121,8 @@
                           Request.Deadline_,
                           Request.Objective_,
                           Request.Deadline_ - Now,
-                          Request.Id_.Attempt_ > 1};
+                          Request.Id_.Attempt_ > 1,
+                          Request.Class_};
   Entry.Request_ = std::move(Request);
   Entry.Callback_ = std::move(Callback);
   Entry.Since_ = Now;
@@ -286,6 +275,11 @@
     reportCutRun(Entry, describeLostCall(CallResult.Status_));
   GatewayResult Result = classify(Entry, std::move(CallResult));
   const bool Ran = Result.Outcome_ == Outcome::Ran;
+  if (Ran && Result.Response_.Status_ < FirstFailureStatus)
+    if (const std::optional<Duration> Work =
+            learnWork(Queue_, Entry.QueuedRequest_, Time_.now()))
+      Result.RunWorkMillis_ =
+          static_cast<std::uint32_t>(toMillis(*Work).count());
   finishRequest(Queue_, Entry.QueuedRequest_,
                 Ran ? std::optional<Duration>(Time_.now() - Entry.Since_)
                     : std::nullopt);
@@ -386,6 +380,8 @@
     setStatedLimit(Queue_, StatedRateLimit_.PerSecond_, Time_.now());
     Callbacks_.OnLimitChanged_(StatedRateLimit_);
   }
+  if (Notice.SlowdownPercent_ && SentAt >= IncarnationSince_)
+    observeSlowdown(Queue_.Speed_, *Notice.SlowdownPercent_, Time_.now());
   if (Notice.Leaving_ && SentAt >= IncarnationSince_)
     Callbacks_.OnLeaving_();
 }
--- a/daemon/upstream_notice.h
+++ b/daemon/upstream_notice.h
@@ -4,6 +4,7 @@
 /// \file
 /// What an upstream states about itself in the headers of its responses.
 
+#include <cstdint>
 #include <optional>
 
 namespace lagoonhitch {
@@ -18,6 +19,9 @@
   std::optional<double> RateLimit_;
   /// Whether it states a limit that is not a number of at least zero.
   bool RateLimitUnreadable_ = false;
+  /// How long work takes on it, in percent of the usual time; std::nullopt if
+  /// it states no plausible value.
+  std::optional<std::uint32_t> SlowdownPercent_;
   /// Whether it is about to terminate.
   bool Leaving_ = false;
 };
--- a/limits/admission_queue.cpp
+++ b/limits/admission_queue.cpp
@@ -1,12 +1,20 @@
 #include "limits/admission_queue.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <limits>
 
 namespace lagoonhitch {
 
 namespace {
 
+/// Number of samples from which on the spread of a class's work is used. Before
+/// that, and for unknown classes, it is this fraction of the work: that of a
+/// lognormal distribution with a variance of the logarithm of 0.5.
+constexpr std::uint32_t MinSpreadSamples = 8;
+constexpr double UnknownSpread = 0.8;
+
 /// Returns the rate limit in requests per second; std::nullopt for none.
 std::optional<double> rateLimit(const AdmissionQueue &State, Instant Now) {
   std::optional<double> Limit;
@@ -34,11 +42,50 @@
          rateLimitWait(State, 1, Now) <= Duration::zero();
 }
 
-void startRequest(AdmissionQueue &State, Instant Now) {
+/// Returns the standard deviation of the work of a request.
+Duration workSpread(const AdmissionQueue &State, const QueuedRequest &Request,
+                    Duration Work) {
+  const ClassWork *Known = findClassWork(State.Works_, Request.Class_);
+  if (Known != nullptr && Known->Samples_ >= MinSpreadSamples)
+    return Known->Spread_;
+  return std::chrono::duration_cast<Duration>(Work * UnknownSpread);
+}
+
+void startRequest(AdmissionQueue &State, const QueuedRequest &Request,
+                  Instant Now) {
   ++State.Running_;
+  const Duration Work = expectedWork(State, Request);
+  State.RunningRequests_[Request.Number_] = {
+      Work, workSpread(State, Request, Work), workDone(State.Speed_, Now)};
   chargeRateLimits(State, Now);
 }
 
+/// Returns how much of its work a running request still needs on average.
+Duration meanRemainingWork(const AdmissionQueue &State, Instant Now) {
+  if (State.RunningRequests_.empty())
+    return Duration::zero();
+  const std::chrono::duration<double> Done = workDone(State.Speed_, Now);
+  Duration Sum{};
+  for (const auto &[Number, Run] : State.RunningRequests_)
+    Sum += remainingWork(
+        Run.Work_, Run.Spread_,
+        std::chrono::duration_cast<Duration>(Done - Run.WorkDoneBefore_));
+  return Sum / static_cast<std::int64_t>(State.RunningRequests_.size());
+}
+
+/// Returns a number of milliseconds for a report.
+std::uint32_t reportedMillis(Duration Span) {
+  constexpr std::chrono::hours Longest{1};
+  return static_cast<std::uint32_t>(
+      toMillis(std::clamp<Duration>(Span, Duration::zero(), Longest)).count());
+}
+
+/// Returns a slowdown, in percent, for a report.
+std::uint32_t reportedPercent(double Percent) {
+  return static_cast<std::uint32_t>(std::lround(
+      std::clamp<double>(Percent, MinSlowdownPercent, MaxSlowdownPercent)));
+}
+
 /// Returns the average time between two starts of such requests when the
 /// upstream is fully used.
 Duration startInterval(const AdmissionQueue &State,
@@ -93,6 +140,7 @@
   State.Slots_ = Slots;
   State.ProcessingTime_ = State.Options_.InitialProcessingTime_;
   State.ProcessingTimeByObjective_.clear();
+  forgetSpeed(State.Speed_);
   State.ColdUntil_ = Instant::min();
   State.PausedUntil_ = Instant::min();
   State.NextPause_ = Duration::zero();
@@ -164,7 +212,7 @@
   const bool First = State.Waiting_.empty() ||
                      orderOf(Request) < State.Waiting_.begin()->first;
   if (First && hasCapacity(State, Now)) {
-    startRequest(State, Now);
+    startRequest(State, Request, Now);
     // Capacity is free, so fewer rejected requests are retried than it was
     // reserved for: the reservation is dropped.
     State.ReservedUntil_ = Now;
@@ -179,9 +227,32 @@
   return {AdmissionDecision::Kind::Wait, Wait};
 }
 
+std::optional<Duration> learnWork(AdmissionQueue &State,
+                                  const QueuedRequest &Request, Instant Now) {
+  const auto Found = State.RunningRequests_.find(Request.Number_);
+  if (Found == State.RunningRequests_.end())
+    return std::nullopt;
+  const RunningRequest &Run = Found->second;
+  const auto Work = std::chrono::duration_cast<Duration>(
+      workDone(State.Speed_, Now) - Run.WorkDoneBefore_);
+  if (Work <= Duration::zero())
+    return std::nullopt;
+  if (Run.Work_ > Duration::zero()) {
+    const double Ratio = static_cast<double>(Work.count()) /
+                         static_cast<double>(Run.Work_.count());
+    ++State.EstimateError_.Runs_;
+    State.EstimateError_.RatioSum_ += Ratio;
+    State.EstimateError_.LogErrorSum_ += std::abs(std::log(Ratio));
+  }
+  addWorkSample(State.Works_, Request.Class_, Work, Now);
+  return isSpeedKnown(State.Speed_) ? std::optional<Duration>(Work)
+                                    : std::nullopt;
+}
+
 void finishRequest(AdmissionQueue &State, const QueuedRequest &Request,
                    std::optional<Duration> ProcessingTime) {
   --State.Running_;
+  State.RunningRequests_.erase(Request.Number_);
   if (!ProcessingTime)
     return;
   updateAverage(State.ProcessingTime_, *ProcessingTime,
@@ -201,6 +272,22 @@
              : Found->second;
 }
 
+Duration expectedWork(const AdmissionQueue &State,
+                      const QueuedRequest &Request) {
+  Duration Fallback = expectedProcessingTime(State, Request);
+  if (isSpeedKnown(State.Speed_))
+    Fallback = std::chrono::duration_cast<Duration>(
+        Fallback * (UsualSlowdownPercent / State.Speed_.MeanPercent_));
+  return expectedWork(State.Works_, Request.Class_, Fallback);
+}
+
+Duration remainingWork(const AdmissionQueue &State, Instant Now) {
+  Duration Work = meanRemainingWork(State, Now) * State.Running_;
+  for (const auto &[Order, Waiting] : State.Waiting_)
+    Work += expectedWork(State, Waiting);
+  return Work;
+}
+
 bool cancelWaiting(AdmissionQueue &State, const QueuedRequest &Request) {
   return State.Waiting_.erase(orderOf(Request)) > 0;
 }
@@ -216,9 +303,9 @@
   });
   while (!State.Waiting_.empty() && hasCapacity(State, Now)) {
     const auto First = State.Waiting_.begin();
+    startRequest(State, First->second, Now);
     Result.Started_.push_back(First->second);
     State.Waiting_.erase(First);
-    startRequest(State, Now);
   }
   return Result;
 }
@@ -249,6 +336,45 @@
   return rateLimitWait(State, 1, Now);
 }
 
+namespace {
+
+/// Returns how long requests would wait that came now, by rank. Each would be
+/// the last one of its rank.
+std::array<std::uint32_t, ReportedRanks>
+waitsByRank(const AdmissionQueue &State, Instant Now) {
+  std::array<std::uint32_t, ReportedRanks> Waits{};
+  for (std::size_t Rank = 0; Rank < ReportedRanks; ++Rank) {
+    QueuedRequest Request;
+    Request.Number_ = std::numeric_limits<std::uint64_t>::max();
+    Request.Rank_ = Rank + 1 < ReportedRanks
+                        ? static_cast<std::uint32_t>(Rank)
+                        : std::numeric_limits<std::uint32_t>::max();
+    Request.ObjectiveAt_ = Instant::max();
+    const bool AtOnce = hasCapacity(State, Now) &&
+                        (State.Waiting_.empty() ||
+                         orderOf(Request) < State.Waiting_.begin()->first);
+    Waits[Rank] =
+        AtOnce ? 0 : reportedMillis(expectedWait(State, Request, Now));
+  }
+  return Waits;
+}
+
+/// Returns the work of the upstream; unknown if it reports no slowdown.
+UpstreamWork upstreamWork(const AdmissionQueue &State, Instant Now) {
+  UpstreamWork Work;
+  if (!isSpeedKnown(State.Speed_))
+    return Work;
+  Work.SlowdownPercent_ = reportedPercent(State.Speed_.MeanPercent_);
+  Work.CurrentSlowdownPercent_ =
+      reportedPercent(expectedSlowdown(State.Speed_, Duration::zero(), Now) *
+                      UsualSlowdownPercent);
+  Work.RemainingMillis_ = reportedMillis(remainingWork(State, Now));
+  Work.WaitMillis_ = waitsByRank(State, Now);
+  return Work;
+}
+
+} // namespace
+
 LoadReport loadReport(const AdmissionQueue &State, Instant Now) {
   LoadReport Load;
   Load.Running_ = State.Running_;
@@ -258,6 +384,7 @@
       static_cast<std::uint32_t>(toMillis(State.ProcessingTime_).count());
   if (const std::optional<double> Limit = rateLimit(State, Now))
     Load.RateLimit_ = static_cast<std::uint32_t>(std::ceil(*Limit));
+  Load.Work_ = upstreamWork(State, Now);
   return Load;
 }
 
--- a/limits/admission_queue.h
+++ b/limits/admission_queue.h
@@ -6,6 +6,8 @@
 
 #include "core/clock.h"
 #include "limits/token_bucket.h"
+#include "limits/upstream_speed.h"
+#include "limits/work_estimate.h"
 #include "membership/load_digest.h"
 
 #include <compare>
@@ -63,6 +65,26 @@
   /// Whether another upstream's queue is assumed to have rejected the request
   /// before and to have reserved capacity for its retry.
   bool RejectedBefore_ = false;
+  /// Requests of a class need similar work; zero if unknown.
+  std::uint32_t Class_ = 0;
+};
+
+/// A started request.
+struct RunningRequest {
+  /// The expected work when it was started, and its standard deviation.
+  Duration Work_{};
+  Duration Spread_{};
+  /// workDone() of the upstream at its start.
+  std::chrono::duration<double> WorkDoneBefore_{};
+};
+
+/// How the work of runs compares with the estimates.
+struct EstimateError {
+  std::uint64_t Runs_ = 0;
+  /// Sum of the actual work divided by the estimate.
+  double RatioSum_ = 0;
+  /// Sum of the absolute natural logarithms of these ratios.
+  double LogErrorSum_ = 0;
 };
 
 /// The order in which waiting requests are started: by rank, then by
@@ -98,6 +120,12 @@
   /// zero before the first such rejection.
   Duration NextPause_{};
   std::map<QueueOrder, QueuedRequest> Waiting_;
+  /// The started requests, by number.
+  std::map<std::uint64_t, RunningRequest> RunningRequests_;
+  /// The upstream's speed and the work of the requests.
+  UpstreamSpeed Speed_;
+  WorkEstimate Works_;
+  EstimateError EstimateError_;
   /// Until then capacity is reserved for retries of rejected requests.
   Instant ReservedUntil_ = Instant::min();
 };
@@ -111,10 +139,11 @@
   Duration RetryAfter_{};
 };
 
-/// Resets slots, processing times, cold start, pauses and reserved capacity for
-/// another incarnation of the upstream. Running and waiting requests stay, and
-/// so does the stated rate limit: the first response of the new incarnation
-/// ends it if it does not apply any more.
+/// Resets slots, processing times, speed, cold start, pauses and reserved
+/// capacity for another incarnation of the upstream. Running and waiting
+/// requests stay, and so does the stated rate limit: the first response of the
+/// new incarnation ends it if it does not apply any more. The work by class
+/// stays too, because it does not depend on the upstream's speed.
 void resetForUpstream(AdmissionQueue &State, std::uint32_t Slots);
 
 /// Marks the upstream as cold until a point in time.
@@ -145,6 +174,14 @@
 AdmissionDecision submitRequest(AdmissionQueue &State,
                                 const QueuedRequest &Request, Instant Now);
 
+/// Learns the work of a started request whose run has succeeded. To be called
+/// before finishRequest(), and neither for failed runs nor for those that were
+/// cut short.
+/// \returns the work, as time at usual speed; std::nullopt if the speed of the
+/// upstream is unknown.
+std::optional<Duration> learnWork(AdmissionQueue &State,
+                                  const QueuedRequest &Request, Instant Now);
+
 /// Releases the slot of a started request.
 /// \param ProcessingTime time from its start to its answer; std::nullopt if the
 /// request is no sample of the upstream's processing time.
@@ -170,11 +207,21 @@
 Duration expectedWait(const AdmissionQueue &State, const QueuedRequest &Request,
                       Instant Now);
 
+/// Returns the expected work of a request, as time at usual speed. Without
+/// samples of its class, this is the average processing time of requests with
+/// the same objective or, without these as well, an estimate.
+Duration expectedWork(const AdmissionQueue &State,
+                      const QueuedRequest &Request);
+
 /// Returns the average processing time of requests with the same objective, or
 /// an estimate if there is no sample of them.
 Duration expectedProcessingTime(const AdmissionQueue &State,
                                 const QueuedRequest &Request);
 
+/// Returns what the running and the waiting requests still need, as time at
+/// usual speed.
+Duration remainingWork(const AdmissionQueue &State, Instant Now);
+
 /// Returns the time until the rate limit allows the next request; std::nullopt
 /// if no request waits for the rate limit alone.
 std::optional<Duration> timeToNextToken(const AdmissionQueue &State,
