--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -36,23 +36,6 @@
 /// new connection.
 constexpr std::chrono::milliseconds StatusQueryDelay{500};
 
-/// Returns whether the current attempt is given up because its gateway could
-/// not be asked about it.
-bool isUnresolved(const EntryRequest &Request) {
-  return Request.EndCause_ != nullptr &&
-         (Request.LatestLookup_ == AttemptLookup::TimedOut ||
-          Request.LatestLookup_ == AttemptLookup::Unreachable);
-}
-
-/// Returns the query for the status of the current attempt.
-AttemptStatusQuery statusQueryFor(const EntryRequest &Request, Instant Now) {
-  AttemptStatusQuery Query;
-  Query.Id_ = Request.GatewayRequest_.Id_;
-  Query.Process_ = Request.PeerProcess_;
-  Query.StartWithin_ = toMillis(Request.GatewayRequest_.Deadline_ - Now);
-  return Query;
-}
-
 HttpCallOptions statusQueryOptions() {
   HttpCallOptions Options;
   Options.Timeout_ = StatusQueryTimeout;
@@ -60,11 +43,6 @@
   return Options;
 }
 
-/// Returns whether an attempt has been sent and has not ended.
-bool isAttemptOpen(const EntryRequest &Request) {
-  return Request.Attempt_ > 0 && !Request.WaitingForOwner_;
-}
-
 } // namespace
 
 RequestRouter::RequestRouter(IoLoop &Loop, const Clock &Time, SiteState &Site,
--- a/daemon/shared_host_selector.cpp
+++ b/daemon/shared_host_selector.cpp
@@ -53,6 +53,9 @@
   Choice.OwnHost_ = Host_;
   Choice.OwnZone_ = Zone_;
   Choice.Tried_ = Tried;
+  Choice.Request_ = {classWork(Request.GatewayRequest_.Class_),
+                     Request.GatewayRequest_.Rank_};
+  Choice.Objective_ = Request.GatewayRequest_.Objective_;
   Choice.Health_ = &Health;
   // A request that has failed or was rejected elsewhere is not risked again.
   if (Request.Attempt_ == 0)
@@ -62,6 +65,14 @@
   return chooseHost(Site_.Fleet_, Choice, ChoiceOptions_, Random, Now);
 }
 
+/// Returns the work of the requests of a class, as time at usual speed; zero if
+/// unknown.
+Duration SharedHostSelector::classWork(std::uint32_t Class) const {
+  return findClassWork(Works_, Class) == nullptr
+             ? Duration::zero()
+             : expectedWork(Works_, Class, Works_.All_.Mean_);
+}
+
 void SharedHostSelector::assess(const EntryRequest &Request,
                                 ServiceHealth &Health, std::uint64_t Random,
                                 Instant Now) {
@@ -79,6 +90,9 @@
 
 void SharedHostSelector::onResult(const EntryRequest &Request,
                                   const GatewayResult &Result, Instant Now) {
+  if (Result.RunWorkMillis_)
+    addWorkSample(Works_, Request.GatewayRequest_.Class_,
+                  std::chrono::milliseconds(*Result.RunWorkMillis_), Now);
   FleetMember *Member = findMember(Site_.Fleet_, Request.Host_);
   if (Member == nullptr)
     return;
--- a/daemon/shared_host_selector.h
+++ b/daemon/shared_host_selector.h
@@ -8,6 +8,7 @@
 #include "core/event_catalog.h"
 #include "daemon/gateway_result.h"
 #include "daemon/site_state.h"
+#include "limits/work_estimate.h"
 #include "routing/host_choice.h"
 #include "routing/upstream_health.h"
 
@@ -56,6 +57,7 @@
 private:
   void assess(const EntryRequest &Request, ServiceHealth &Health,
               std::uint64_t Random, Instant Now);
+  Duration classWork(std::uint32_t Class) const;
   void countOwnRequest(const EntryRequest &Request, const GatewayResult &Result,
                        Instant Now);
 
@@ -68,6 +70,8 @@
   HostChoiceOptions ChoiceOptions_;
   UpstreamHealthOptions HealthOptions_;
   std::map<std::string, ServiceHealth> Health_;
+  /// The work of requests by class, learned from their results.
+  WorkEstimate Works_;
 };
 
 } // namespace lagoonhitch
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -117,7 +117,8 @@
                           Request.Deadline_,
                           Request.Objective_,
                           Request.Deadline_ - Now,
-                          Request.Id_.Attempt_ > 1};
+                          Request.Id_.Attempt_ > 1,
+                          Request.Class_};
   Entry.Request_ = std::move(Request);
   Entry.Callback_ = std::move(Callback);
   Entry.Since_ = Now;
@@ -276,11 +277,16 @@
   if (Failed && Entry.Incarnation_ == Incarnation_)
     addRequestEnd(FailureRate_, *Failed, FailureRateOptions(), Now);
   const bool Ran = Result.Outcome_ == Outcome::Ran;
+  const bool Succeeded = Ran && !Failed.value_or(false);
   // The time to a failure is not the time that a success takes.
+  if (Succeeded)
+    if (const std::optional<Duration> Work =
+            learnWork(Queue_, Entry.QueuedRequest_, Now))
+      Result.RunWorkMillis_ =
+          static_cast<std::uint32_t>(toMillis(*Work).count());
   finishRequest(Queue_, Entry.QueuedRequest_,
-                Ran && !Failed.value_or(false)
-                    ? std::optional<Duration>(Now - Entry.Since_)
-                    : std::nullopt);
+                Succeeded ? std::optional<Duration>(Now - Entry.Since_)
+                          : std::nullopt);
   if (Ran)
     addAnswered(AnsweredRequests_, fingerprintOf(Entry.Request_, Names_));
   complete(Number, std::move(Result));
@@ -378,6 +384,8 @@
     setStatedLimit(Queue_, StatedRateLimit_.PerSecond_, Time_.now());
     Callbacks_.OnLimitChanged_(StatedRateLimit_);
   }
+  if (Notice.SlowdownPercent_ && SentAt >= IncarnationSince_)
+    observeSlowdown(Queue_.Speed_, *Notice.SlowdownPercent_, Time_.now());
   if (Notice.Leaving_ && SentAt >= IncarnationSince_)
     Callbacks_.OnLeaving_();
 }
--- a/routing/host_choice.h
+++ b/routing/host_choice.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 #include "membership/fleet.h"
+#include "routing/completion_estimate.h"
 #include "routing/upstream_health.h"
 
 #include <cstdint>
@@ -37,10 +38,16 @@
   const ServiceHealth *Health_ = nullptr;
   /// The avoided host that the request is to probe; empty for none.
   std::string Probe_;
+  RequestWork Request_;
+  /// Latency objective of the request; zero if unknown.
+  Duration Objective_{};
 };
 
 /// Returns the estimated cost of running a request on a member's upstream, as
-/// time: its expected duration under the present load plus the zone cost.
+/// time: its expected duration under the present load plus the zone cost. If
+/// the upstream reports its speed and the work of the request is known, the
+/// duration is the expected time to completion, and its load counts at least as
+/// much as otherwise.
 Duration costOf(const FleetMember &Member, const HostChoice &Choice,
                 const HostChoiceOptions &Options, Instant Now);
 
