Calls of running requests are recognised and take their parent's rank

Cause: a call that an upstream sends while it runs a request was served like a request from outside, with its own rank, though its rejection loses the run that waits for it.

A request is a call if its ID is that of a request which the local gateway runs at that moment, a dot and a suffix.

Ruled out: a token in a header of its own, which upstreams would have to pass on; trusting the format of the ID alone, which any caller can write.

--- a/daemon/caller_interface.h
+++ b/daemon/caller_interface.h
@@ -48,6 +48,9 @@
   /// The caller's ID of the request, for the response and logs; empty if it
   /// gave none.
   std::string CallerRequestId_;
+  /// The ID of the running request that has made this one, if that runs at the
+  /// local gateway; empty if the request's ID is not that of a call.
+  std::string ParentRequestId_;
 };
 
 /// Returns whether a request may run beside the earlier requests of its
--- a/daemon/gateway_result.h
+++ b/daemon/gateway_result.h
@@ -9,6 +9,7 @@
 #include "core/reject_reason.h"
 #include "membership/load_digest.h"
 #include "net/http_message.h"
+#include "recovery/answer.h"
 
 #include <cstdint>
 #include <optional>
@@ -34,6 +35,9 @@
   HttpResponse Response_;
 };
 
+/// Returns the record of a result from which status queries are answered.
+AnswerPtr toStoredAnswer(const GatewayResult &Result);
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_DAEMON_GATEWAY_RESULT_H
--- a/daemon/manifest_caller_interface.cpp
+++ b/daemon/manifest_caller_interface.cpp
@@ -39,6 +39,8 @@
   const std::string *Id = findHeader(Request.Headers_, Names_.RequestId_);
   if (Id != nullptr)
     Routed.CallerRequestId_ = *Id;
+  if (Id != nullptr && Names_.ParentRequestId_)
+    Routed.ParentRequestId_ = Names_.ParentRequestId_(*Id);
   if (Site_.Manifest_ == nullptr) {
     Routed.Kind_ = RoutedRequest::Kind::NoConfiguration;
     return Routed;
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -6,13 +6,13 @@
 #include "daemon/forward_codec.h"
 #include "daemon/own_response.h"
 #include "daemon/request_description.h"
+#include "daemon/request_preparation.h"
 #include "daemon/upstream_gateway.h"
 #include "net/http_client.h"
 #include "net/http_exchange.h"
 #include "net/io_loop.h"
 #include "observe/metrics.h"
 
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -115,7 +115,8 @@
     reject(Request, "this host stops", Duration::zero());
     return;
   }
-  prepare(*Request);
+  prepareRequest(*Request, Config_, Names_);
+  joinParent(*Request);
   depositRetryTokens(RetryBudgets_[Request->GatewayRequest_.Service_],
                      RetryBudgetOptions_);
   Exchange->onAbandoned(
@@ -129,42 +130,20 @@
   startAttempt(Request);
 }
 
-void RequestRouter::prepare(EntryRequest &Request) {
-  GatewayRequest &Outgoing = Request.GatewayRequest_;
-  const RoutedRequest &Routed = Request.Routed_;
-  Outgoing.Service_ = Routed.Service_;
-  Outgoing.Key_ = Routed.Key_;
-  Outgoing.Class_ = Routed.Class_;
-  Outgoing.Rank_ = Routed.Rank_;
-  Outgoing.Idempotent_ = Routed.Idempotent_;
-  Outgoing.Deadline_ = Request.ArrivedAt_ + Routed.Timeout_;
-  Outgoing.Objective_ = Routed.Objective_;
-  Outgoing.ObjectiveAt_ = Request.ArrivedAt_ + Routed.Objective_;
-  Request.Plan_.Idempotent_ = Routed.Idempotent_;
-  Request.Plan_.Keyed_ = Routed.Key_.has_value();
-  Request.Plan_.ArrivedAt_ = Request.ArrivedAt_;
-  Request.Plan_.Deadline_ = Outgoing.Deadline_;
-  Request.Plan_.Objective_ = Routed.Objective_;
-  Request.Plan_.MaxRuns_ = Routed.MaxAttempts_;
-  std::vector<HttpHeader> &Headers = Outgoing.HttpRequest_.Headers_;
-  std::erase_if(Headers, [this](const HttpHeader &Header) {
-    return (isHopByHop(Header.Name_) &&
-            !absl::EqualsIgnoreCase(Header.Name_, "Host")) ||
-           absl::StartsWithIgnoreCase(Header.Name_, ReservedHeaderPrefix) ||
-           absl::EqualsIgnoreCase(Header.Name_, Names_.CallerService_) ||
-           absl::EqualsIgnoreCase(Header.Name_, Names_.TargetUpstream_);
-  });
-  Headers.push_back({Names_.CallerService_, Config_.Service_});
-  if (Routed.Key_) {
-    eraseHeader(Headers, Names_.Key_);
-    Headers.push_back({Names_.Key_, absl::StrCat(*Routed.Key_)});
-  }
-  // Upstreams echo the request ID, which identifies their response. Add one if
-  // the caller sent none.
-  if (findHeader(Headers, Names_.RequestId_) == nullptr)
-    Headers.push_back(
-        {Names_.RequestId_,
-         absl::StrCat(absl::Hex(Config_.Process_), "-", Request.Number_)});
+/// Marks a request as a call if its parent runs at the local gateway.
+void RequestRouter::joinParent(EntryRequest &Request) {
+  if (Request.Routed_.ParentRequestId_.empty())
+    return;
+  if (const std::optional<std::uint32_t> Rank =
+          Gateway_.beginCall(Request.Routed_.ParentRequestId_))
+    markAsCall(Request, *Rank);
+}
+
+void RequestRouter::leaveParent(const EntryRequest &Request,
+                                Outcome FinalOutcome) {
+  if (Request.GatewayRequest_.Chained_)
+    Gateway_.endCall(Request.Routed_.ParentRequestId_,
+                     FinalOutcome == Outcome::NotRun);
 }
 
 std::string RequestRouter::ownerOf(const EntryRequest &Request) const {
@@ -569,6 +548,7 @@
   Request->Done_ = true;
   Request->Timer_.reset();
   Request->DeadlineTimer_.reset();
+  leaveParent(*Request, Outcome::Unknown);
   if (isAttemptOpen(*Request))
     LogEvent_(
         EventId::CallerLeft, Request->Routed_.CallerRequestId_,
@@ -607,6 +587,7 @@
   Request->Timer_.reset();
   Request->DeadlineTimer_.reset();
   OpenRequests_.erase(Request->Number_);
+  leaveParent(*Request, FinalOutcome);
   DaemonMetrics_.countResponse(Request->GatewayRequest_.Service_, FinalOutcome,
                                Time_.now() - Request->ArrivedAt_);
   Request->Interface_->addResponseHeaders(Response, Request->Routed_,
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -91,7 +91,8 @@
 private:
   using EntryRequestPtr = std::shared_ptr<EntryRequest>;
 
-  void prepare(EntryRequest &Request);
+  void joinParent(EntryRequest &Request);
+  void leaveParent(const EntryRequest &Request, Outcome FinalOutcome);
   void startAttempt(const EntryRequestPtr &Request);
   std::string ownerOf(const EntryRequest &Request) const;
   std::optional<std::string> selectHost(const EntryRequest &Request,
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -37,20 +37,6 @@
 
 constexpr unsigned MisdirectedRequest = 421;
 
-AnswerPtr toStoredAnswer(const GatewayResult &Result) {
-  std::shared_ptr<lagoonhitch::Answer> Stored =
-      std::make_shared<lagoonhitch::Answer>();
-  Stored->Outcome_ = Result.Outcome_;
-  Stored->RejectReason_ = Result.RejectReason_;
-  Stored->RetryAfter_ = Result.RetryAfter_;
-  Stored->RejectedByUpstream_ = Result.RejectedByUpstream_;
-  Stored->Status_ = Result.Response_.Status_;
-  for (const HttpHeader &Header : Result.Response_.Headers_)
-    Stored->Headers_.emplace_back(Header.Name_, Header.Value_);
-  Stored->Body_ = Result.Response_.Body_;
-  return Stored;
-}
-
 /// Returns whether the entry daemon is this process.
 bool isFromThisDaemon(const GatewayRequest &Request) {
   return Request.SentAt_ == Instant();
@@ -227,6 +213,13 @@
     start(Request.Number_);
 }
 
+/// Returns the caller's ID of a request; empty if it has none.
+std::string UpstreamGateway::callerIdOf(const OpenRequest &Entry) const {
+  const std::string *Id =
+      findHeader(Entry.Request_.HttpRequest_.Headers_, Names_.RequestId_);
+  return Id == nullptr ? std::string() : *Id;
+}
+
 HttpRequest
 UpstreamGateway::makeUpstreamRequest(const OpenRequest &Entry) const {
   HttpRequest Request = Entry.Request_.HttpRequest_;
@@ -255,6 +248,7 @@
   Entry.Since_ = Now;
   Entry.Incarnation_ = Incarnation_;
   ++SentRequests_;
+  beginRun(Parents_, callerIdOf(Entry), Entry.Request_.Rank_);
   HttpCallOptions Call;
   Call.Timeout_ = Entry.Request_.Deadline_ - Now;
   Call.EchoHeader_ = Names_.RequestId_;
@@ -300,10 +294,8 @@
   if (!Callbacks_.OnRunCut_)
     return;
   const Instant Now = Time_.now();
-  const std::string *Id =
-      findHeader(Entry.Request_.HttpRequest_.Headers_, Names_.RequestId_);
   Callbacks_.OnRunCut_(
-      Id == nullptr ? std::string() : *Id,
+      callerIdOf(Entry),
       absl::StrCat(Cause, "; attempt ", toString(Entry.Request_.Id_), ", ran ",
                    toMillis(Now - Entry.Since_).count(), " ms, ",
                    toMillis(Entry.Request_.Deadline_ - Now).count(),
@@ -315,8 +307,7 @@
   LostRun Run;
   Run.Request_ = fingerprintOf(Entry.Request_, Names_);
   const HttpRequest &Message = Entry.Request_.HttpRequest_;
-  if (const std::string *Id = findHeader(Message.Headers_, Names_.RequestId_))
-    Run.RequestId_ = *Id;
+  Run.RequestId_ = callerIdOf(Entry);
   Run.Summary_ = Message.Method_ + " " + Message.Target_;
   Run.Summary_.resize(std::min(Run.Summary_.size(), MaxSummaryLength));
   Run.AnsweredBefore_ = wasAnswered(AnsweredRequests_, Run.Request_);
@@ -408,6 +399,8 @@
   OpenRequest Entry = std::move(Found->second);
   Requests_.erase(Found);
   NumbersById_.erase(Entry.Request_.Id_);
+  if (Entry.Phase_ == OpenRequest::Phase::Running)
+    endRun(Parents_, callerIdOf(Entry));
   const bool Disconnected = Disconnected_.erase(Entry.Request_.Id_) > 0;
   AttemptEnd End;
   // The local entry daemon gets the answer below and looks up no status.
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -9,6 +9,7 @@
 #include "daemon/gateway_request.h"
 #include "daemon/gateway_result.h"
 #include "limits/admission_queue.h"
+#include "limits/parent_runs.h"
 #include "limits/stated_rate_limit.h"
 #include "net/header_names.h"
 #include "net/http_result.h"
@@ -142,6 +143,17 @@
   /// and whose entry daemon does not look them up. To be called periodically.
   void tick();
 
+  /// Counts a call of a request that runs here.
+  /// \param Parent the caller's ID of that request.
+  /// \returns its rank; std::nullopt if the call is an ordinary request.
+  std::optional<std::uint32_t> beginCall(const std::string &Parent) {
+    return lagoonhitch::beginCall(Parents_, Parent);
+  }
+  /// Notes that a call counted by beginCall() has ended.
+  void endCall(const std::string &Parent, bool Rejected) {
+    lagoonhitch::endCall(Parents_, Parent, Rejected);
+  }
+
   /// Returns whether requests are accepted.
   bool isAccepting() const { return Accepting_; }
   /// Returns the number of requests that have no result yet.
@@ -182,6 +194,7 @@
   void start(std::uint64_t Number);
   void dispatchQueued();
   void startQueued(const QueuedRequest &Request);
+  std::string callerIdOf(const OpenRequest &Entry) const;
   HttpRequest makeUpstreamRequest(const OpenRequest &Entry) const;
   void onUpstreamResult(std::uint64_t Number, HttpResult CallResult);
   void reportCutRun(const OpenRequest &Entry, const char *Cause) const;
@@ -202,6 +215,7 @@
   std::string UpstreamId_;
   bool Accepting_ = false;
   AdmissionQueue Queue_;
+  ParentRuns Parents_;
   AttemptTable Attempts_;
   AttemptTableOptions AttemptTableOptions_;
   std::map<std::uint64_t, OpenRequest> Requests_;
--- a/net/header_names.h
+++ b/net/header_names.h
@@ -4,6 +4,7 @@
 /// \file
 /// Names of the HTTP headers that callers and upstreams use.
 
+#include <functional>
 #include <string>
 
 namespace lagoonhitch {
@@ -39,6 +40,10 @@
   std::string RateLimit_;
   /// Sent by upstreams that are about to terminate, with the value `1`.
   std::string Leaving_;
+  /// Returns, from the ID of a request, the ID of the running request that
+  /// would have made it as a call; an empty text if the ID is not that of a
+  /// call. Not set if the platform has no calls.
+  std::function<std::string(const std::string &)> ParentRequestId_;
 };
 
 } // namespace lagoonhitch
