Calls precede fresh requests of their rank and are tried at other upstreams

Cause, found by reading: one attempt ended a call while other upstreams had capacity in three places. (1) A call with a timeout of 0.9 s or more was rejected as soon as it would miss its objective; with a key that is final. (2) A gateway dropped a waiting call at half of its processing time before the deadline, with DeadlineExceeded, which ended the request at its entry daemon. (3) A call with less than 60 ms left was not sent again. How often each happened is not measured.

Change: within a rank, calls precede fresh requests, but after three in a row a fresh request starts if one waits, and calls use at most half of the queue's places. A call may wait as long as it can still be answered. One that has another upstream is handed back 100 ms before its latest useful start, unless it is expected to start in time; on its first attempt only, so that it does not move between full queues until it is too late. The entry daemon sends a call again after DeadlineExceeded too, while 20 ms are left, at most eight times. Rejections by the upstream itself still need a retry of the budget. Requests that are not calls are treated as before.

Ruled out: calls before all fresh requests of any rank (priorities), no bound on calls in a row (a service that calls itself starves its fresh requests).

--- a/daemon/request_preparation.cpp
+++ b/daemon/request_preparation.cpp
@@ -54,6 +54,7 @@
 void markAsCall(EntryRequest &Request, std::uint32_t ParentRank) {
   GatewayRequest &Outgoing = Request.GatewayRequest_;
   Outgoing.Chained_ = true;
+  Request.Plan_.Chained_ = true;
   Outgoing.Rank_ = std::min(Outgoing.Rank_, ParentRank);
 }
 
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -119,7 +119,9 @@
                           Request.Deadline_,
                           Request.Objective_,
                           Request.Deadline_ - Now,
-                          Request.Id_.Attempt_ > 1};
+                          Request.Id_.Attempt_ > 1,
+                          Request.Chained_,
+                          !Request.Key_ && Request.Id_.Attempt_ == 1};
   Entry.Request_ = std::move(Request);
   Entry.Callback_ = std::move(Callback);
   Entry.Since_ = Now;
--- a/limits/admission_queue.cpp
+++ b/limits/admission_queue.cpp
@@ -1,5 +1,7 @@
 #include "limits/admission_queue.h"
 
+#include "limits/call_order.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -34,8 +36,10 @@
          rateLimitWait(State, 1, Now) <= Duration::zero();
 }
 
-void startRequest(AdmissionQueue &State, Instant Now) {
+void startRequest(AdmissionQueue &State, const QueuedRequest &Request,
+                  Instant Now) {
   ++State.Running_;
+  noteStart(State, Request);
   chargeRateLimits(State, Now);
 }
 
@@ -57,7 +61,8 @@
                    Instant Now) {
   const Duration ProcessingTime = expectedProcessingTime(State, Request);
   const Duration BeforeDeadline = Request.Deadline_ - Now - ProcessingTime;
-  if (Request.Timeout_ < State.Options_.MinRetryableTimeout_)
+  if (Request.Chained_ ||
+      Request.Timeout_ < State.Options_.MinRetryableTimeout_)
     return BeforeDeadline;
   const Duration BeforeObjective = Request.ObjectiveAt_ - Now - ProcessingTime;
   const Duration AfterObjective = std::chrono::duration_cast<Duration>(
@@ -65,10 +70,6 @@
   return std::min(std::max(BeforeObjective, AfterObjective), BeforeDeadline);
 }
 
-QueueOrder orderOf(const QueuedRequest &Request) {
-  return {Request.Rank_, Request.ObjectiveAt_, Request.Number_};
-}
-
 void updateAverage(Duration &Average, Duration Sample, double Weight) {
   Average = std::chrono::duration_cast<Duration>(Average * (1 - Weight) +
                                                  Sample * Weight);
@@ -89,6 +90,11 @@
 
 } // namespace
 
+QueueOrder orderOf(const QueuedRequest &Request) {
+  return {Request.Rank_, !Request.Chained_, Request.ObjectiveAt_,
+          Request.Number_};
+}
+
 void resetForUpstream(AdmissionQueue &State, std::uint32_t Slots) {
   State.Slots_ = Slots;
   State.ProcessingTime_ = State.Options_.InitialProcessingTime_;
@@ -161,18 +167,15 @@
 
 AdmissionDecision submitRequest(AdmissionQueue &State,
                                 const QueuedRequest &Request, Instant Now) {
-  const bool First = State.Waiting_.empty() ||
-                     orderOf(Request) < State.Waiting_.begin()->first;
-  if (First && hasCapacity(State, Now)) {
-    startRequest(State, Now);
+  if (precedesWaiting(State, Request) && hasCapacity(State, Now)) {
+    startRequest(State, Request, Now);
     // Capacity is free, so fewer rejected requests are retried than it was
     // reserved for: the reservation is dropped.
     State.ReservedUntil_ = Now;
     return {AdmissionDecision::Kind::Start, {}};
   }
   const Duration Wait = expectedWait(State, Request, Now);
-  if (Wait > maxWaitOf(State, Request, Now) ||
-      State.Waiting_.size() >= State.Options_.MaxWaiting_)
+  if (Wait > maxWaitOf(State, Request, Now) || !hasPlace(State, Request))
     return {AdmissionDecision::Kind::Reject,
             retryAfter(State, Request, Wait, Now)};
   State.Waiting_[orderOf(Request)] = Request;
@@ -207,33 +210,28 @@
 
 DispatchResult dispatchWaiting(AdmissionQueue &State, Instant Now) {
   DispatchResult Result;
-  std::erase_if(State.Waiting_, [&](const auto &Entry) {
-    if (Entry.second.Deadline_ - Now >
-        expectedProcessingTime(State, Entry.second) / 2)
-      return false;
-    Result.Dropped_.push_back(Entry.second);
-    return true;
-  });
+  for (const auto &[Order, Request] : State.Waiting_)
+    if (isTooLate(State, Request, Now))
+      Result.Dropped_.push_back(Request);
+  for (const QueuedRequest &Request : Result.Dropped_)
+    cancelWaiting(State, Request);
   while (!State.Waiting_.empty() && hasCapacity(State, Now)) {
-    const auto First = State.Waiting_.begin();
-    Result.Started_.push_back(First->second);
-    State.Waiting_.erase(First);
-    startRequest(State, Now);
+    const auto Next = nextToStart(State);
+    Result.Started_.push_back(Next->second);
+    State.Waiting_.erase(Next);
+    startRequest(State, Result.Started_.back(), Now);
   }
   return Result;
 }
 
 Duration expectedWait(const AdmissionQueue &State, const QueuedRequest &Request,
                       Instant Now) {
-  const QueueOrder Order = orderOf(Request);
   double Ahead = 0;
   // A running request must finish first.
   Duration ProcessingTime = State.ProcessingTime_;
-  for (const auto &[Other, Waiting] : State.Waiting_) {
-    if (Order < Other)
-      break;
+  for (const QueuedRequest *Waiting : requestsAhead(State, Request)) {
     Ahead += 1;
-    ProcessingTime += expectedProcessingTime(State, Waiting);
+    ProcessingTime += expectedProcessingTime(State, *Waiting);
   }
   const Duration SlotWait =
       ProcessingTime / std::max<std::uint32_t>(State.Slots_, 1);
--- a/limits/admission_queue.h
+++ b/limits/admission_queue.h
@@ -34,6 +34,14 @@
   double MinStatedRate_ = 0.5;
   /// Maximum number of waiting requests.
   std::size_t MaxWaiting_ = 512;
+  /// Maximum number of calls among them.
+  std::size_t MaxWaitingCalls_ = 256;
+  /// Number of calls that may be started in a row while fresh requests of the
+  /// same rank wait, so that those get at least a quarter of the starts.
+  std::uint32_t MaxCallsInARow_ = 3;
+  /// Time that another attempt of a call needs: two transits between daemons
+  /// and the turns of their loops.
+  std::chrono::milliseconds HandBackTime_{100};
   /// Pause after the upstream itself rejected a request as overloaded. It
   /// doubles while the upstream rejects requests although it runs none, so that
   /// an upstream that rejects everything costs few retries.
@@ -63,18 +71,27 @@
   /// Whether another upstream's queue is assumed to have rejected the request
   /// before and to have reserved capacity for its retry.
   bool RejectedBefore_ = false;
+  /// Whether a running request waits for this one. Such a call may wait as long
+  /// as it can still be answered, since its rejection loses a run.
+  bool Chained_ = false;
+  /// Whether other upstreams can run a call that is handed back in time.
+  bool OthersCanRun_ = false;
 };
 
-/// The order in which waiting requests are started: by rank, then by
+/// The order of waiting requests: by rank, calls before fresh requests, then by
 /// ObjectiveAt_, then by number.
 struct QueueOrder {
   std::uint32_t Rank_ = 0;
+  bool Fresh_ = true;
   Instant ObjectiveAt_;
   std::uint64_t Number_ = 0;
 
   auto operator<=>(const QueueOrder &) const = default;
 };
 
+/// Returns the place of a request in the order.
+QueueOrder orderOf(const QueuedRequest &Request);
+
 /// The load of one upstream and the requests that wait for it.
 struct AdmissionQueue {
   AdmissionQueueOptions Options_;
@@ -98,6 +115,8 @@
   /// zero before the first such rejection.
   Duration NextPause_{};
   std::map<QueueOrder, QueuedRequest> Waiting_;
+  /// Calls started in a row while fresh requests of the same rank waited.
+  std::uint32_t CallsInARow_ = 0;
   /// Until then capacity is reserved for retries of rejected requests.
   Instant ReservedUntil_ = Instant::min();
 };
--- a/routing/request_plan.cpp
+++ b/routing/request_plan.cpp
@@ -11,10 +11,15 @@
 constexpr unsigned FirstServerError = 500;
 /// Maximum number of times that one request is sent to an upstream's daemon.
 constexpr std::uint32_t MaxSends = 5;
+/// The same limit for a call of a running request, whose rejection loses a run.
+constexpr std::uint32_t MaxCallSends = 8;
 /// The same limit while a key changes its owner.
 constexpr std::uint32_t MaxOwnerSends = 40;
 /// Minimum time before the deadline for another attempt to be useful.
 constexpr std::chrono::milliseconds MinTimeToResend{60};
+/// The same for a call of a running request: a transit to another daemon and
+/// back. A call is short, and nothing is lost by an attempt that is too late.
+constexpr std::chrono::milliseconds MinTimeToResendCall{20};
 /// How long an answer is awaited after the gateway was found not to run the
 /// attempt. The answer may be delayed by a full link, or lost with a connection
 /// that is broken but not closed.
@@ -90,6 +95,22 @@
          Plan.Deadline_ - Now > MinTimeToResend;
 }
 
+/// Returns whether the limits allow another attempt after a rejection.
+bool canSendRejected(const RequestPlan &Plan, Instant Now) {
+  if (!Plan.Chained_)
+    return canSendAgain(Plan, Now);
+  return !Plan.LooksUpAgain_ && Plan.SentAttempts_ < MaxCallSends &&
+         Plan.Deadline_ - Now > MinTimeToResendCall;
+}
+
+/// Returns whether a rejection ends the request because it is too late for
+/// another attempt. A call is handed back by its gateway while it is not.
+bool isRejectedForGood(const RequestPlan &Plan, RejectReason Reason) {
+  const bool OthersCanRun = Plan.Chained_ && !Plan.Keyed_;
+  return Plan.LooksUpAgain_ ||
+         (Reason == RejectReason::DeadlineExceeded && !OthersCanRun);
+}
+
 /// Returns whether a request that may have run can be run again.
 /// \param Runs the number of times that it may have run.
 bool canRerun(const RequestPlan &Plan, std::uint32_t Runs, Instant Now) {
@@ -176,8 +197,7 @@
 
 PlanStep afterRejection(RequestPlan &Plan, const AttemptResult &Result,
                         const SpendRetry &Spend, Instant Now) {
-  if (Plan.LooksUpAgain_ ||
-      Result.RejectReason_ == RejectReason::DeadlineExceeded)
+  if (isRejectedForGood(Plan, Result.RejectReason_))
     return lookUpOrReject(Plan, Result.RetryAfter_, NoCapacity);
   if (Result.RejectReason_ == RejectReason::Quarantined)
     return onQuarantined(Plan, Result.RetryAfter_);
@@ -195,7 +215,7 @@
     return Result.OwnerChanged_ && canSendToNextOwner(Plan, Now)
                ? sendStep(false)
                : onNoHost(Plan, Now);
-  if (!canSendAgain(Plan, Now))
+  if (!canSendRejected(Plan, Now))
     return lookUpOrReject(Plan, Result.RetryAfter_, NoCapacity);
   // If the attempt is resolved, only its connection was faulty: the same host
   // can be used again.
--- a/routing/request_plan.h
+++ b/routing/request_plan.h
@@ -20,6 +20,8 @@
   bool Idempotent_ = false;
   /// Whether the request has a key, so that only the key's owner can run it.
   bool Keyed_ = false;
+  /// Whether a running request waits for this one. Its rejection loses a run.
+  bool Chained_ = false;
   Instant ArrivedAt_;
   /// When the caller's timeout expires.
   Instant Deadline_;
--- a/tests/unit/door_test.cpp
+++ b/tests/unit/door_test.cpp
@@ -395,4 +395,161 @@
   BOOST_TEST(!Limit.PerSecond_.has_value());
 }
 
+namespace {
+
+QueuedRequest makeCall(std::uint64_t Number, Instant Now,
+                       std::uint32_t Rank = 1,
+                       milliseconds Timeout = milliseconds(2000)) {
+  QueuedRequest Call =
+      makeRequest(Number, Now, Rank, milliseconds(600), Timeout);
+  Call.Chained_ = true;
+  Call.OthersCanRun_ = true;
+  return Call;
+}
+
+/// Submits requests until as many as given wait.
+void fillQueue(AdmissionQueue &Queue, std::size_t Waiting,
+               std::uint64_t FirstNumber, bool Calls) {
+  while (Queue.Waiting_.size() < Waiting) {
+    const std::uint64_t Number = FirstNumber++;
+    const QueuedRequest Request =
+        Calls ? makeCall(Number, Start) : makeRequest(Number, Start);
+    BOOST_REQUIRE((submitRequest(Queue, Request, Start).Kind_ !=
+                   AdmissionDecision::Kind::Reject));
+  }
+}
+
+} // namespace
+
+/// A call with a timeout that allows a retry was rejected as soon as it would
+/// miss its objective, though it could still be answered.
+BOOST_AUTO_TEST_CASE(CallWaitsAsLongAsItCanBeAnswered) {
+  AdmissionQueue Queue = makeQueue(4);
+  std::uint64_t Number = 0;
+  while (submitRequest(Queue, makeRequest(++Number, Start), Start).Kind_ !=
+         AdmissionDecision::Kind::Reject)
+    continue;
+  // Less urgent, so that all waiting requests are ahead of the call.
+  BOOST_TEST(
+      (submitRequest(Queue, makeRequest(++Number, Start, 2), Start).Kind_ ==
+       AdmissionDecision::Kind::Reject));
+  BOOST_TEST((submitRequest(Queue, makeCall(++Number, Start, 2), Start).Kind_ ==
+              AdmissionDecision::Kind::Wait));
+}
+
+BOOST_AUTO_TEST_CASE(CallWithoutTimeLeftIsRejected) {
+  AdmissionQueue Queue = makeQueue(1);
+  submitRequest(Queue, makeRequest(1, Start), Start);
+  for (const int Millis : {-5, 0, 1, 100})
+    BOOST_TEST((
+        submitRequest(Queue, makeCall(2, Start, 0, milliseconds(Millis)), Start)
+            .Kind_ == AdmissionDecision::Kind::Reject));
+}
+
+BOOST_AUTO_TEST_CASE(CallsPrecedeFreshRequestsOfTheirRank) {
+  AdmissionQueue Queue = makeQueue(1);
+  submitRequest(Queue, makeRequest(1, Start), Start);
+  submitRequest(Queue, makeRequest(2, Start, 1), Start);
+  submitRequest(Queue, makeCall(3, Start + milliseconds(1), 1), Start);
+  submitRequest(Queue, makeRequest(4, Start, 0), Start);
+  for (const std::uint64_t Expected : {4U, 3U, 2U}) {
+    finishRequest(Queue, makeRequest(1, Start), milliseconds(100));
+    const DispatchResult Result = dispatchWaiting(Queue, Start);
+    BOOST_REQUIRE(Result.Started_.size() == 1U);
+    BOOST_TEST(Result.Started_.front().Number_ == Expected);
+  }
+}
+
+/// An upstream calls its own service without end, so that a call waits whenever
+/// a slot becomes free. Fresh requests must be admitted and started.
+BOOST_AUTO_TEST_CASE(CallsWithoutEndLeaveStartsToFreshRequests) {
+  AdmissionQueue Queue = makeQueue(2);
+  std::uint64_t Number = 0;
+  int Fresh = 0;
+  int Rejected = 0;
+  int Started = 0;
+  for (int Round = 0; Round < 400; ++Round) {
+    const Instant Now = Start + milliseconds(100) * Round;
+    while (Queue.Running_ > 0)
+      finishRequest(Queue, makeRequest(1, Now), milliseconds(100));
+    // Calls are submitted before waiting requests are dispatched, as by a
+    // router of the same daemon.
+    for (int Call = 0; Call < 3; ++Call)
+      submitRequest(Queue, makeCall(++Number, Now), Now);
+    const bool Submits = Round % 4 == 0;
+    if (Submits)
+      Rejected += submitRequest(Queue, makeRequest(++Number, Now), Now).Kind_ ==
+                  AdmissionDecision::Kind::Reject;
+    for (const QueuedRequest &Request : dispatchWaiting(Queue, Now).Started_) {
+      ++Started;
+      Fresh += !Request.Chained_;
+    }
+  }
+  BOOST_TEST(Rejected <= 10);
+  BOOST_TEST(Fresh >= 85);
+  BOOST_TEST(Fresh <= 100);
+}
+
+/// A loop of calls must not fill all places: a fresh request of a more urgent
+/// rank needs one.
+BOOST_AUTO_TEST_CASE(CallsFillAPartOfTheQueueOnly) {
+  AdmissionQueue Queue = makeQueue(1);
+  Queue.Options_.InitialProcessingTime_ = milliseconds(1);
+  resetForUpstream(Queue, 1);
+  submitRequest(Queue, makeRequest(1, Start), Start);
+  for (std::uint64_t Number = 2; Number < 2000; ++Number)
+    submitRequest(Queue, makeCall(Number, Start, 1), Start);
+  BOOST_TEST(Queue.Waiting_.size() == Queue.Options_.MaxWaitingCalls_);
+  BOOST_TEST((submitRequest(Queue, makeRequest(3000, Start, 0), Start).Kind_ ==
+              AdmissionDecision::Kind::Wait));
+  BOOST_TEST((submitRequest(Queue, makeRequest(3001, Start, 1), Start).Kind_ ==
+              AdmissionDecision::Kind::Wait));
+}
+
+/// The upstream has become slow. A call that won't start in time was kept until
+/// half of its processing time was left, when no other upstream could run it.
+BOOST_AUTO_TEST_CASE(CallIsHandedBackInTimeForAnotherAttempt) {
+  AdmissionQueue Queue = makeQueue(1);
+  submitRequest(Queue, makeRequest(1, Start), Start);
+  fillQueue(Queue, 5, 2, true);
+  QueuedRequest Last = makeCall(10, Start, 1, milliseconds(1500));
+  Last.ObjectiveAt_ += milliseconds(1);
+  BOOST_REQUIRE((submitRequest(Queue, Last, Start).Kind_ ==
+                 AdmissionDecision::Kind::Wait));
+  BOOST_TEST(
+      dispatchWaiting(Queue, Start + milliseconds(1190)).Dropped_.empty());
+  // 200 ms of processing time and 100 ms for another attempt are left.
+  const DispatchResult Result =
+      dispatchWaiting(Queue, Start + milliseconds(1205));
+  BOOST_REQUIRE(Result.Dropped_.size() == 1U);
+  BOOST_TEST(Result.Dropped_.front().Number_ == 10U);
+}
+
+/// No other upstream can run it: its key has one owner, or it has been handed
+/// back before.
+BOOST_AUTO_TEST_CASE(CallWithoutAlternativeKeepsWaiting) {
+  AdmissionQueue Queue = makeQueue(1);
+  submitRequest(Queue, makeRequest(1, Start), Start);
+  fillQueue(Queue, 5, 2, true);
+  QueuedRequest Last = makeCall(10, Start, 1, milliseconds(1500));
+  Last.ObjectiveAt_ += milliseconds(1);
+  Last.OthersCanRun_ = false;
+  submitRequest(Queue, Last, Start);
+  BOOST_TEST(
+      dispatchWaiting(Queue, Start + milliseconds(1390)).Dropped_.empty());
+  BOOST_TEST(
+      dispatchWaiting(Queue, Start + milliseconds(1401)).Dropped_.size() == 1U);
+}
+
+/// The next call to start is not given away for a place elsewhere.
+BOOST_AUTO_TEST_CASE(CallThatStartsInTimeIsNotHandedBack) {
+  AdmissionQueue Queue = makeQueue(18);
+  std::uint64_t Number = 0;
+  while (Queue.Running_ < 18)
+    submitRequest(Queue, makeRequest(++Number, Start), Start);
+  submitRequest(Queue, makeCall(++Number, Start), Start);
+  BOOST_TEST(
+      dispatchWaiting(Queue, Start + milliseconds(1750)).Dropped_.empty());
+}
+
 } // namespace lagoonhitch
--- a/tests/unit/plan_test.cpp
+++ b/tests/unit/plan_test.cpp
@@ -395,4 +395,78 @@
   }
 }
 
+namespace {
+
+/// Returns the plan of a call to a shared service that was sent once.
+RequestPlan callPlan() {
+  RequestPlan Plan = sentPlan(false);
+  Plan.Keyed_ = false;
+  Plan.Chained_ = true;
+  return Plan;
+}
+
+} // namespace
+
+/// A gateway dropped a call from its queue while other upstreams of the service
+/// had capacity. The single attempt ended the call, and with it its parent's
+/// run.
+BOOST_AUTO_TEST_CASE(DroppedCallIsSentToAnotherUpstream) {
+  RequestPlan Plan = callPlan();
+  const Instant Now = Plan.Deadline_ - milliseconds(300);
+  const PlanStep Step =
+      endAttempt(Plan, rejection(RejectReason::DeadlineExceeded), Now);
+  BOOST_TEST((Step.Kind_ == PlanStep::Kind::Send));
+  BOOST_TEST(Step.OtherHost_);
+}
+
+/// The upstream of a key has no alternative, and a fresh request is retried by
+/// its caller.
+BOOST_AUTO_TEST_CASE(OtherDroppedRequestsAreRejected) {
+  RequestPlan Keyed = callPlan();
+  Keyed.Keyed_ = true;
+  RequestPlan Fresh = callPlan();
+  Fresh.Chained_ = false;
+  for (RequestPlan *Plan : {&Keyed, &Fresh})
+    BOOST_TEST(
+        (endAttempt(*Plan, rejection(RejectReason::DeadlineExceeded), Start)
+             .Kind_ == PlanStep::Kind::Reject));
+}
+
+/// Calls have a small part of their parent's time. Those with less than 60 ms
+/// left were rejected after one attempt.
+BOOST_AUTO_TEST_CASE(CallWithLittleTimeIsSentAgain) {
+  for (const RejectReason Reason :
+       {RejectReason::Overloaded, RejectReason::DeadlineExceeded}) {
+    RequestPlan Plan = callPlan();
+    const auto KindAt = [&Plan, Reason](int MillisLeft) {
+      return endAttempt(Plan, rejection(Reason),
+                        Plan.Deadline_ - milliseconds(MillisLeft))
+          .Kind_;
+    };
+    BOOST_TEST((KindAt(40) == PlanStep::Kind::Send));
+    BOOST_TEST((KindAt(20) == PlanStep::Kind::Reject));
+    BOOST_TEST((KindAt(0) == PlanStep::Kind::Reject));
+    BOOST_TEST((KindAt(-50) == PlanStep::Kind::Reject));
+  }
+}
+
+/// Each upstream of a service rejects the call.
+BOOST_AUTO_TEST_CASE(LimitsAttemptsOfCalls) {
+  RequestPlan Plan = callPlan();
+  while (Plan.SentAttempts_ < 100 &&
+         endAttempt(Plan, rejection(RejectReason::Overloaded), Start).Kind_ ==
+             PlanStep::Kind::Send)
+    ++Plan.SentAttempts_;
+  BOOST_TEST(Plan.SentAttempts_ == 8U);
+}
+
+/// A retry of what the upstream itself has handled counts against the budget.
+BOOST_AUTO_TEST_CASE(CallSpendsRetriesLikeOtherRequests) {
+  RequestPlan Plan = callPlan();
+  AttemptResult Result = rejection(RejectReason::Overloaded);
+  Result.RejectedByUpstream_ = true;
+  BOOST_TEST((onAttemptEnd(Plan, Result, withoutRetries, Start).Kind_ ==
+              PlanStep::Kind::Reject));
+}
+
 } // namespace lagoonhitch
