--- a/daemon/gateway_result.h
+++ b/daemon/gateway_result.h
@@ -9,7 +9,7 @@
 #include "core/reject_reason.h"
 #include "membership/load_digest.h"
 #include "net/http_message.h"
-#include "recovery/attempt_table.h"
+#include "recovery/answer.h"
 
 #include <cstdint>
 #include <optional>
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -2,7 +2,6 @@
 
 #include "daemon/attempt_description.h"
 #include "daemon/request_end.h"
-#include "daemon/stored_answer.h"
 #include "daemon/upstream_notice.h"
 #include "net/http_client.h"
 #include "net/io_loop.h"
@@ -118,7 +117,9 @@
                           Request.Objective_,
                           Request.Deadline_ - Now,
                           Request.Id_.Attempt_ > 1,
-                          Request.Class_};
+                          Request.Class_,
+                          Request.Chained_,
+                          !Request.Key_ && Request.Id_.Attempt_ == 1};
   Entry.Request_ = std::move(Request);
   Entry.Callback_ = std::move(Callback);
   Entry.Since_ = Now;
@@ -212,6 +213,13 @@
     start(Request.Number_);
 }
 
+/// Returns the caller's ID of a request; empty if it has none.
+std::string UpstreamGateway::callerIdOf(const OpenRequest &Entry) const {
+  const std::string *Id =
+      findHeader(Entry.Request_.HttpRequest_.Headers_, Names_.RequestId_);
+  return Id == nullptr ? std::string() : *Id;
+}
+
 HttpRequest
 UpstreamGateway::makeUpstreamRequest(const OpenRequest &Entry) const {
   HttpRequest Request = Entry.Request_.HttpRequest_;
@@ -240,6 +248,7 @@
   Entry.Since_ = Now;
   Entry.Incarnation_ = Incarnation_;
   ++SentRequests_;
+  beginRun(Parents_, callerIdOf(Entry), Entry.Request_.Rank_);
   HttpCallOptions Call;
   Call.Timeout_ = Entry.Request_.Deadline_ - Now;
   Call.EchoHeader_ = Names_.RequestId_;
@@ -298,10 +307,8 @@
   if (!Callbacks_.OnRunCut_)
     return;
   const Instant Now = Time_.now();
-  const std::string *Id =
-      findHeader(Entry.Request_.HttpRequest_.Headers_, Names_.RequestId_);
   Callbacks_.OnRunCut_(
-      Id == nullptr ? std::string() : *Id,
+      callerIdOf(Entry),
       absl::StrCat(Cause, "; attempt ", toString(Entry.Request_.Id_), ", ran ",
                    toMillis(Now - Entry.Since_).count(), " ms, ",
                    toMillis(Entry.Request_.Deadline_ - Now).count(),
@@ -313,8 +320,7 @@
   LostRun Run;
   Run.Request_ = fingerprintOf(Entry.Request_, Names_);
   const HttpRequest &Message = Entry.Request_.HttpRequest_;
-  if (const std::string *Id = findHeader(Message.Headers_, Names_.RequestId_))
-    Run.RequestId_ = *Id;
+  Run.RequestId_ = callerIdOf(Entry);
   Run.Summary_ = Message.Method_ + " " + Message.Target_;
   Run.Summary_.resize(std::min(Run.Summary_.size(), MaxSummaryLength));
   Run.AnsweredBefore_ = wasAnswered(AnsweredRequests_, Run.Request_);
@@ -408,6 +414,8 @@
   OpenRequest Entry = std::move(Found->second);
   Requests_.erase(Found);
   NumbersById_.erase(Entry.Request_.Id_);
+  if (Entry.Phase_ == OpenRequest::Phase::Running)
+    endRun(Parents_, callerIdOf(Entry));
   const bool Disconnected = Disconnected_.erase(Entry.Request_.Id_) > 0;
   AttemptEnd End;
   // The local entry daemon gets the answer below and looks up no status.
--- a/limits/admission_queue.cpp
+++ b/limits/admission_queue.cpp
@@ -1,5 +1,7 @@
 #include "limits/admission_queue.h"
 
+#include "limits/call_order.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -57,6 +59,7 @@
   const Duration Work = expectedWork(State, Request);
   State.RunningRequests_[Request.Number_] = {
       Work, workSpread(State, Request, Work), workDone(State.Speed_, Now)};
+  noteStart(State, Request);
   chargeRateLimits(State, Now);
 }
 
@@ -104,7 +107,8 @@
                    Instant Now) {
   const Duration ProcessingTime = expectedProcessingTime(State, Request);
   const Duration BeforeDeadline = Request.Deadline_ - Now - ProcessingTime;
-  if (Request.Timeout_ < State.Options_.MinRetryableTimeout_)
+  if (Request.Chained_ ||
+      Request.Timeout_ < State.Options_.MinRetryableTimeout_)
     return BeforeDeadline;
   const Duration BeforeObjective = Request.ObjectiveAt_ - Now - ProcessingTime;
   const Duration AfterObjective = std::chrono::duration_cast<Duration>(
@@ -112,10 +116,6 @@
   return std::min(std::max(BeforeObjective, AfterObjective), BeforeDeadline);
 }
 
-QueueOrder orderOf(const QueuedRequest &Request) {
-  return {Request.Rank_, Request.ObjectiveAt_, Request.Number_};
-}
-
 void updateAverage(Duration &Average, Duration Sample, double Weight) {
   Average = std::chrono::duration_cast<Duration>(Average * (1 - Weight) +
                                                  Sample * Weight);
@@ -136,6 +136,11 @@
 
 } // namespace
 
+QueueOrder orderOf(const QueuedRequest &Request) {
+  return {Request.Rank_, !Request.Chained_, Request.ObjectiveAt_,
+          Request.Number_};
+}
+
 void resetForUpstream(AdmissionQueue &State, std::uint32_t Slots) {
   State.Slots_ = Slots;
   State.ProcessingTime_ = State.Options_.InitialProcessingTime_;
@@ -209,9 +214,7 @@
 
 AdmissionDecision submitRequest(AdmissionQueue &State,
                                 const QueuedRequest &Request, Instant Now) {
-  const bool First = State.Waiting_.empty() ||
-                     orderOf(Request) < State.Waiting_.begin()->first;
-  if (First && hasCapacity(State, Now)) {
+  if (precedesWaiting(State, Request) && hasCapacity(State, Now)) {
     startRequest(State, Request, Now);
     // Capacity is free, so fewer rejected requests are retried than it was
     // reserved for: the reservation is dropped.
@@ -219,8 +222,7 @@
     return {AdmissionDecision::Kind::Start, {}};
   }
   const Duration Wait = expectedWait(State, Request, Now);
-  if (Wait > maxWaitOf(State, Request, Now) ||
-      State.Waiting_.size() >= State.Options_.MaxWaiting_)
+  if (Wait > maxWaitOf(State, Request, Now) || !hasPlace(State, Request))
     return {AdmissionDecision::Kind::Reject,
             retryAfter(State, Request, Wait, Now)};
   State.Waiting_[orderOf(Request)] = Request;
@@ -294,33 +296,28 @@
 
 DispatchResult dispatchWaiting(AdmissionQueue &State, Instant Now) {
   DispatchResult Result;
-  std::erase_if(State.Waiting_, [&](const auto &Entry) {
-    if (Entry.second.Deadline_ - Now >
-        expectedProcessingTime(State, Entry.second) / 2)
-      return false;
-    Result.Dropped_.push_back(Entry.second);
-    return true;
-  });
+  for (const auto &[Order, Request] : State.Waiting_)
+    if (isTooLate(State, Request, Now))
+      Result.Dropped_.push_back(Request);
+  for (const QueuedRequest &Request : Result.Dropped_)
+    cancelWaiting(State, Request);
   while (!State.Waiting_.empty() && hasCapacity(State, Now)) {
-    const auto First = State.Waiting_.begin();
-    startRequest(State, First->second, Now);
-    Result.Started_.push_back(First->second);
-    State.Waiting_.erase(First);
+    const auto Next = nextToStart(State);
+    Result.Started_.push_back(Next->second);
+    State.Waiting_.erase(Next);
+    startRequest(State, Result.Started_.back(), Now);
   }
   return Result;
 }
 
 Duration expectedWait(const AdmissionQueue &State, const QueuedRequest &Request,
                       Instant Now) {
-  const QueueOrder Order = orderOf(Request);
   double Ahead = 0;
   // A running request must finish first.
   Duration ProcessingTime = State.ProcessingTime_;
-  for (const auto &[Other, Waiting] : State.Waiting_) {
-    if (Order < Other)
-      break;
+  for (const QueuedRequest *Waiting : requestsAhead(State, Request)) {
     Ahead += 1;
-    ProcessingTime += expectedProcessingTime(State, Waiting);
+    ProcessingTime += expectedProcessingTime(State, *Waiting);
   }
   const Duration SlotWait =
       ProcessingTime / std::max<std::uint32_t>(State.Slots_, 1);
