Admission uses the work of requests at the present speed of the upstream

Cause: expected waits, the drop of hopeless requests and Retry-After came from processing times averaged by latency objective. They ignored the class, slow moments, and what running requests had done already.

Change: processing times are the work of the class at the expected slowdown. Without a free slot, the wait is the mean remaining work of a running request plus the work ahead, divided by the slots. A request whose median run would end after its deadline is rejected at once, if its class has at least 8 samples, the last one at most 2 s old: a class that is always rejected would never be measured again. The order of the queue is unchanged. A running request of a class without samples counts in full, as before. The estimates stand in limits/admission_work.cpp.

Ruled out: counting a running request of an unknown class with 0.72 of its work.

Runs: work, door, completion, herd, fleet, gateway, upstream_manager and repeated_rejection tests without errors. Process tests were not run.

--- a/limits/admission_queue.cpp
+++ b/limits/admission_queue.cpp
@@ -1,20 +1,15 @@
 #include "limits/admission_queue.h"
 
+#include "limits/admission_work.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <limits>
 
 namespace lagoonhitch {
 
 namespace {
 
-/// Number of samples from which on the spread of a class's work is used. Before
-/// that, and for unknown classes, it is this fraction of the work: that of a
-/// lognormal distribution with a variance of the logarithm of 0.5.
-constexpr std::uint32_t MinSpreadSamples = 8;
-constexpr double UnknownSpread = 0.8;
-
 /// Returns the rate limit in requests per second; std::nullopt for none.
 std::optional<double> rateLimit(const AdmissionQueue &State, Instant Now) {
   std::optional<double> Limit;
@@ -42,35 +37,37 @@
          rateLimitWait(State, 1, Now) <= Duration::zero();
 }
 
-/// Returns the standard deviation of the work of a request.
-Duration workSpread(const AdmissionQueue &State, const QueuedRequest &Request,
-                    Duration Work) {
-  const ClassWork *Known = findClassWork(State.Works_, Request.Class_);
-  if (Known != nullptr && Known->Samples_ >= MinSpreadSamples)
-    return Known->Spread_;
-  return std::chrono::duration_cast<Duration>(Work * UnknownSpread);
-}
-
 void startRequest(AdmissionQueue &State, const QueuedRequest &Request,
                   Instant Now) {
   ++State.Running_;
-  const Duration Work = expectedWork(State, Request);
-  State.RunningRequests_[Request.Number_] = {
-      Work, workSpread(State, Request, Work), workDone(State.Speed_, Now)};
+  State.RunningRequests_[Request.Number_] =
+      makeRunningRequest(State, Request, Now);
   chargeRateLimits(State, Now);
 }
 
-/// Returns how much of its work a running request still needs on average.
-Duration meanRemainingWork(const AdmissionQueue &State, Instant Now) {
-  if (State.RunningRequests_.empty())
-    return Duration::zero();
-  const std::chrono::duration<double> Done = workDone(State.Speed_, Now);
-  Duration Sum{};
-  for (const auto &[Number, Run] : State.RunningRequests_)
-    Sum += remainingWork(
-        Run.Work_, Run.Spread_,
-        std::chrono::duration_cast<Duration>(Done - Run.WorkDoneBefore_));
-  return Sum / static_cast<std::int64_t>(State.RunningRequests_.size());
+/// Waiting requests and their work.
+struct RequestsAhead {
+  double Requests_ = 0;
+  Duration Work_{};
+};
+
+void add(RequestsAhead &Ahead, Duration Work) {
+  Ahead.Requests_ += 1;
+  Ahead.Work_ += Work;
+}
+
+/// Returns how long a request waits behind others.
+/// \param Running the mean remaining work of a running request.
+Duration waitBehind(const AdmissionQueue &State, const RequestsAhead &Ahead,
+                    Duration Running, Instant Now) {
+  const std::uint32_t Slots = std::max<std::uint32_t>(State.Slots_, 1);
+  const bool HasSlot = State.Running_ + Ahead.Requests_ < Slots;
+  // Otherwise a running request must finish first.
+  const Duration SlotWait =
+      HasSlot ? Duration::zero()
+              : timeFor(State, (Running + Ahead.Work_) / Slots, Now);
+  return std::max({SlotWait, rateLimitWait(State, Ahead.Requests_ + 1, Now),
+                   std::max(State.PausedUntil_, Now) - Now});
 }
 
 /// Returns a number of milliseconds for a report.
@@ -90,7 +87,7 @@
 /// upstream is fully used.
 Duration startInterval(const AdmissionQueue &State,
                        const QueuedRequest &Request, Instant Now) {
-  const Duration BySlots = expectedProcessingTime(State, Request) /
+  const Duration BySlots = expectedProcessingTime(State, Request, Now) /
                            std::max<std::uint32_t>(State.Slots_, 1);
   const std::optional<double> Limit = rateLimit(State, Now);
   if (!Limit)
@@ -102,7 +99,7 @@
 /// Returns the longest time that a request may wait and still be worth running.
 Duration maxWaitOf(const AdmissionQueue &State, const QueuedRequest &Request,
                    Instant Now) {
-  const Duration ProcessingTime = expectedProcessingTime(State, Request);
+  const Duration ProcessingTime = expectedProcessingTime(State, Request, Now);
   const Duration BeforeDeadline = Request.Deadline_ - Now - ProcessingTime;
   if (Request.Timeout_ < State.Options_.MinRetryableTimeout_)
     return BeforeDeadline;
@@ -209,6 +206,8 @@
 
 AdmissionDecision submitRequest(AdmissionQueue &State,
                                 const QueuedRequest &Request, Instant Now) {
+  if (isHopeless(State, Request, Now))
+    return {AdmissionDecision::Kind::Reject, retryAfterHopeless(Request, Now)};
   const bool First = State.Waiting_.empty() ||
                      orderOf(Request) < State.Waiting_.begin()->first;
   if (First && hasCapacity(State, Now)) {
@@ -227,28 +226,6 @@
   return {AdmissionDecision::Kind::Wait, Wait};
 }
 
-std::optional<Duration> learnWork(AdmissionQueue &State,
-                                  const QueuedRequest &Request, Instant Now) {
-  const auto Found = State.RunningRequests_.find(Request.Number_);
-  if (Found == State.RunningRequests_.end())
-    return std::nullopt;
-  const RunningRequest &Run = Found->second;
-  const auto Work = std::chrono::duration_cast<Duration>(
-      workDone(State.Speed_, Now) - Run.WorkDoneBefore_);
-  if (Work <= Duration::zero())
-    return std::nullopt;
-  if (Run.Work_ > Duration::zero()) {
-    const double Ratio = static_cast<double>(Work.count()) /
-                         static_cast<double>(Run.Work_.count());
-    ++State.EstimateError_.Runs_;
-    State.EstimateError_.RatioSum_ += Ratio;
-    State.EstimateError_.LogErrorSum_ += std::abs(std::log(Ratio));
-  }
-  addWorkSample(State.Works_, Request.Class_, Work, Now);
-  return isSpeedKnown(State.Speed_) ? std::optional<Duration>(Work)
-                                    : std::nullopt;
-}
-
 void finishRequest(AdmissionQueue &State, const QueuedRequest &Request,
                    std::optional<Duration> ProcessingTime) {
   --State.Running_;
@@ -264,39 +241,17 @@
                   State.Options_.ProcessingTimeWeight_);
 }
 
-Duration expectedProcessingTime(const AdmissionQueue &State,
-                                const QueuedRequest &Request) {
-  const auto Found = State.ProcessingTimeByObjective_.find(Request.Objective_);
-  return Found == State.ProcessingTimeByObjective_.end()
-             ? std::min(State.ProcessingTime_, Request.Objective_ / 2)
-             : Found->second;
-}
-
-Duration expectedWork(const AdmissionQueue &State,
-                      const QueuedRequest &Request) {
-  Duration Fallback = expectedProcessingTime(State, Request);
-  if (isSpeedKnown(State.Speed_))
-    Fallback = std::chrono::duration_cast<Duration>(
-        Fallback * (UsualSlowdownPercent / State.Speed_.MeanPercent_));
-  return expectedWork(State.Works_, Request.Class_, Fallback);
-}
-
-Duration remainingWork(const AdmissionQueue &State, Instant Now) {
-  Duration Work = meanRemainingWork(State, Now) * State.Running_;
-  for (const auto &[Order, Waiting] : State.Waiting_)
-    Work += expectedWork(State, Waiting);
-  return Work;
-}
-
 bool cancelWaiting(AdmissionQueue &State, const QueuedRequest &Request) {
   return State.Waiting_.erase(orderOf(Request)) > 0;
 }
 
 DispatchResult dispatchWaiting(AdmissionQueue &State, Instant Now) {
   DispatchResult Result;
+  const double Slowdown =
+      expectedSlowdown(State.Speed_, State.Works_.All_.Mean_, Now);
   std::erase_if(State.Waiting_, [&](const auto &Entry) {
     if (Entry.second.Deadline_ - Now >
-        expectedProcessingTime(State, Entry.second) / 2)
+        expectedWork(State, Entry.second) * Slowdown / 2)
       return false;
     Result.Dropped_.push_back(Entry.second);
     return true;
@@ -313,19 +268,13 @@
 Duration expectedWait(const AdmissionQueue &State, const QueuedRequest &Request,
                       Instant Now) {
   const QueueOrder Order = orderOf(Request);
-  double Ahead = 0;
-  // A running request must finish first.
-  Duration ProcessingTime = State.ProcessingTime_;
+  RequestsAhead Ahead;
   for (const auto &[Other, Waiting] : State.Waiting_) {
     if (Order < Other)
       break;
-    Ahead += 1;
-    ProcessingTime += expectedProcessingTime(State, Waiting);
+    add(Ahead, expectedWork(State, Waiting));
   }
-  const Duration SlotWait =
-      ProcessingTime / std::max<std::uint32_t>(State.Slots_, 1);
-  return std::max({SlotWait, rateLimitWait(State, Ahead + 1, Now),
-                   std::max(State.PausedUntil_, Now) - Now});
+  return waitBehind(State, Ahead, meanRemainingWork(State, Now), Now);
 }
 
 std::optional<Duration> timeToNextToken(const AdmissionQueue &State,
@@ -338,25 +287,19 @@
 
 namespace {
 
-/// Returns how long requests would wait that came now, by rank. Each would be
-/// the last one of its rank.
-std::array<std::uint32_t, ReportedRanks>
-waitsByRank(const AdmissionQueue &State, Instant Now) {
-  std::array<std::uint32_t, ReportedRanks> Waits{};
-  for (std::size_t Rank = 0; Rank < ReportedRanks; ++Rank) {
-    QueuedRequest Request;
-    Request.Number_ = std::numeric_limits<std::uint64_t>::max();
-    Request.Rank_ = Rank + 1 < ReportedRanks
-                        ? static_cast<std::uint32_t>(Rank)
-                        : std::numeric_limits<std::uint32_t>::max();
-    Request.ObjectiveAt_ = Instant::max();
-    const bool AtOnce = hasCapacity(State, Now) &&
-                        (State.Waiting_.empty() ||
-                         orderOf(Request) < State.Waiting_.begin()->first);
-    Waits[Rank] =
-        AtOnce ? 0 : reportedMillis(expectedWait(State, Request, Now));
+/// Returns the requests that would precede one that came now, by its rank. It
+/// would be the last one of its rank.
+std::array<RequestsAhead, ReportedRanks>
+aheadByRank(const AdmissionQueue &State) {
+  std::array<RequestsAhead, ReportedRanks> Ahead{};
+  for (const auto &[Order, Waiting] : State.Waiting_) {
+    const Duration Work = expectedWork(State, Waiting);
+    for (std::size_t Rank = Order.Rank_; Rank < ReportedRanks; ++Rank)
+      add(Ahead[Rank], Work);
+    if (Order.Rank_ >= ReportedRanks)
+      add(Ahead.back(), Work);
   }
-  return Waits;
+  return Ahead;
 }
 
 /// Returns the work of the upstream; unknown if it reports no slowdown.
@@ -368,8 +311,13 @@
   Work.CurrentSlowdownPercent_ =
       reportedPercent(expectedSlowdown(State.Speed_, Duration::zero(), Now) *
                       UsualSlowdownPercent);
-  Work.RemainingMillis_ = reportedMillis(remainingWork(State, Now));
-  Work.WaitMillis_ = waitsByRank(State, Now);
+  const Duration Running = meanRemainingWork(State, Now);
+  const std::array<RequestsAhead, ReportedRanks> Ahead = aheadByRank(State);
+  Work.RemainingMillis_ =
+      reportedMillis(Running * State.Running_ + Ahead.back().Work_);
+  for (std::size_t Rank = 0; Rank < ReportedRanks; ++Rank)
+    Work.WaitMillis_[Rank] =
+        reportedMillis(waitBehind(State, Ahead[Rank], Running, Now));
   return Work;
 }
 
--- a/limits/admission_queue.h
+++ b/limits/admission_queue.h
@@ -45,6 +45,11 @@
   /// may wait for as long as they can still be answered by their deadline. Most
   /// of them belong to work that has started elsewhere.
   std::chrono::milliseconds MinRetryableTimeout_{900};
+  /// Samples of its class that are needed to reject a request because its run
+  /// takes too long, and how old the last one may be. Rejected requests give no
+  /// samples, so without a limit of their age a wrong estimate would persist.
+  std::uint32_t MinSamplesToReject_ = 8;
+  std::chrono::seconds MaxSampleAgeToReject_{2};
 };
 
 /// A request that is submitted to an AdmissionQueue.
@@ -170,7 +175,8 @@
 /// Returns whether the upstream is cold.
 bool isCold(const AdmissionQueue &State, Instant Now);
 
-/// Starts a request, queues it, or rejects it.
+/// Starts a request, queues it, or rejects it. A request that would probably
+/// not be completed by its deadline is rejected even if there is capacity.
 AdmissionDecision submitRequest(AdmissionQueue &State,
                                 const QueuedRequest &Request, Instant Now);
 
@@ -213,10 +219,9 @@
 Duration expectedWork(const AdmissionQueue &State,
                       const QueuedRequest &Request);
 
-/// Returns the average processing time of requests with the same objective, or
-/// an estimate if there is no sample of them.
+/// Returns the expected processing time of a request that is started now.
 Duration expectedProcessingTime(const AdmissionQueue &State,
-                                const QueuedRequest &Request);
+                                const QueuedRequest &Request, Instant Now);
 
 /// Returns what the running and the waiting requests still need, as time at
 /// usual speed.
