--- a/daemon/admin_service.cpp
+++ b/daemon/admin_service.cpp
@@ -109,6 +109,22 @@
   return Limit.PerSecond_ ? Json(*Limit.PerSecond_) : Json();
 }
 
+UpstreamWorkMetrics workMetrics(const AdmissionQueue &Queue, Instant Now) {
+  UpstreamWorkMetrics Work;
+  if (isSpeedKnown(Queue.Speed_)) {
+    Work.MeanSlowdown_ = Queue.Speed_.MeanPercent_ / UsualSlowdownPercent;
+    Work.CurrentSlowdown_ =
+        expectedSlowdown(Queue.Speed_, Duration::zero(), Now);
+  }
+  Work.RemainingSeconds_ =
+      std::chrono::duration<double>(remainingWork(Queue, Now)).count();
+  const EstimateError &Error = Queue.EstimateError_;
+  Work.EstimatedRuns_ = static_cast<double>(Error.Runs_);
+  Work.EstimateRatioSum_ = Error.RatioSum_;
+  Work.EstimateLogErrorSum_ = Error.LogErrorSum_;
+  return Work;
+}
+
 } // namespace
 
 AdminService::AdminService(const Clock &Time, const DaemonSettings &Settings,
@@ -234,6 +250,8 @@
   DaemonMetrics_.setUpstreamRate(
       Settings_.Service_, Gateway_.statedRateLimit().PerSecond_.value_or(0),
       static_cast<double>(Gateway_.sentRequests()));
+  DaemonMetrics_.setUpstreamWork(Settings_.Service_,
+                                 workMetrics(Queue, Time_.now()));
   std::size_t Owned = 0;
   for (const KeyRow &Row : rowsOf(Ownership_.state().Table_, Settings_.Host_))
     Owned += sizeOf(Row.Range_);
--- a/observe/metrics.cpp
+++ b/observe/metrics.cpp
@@ -54,6 +54,32 @@
           .Name("lagoonhitch_upstream_requests_sent")
           .Help("Requests sent to the upstream since the daemon's start")
           .Register(Registry_);
+  prometheus::Family<prometheus::Gauge> &UpstreamSlowdown_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_upstream_slowdown")
+          .Help("Time that work takes on the upstream, by the usual time; 0 if "
+                "unknown")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Gauge> &UpstreamRemainingWork_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_upstream_remaining_work_seconds")
+          .Help("Work left in running and waiting requests, at usual speed")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Gauge> &EstimatedRuns_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_work_estimates")
+          .Help("Runs whose work was compared with its estimate")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Gauge> &EstimateRatioSum_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_work_estimate_ratio_sum")
+          .Help("Sum of actual by estimated work of these runs")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Gauge> &EstimateLogErrorSum_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_work_estimate_log_error_sum")
+          .Help("Sum of the absolute logarithms of these ratios")
+          .Register(Registry_);
   prometheus::Histogram &LoopLag_ =
       prometheus::BuildHistogram()
           .Name("lagoonhitch_loop_lag_seconds")
@@ -95,6 +121,21 @@
   Impl_->UpstreamSent_.Add({{"service", Service}}).Set(Sent);
 }
 
+void Metrics::setUpstreamWork(const std::string &Service,
+                              const UpstreamWorkMetrics &Work) {
+  Impl_->UpstreamSlowdown_.Add({{"service", Service}, {"kind", "mean"}})
+      .Set(Work.MeanSlowdown_);
+  Impl_->UpstreamSlowdown_.Add({{"service", Service}, {"kind", "current"}})
+      .Set(Work.CurrentSlowdown_);
+  Impl_->UpstreamRemainingWork_.Add({{"service", Service}})
+      .Set(Work.RemainingSeconds_);
+  Impl_->EstimatedRuns_.Add({{"service", Service}}).Set(Work.EstimatedRuns_);
+  Impl_->EstimateRatioSum_.Add({{"service", Service}})
+      .Set(Work.EstimateRatioSum_);
+  Impl_->EstimateLogErrorSum_.Add({{"service", Service}})
+      .Set(Work.EstimateLogErrorSum_);
+}
+
 void Metrics::observeLoopLag(Duration Lag) {
   Impl_->LoopLag_.Observe(std::chrono::duration<double>(Lag).count());
 }
--- a/observe/metrics.h
+++ b/observe/metrics.h
@@ -12,6 +12,21 @@
 
 namespace lagoonhitch {
 
+/// The speed and the work of an upstream, and the errors of its estimates.
+struct UpstreamWorkMetrics {
+  /// Factors by which work takes longer than usual; zero if unknown.
+  double MeanSlowdown_ = 0;
+  double CurrentSlowdown_ = 0;
+  /// What running and waiting requests still need, in seconds at usual speed.
+  double RemainingSeconds_ = 0;
+  /// Runs whose work was compared with its estimate.
+  double EstimatedRuns_ = 0;
+  /// Sums over them: actual by estimated work, and the absolute value of its
+  /// natural logarithm.
+  double EstimateRatioSum_ = 0;
+  double EstimateLogErrorSum_ = 0;
+};
+
 /// The daemon's Prometheus metrics. Thread-safe.
 class Metrics {
 public:
@@ -40,6 +55,10 @@
   /// \param Sent the number of requests sent to it since the daemon's start.
   void setUpstreamRate(const std::string &Service, double Limit, double Sent);
 
+  /// Sets the speed and the work of the local upstream.
+  void setUpstreamWork(const std::string &Service,
+                       const UpstreamWorkMetrics &Work);
+
   /// Records how late the serving loop ran a timer.
   void observeLoopLag(Duration Lag);
 
--- a/tests/unit/work_test.cpp
+++ b/tests/unit/work_test.cpp
@@ -8,6 +8,7 @@
 #include "limits/work_estimate.h"
 #include "net/header_names.h"
 #include "net/http_message.h"
+#include "observe/metrics.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -407,4 +408,27 @@
   BOOST_TEST(RejectedShare(1) <= RejectedShare(0));
 }
 
+/// The error of the estimates must be visible to operators.
+BOOST_AUTO_TEST_CASE(MeasuresTheErrorOfTheEstimates) {
+  AdmissionQueue Queue = makeQueue(4);
+  Instant Now = runRequests(Queue, 1, milliseconds(100), 200, Start);
+  const EstimateError Before = Queue.EstimateError_;
+  Now = runRequests(Queue, 1, milliseconds(200), 1, Now);
+  const EstimateError After = Queue.EstimateError_;
+  BOOST_TEST(After.Runs_ == Before.Runs_ + 1);
+  BOOST_TEST(isNear(After.RatioSum_ - Before.RatioSum_, 2, 0.05));
+  BOOST_TEST(
+      isNear(After.LogErrorSum_ - Before.LogErrorSum_, std::log(2), 0.03));
+  Metrics DaemonMetrics;
+  UpstreamWorkMetrics Work;
+  Work.EstimateRatioSum_ = After.RatioSum_;
+  Work.CurrentSlowdown_ = 2.5;
+  DaemonMetrics.setUpstreamWork("s", Work);
+  const std::string Text = DaemonMetrics.text();
+  BOOST_TEST(Text.find("lagoonhitch_work_estimate_ratio_sum{service=\"s\"}") !=
+             std::string::npos);
+  BOOST_TEST(Text.find("lagoonhitch_upstream_slowdown{kind=\"current\","
+                       "service=\"s\"} 2.5") != std::string::npos);
+}
+
 } // namespace lagoonhitch
