--- a/limits/call_order.cpp
+++ b/limits/call_order.cpp
@@ -101,7 +101,7 @@
 
 bool isTooLate(const AdmissionQueue &State, const QueuedRequest &Request,
                Instant Now) {
-  const Duration ProcessingTime = expectedProcessingTime(State, Request);
+  const Duration ProcessingTime = expectedProcessingTime(State, Request, Now);
   const Duration Left = Request.Deadline_ - Now;
   if (Left <= ProcessingTime / 2)
     return true;
