--- a/daemon/gateway_request.cpp
+++ b/daemon/gateway_request.cpp
@@ -13,6 +13,21 @@
 
 } // namespace
 
+QueuedRequest toQueuedRequest(const GatewayRequest &Request,
+                              std::uint64_t Number, Instant Now) {
+  QueuedRequest Queued;
+  Queued.Number_ = Number;
+  Queued.Rank_ = Request.Rank_;
+  Queued.ObjectiveAt_ = Request.ObjectiveAt_;
+  Queued.Deadline_ = Request.Deadline_;
+  Queued.Objective_ = Request.Objective_;
+  Queued.Timeout_ = Request.Deadline_ - Now;
+  Queued.RejectedBefore_ = Request.Id_.Attempt_ > 1;
+  Queued.Chained_ = Request.Chained_;
+  Queued.OthersCanRun_ = !Request.Key_ && !Queued.RejectedBefore_;
+  return Queued;
+}
+
 RequestFingerprint fingerprintOf(const GatewayRequest &Request,
                                  const HeaderNames &Names) {
   const HttpRequest &Message = Request.HttpRequest_;
--- a/daemon/gateway_request.h
+++ b/daemon/gateway_request.h
@@ -8,6 +8,7 @@
 #include "core/key_range.h"
 #include "core/request_fingerprint.h"
 #include "core/request_id.h"
+#include "limits/admission_queue.h"
 #include "net/http_message.h"
 
 #include <cstdint>
@@ -52,6 +53,11 @@
   HttpRequest HttpRequest_;
 };
 
+/// Returns a request as an admission queue sees it.
+/// \param Number its number in the queue.
+QueuedRequest toQueuedRequest(const GatewayRequest &Request,
+                              std::uint64_t Number, Instant Now);
+
 /// Returns the fingerprint by which repetitions of a request are recognised.
 RequestFingerprint fingerprintOf(const GatewayRequest &Request,
                                  const HeaderNames &Names);
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -127,23 +127,7 @@
                     if (const EntryRequestPtr Alive = WeakRequest.lock())
                       onDeadlineExpired(Alive);
                   });
-  startAttempt(Request);
-}
-
-/// Marks a request as a call if its parent runs at the local gateway.
-void RequestRouter::joinParent(EntryRequest &Request) {
-  if (Request.Routed_.ParentRequestId_.empty())
-    return;
-  if (const std::optional<std::uint32_t> Rank =
-          Gateway_.beginCall(Request.Routed_.ParentRequestId_))
-    markAsCall(Request, *Rank);
-}
-
-void RequestRouter::leaveParent(const EntryRequest &Request,
-                                Outcome FinalOutcome) {
-  if (Request.GatewayRequest_.Chained_)
-    Gateway_.endCall(Request.Routed_.ParentRequestId_,
-                     FinalOutcome == Outcome::NotRun);
+  startFirstAttempt(Request);
 }
 
 std::string RequestRouter::ownerOf(const EntryRequest &Request) const {
@@ -428,6 +412,9 @@
   AttemptOutcome.RejectedByUpstream_ = Result.RejectedByUpstream_;
   AttemptOutcome.OwnerChanged_ =
       Request->GatewayRequest_.Key_ && ownerOf(*Request) != Request->Host_;
+  AttemptOutcome.OthersFull_ =
+      Result.RejectReason_ == RejectReason::Overloaded &&
+      roomFor(*Request).Full_;
   AttemptOutcome.Unresolved_ =
       Result.Outcome_ == Outcome::Unknown && isUnresolved(*Request);
   const PlanStep Step =
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -15,6 +15,7 @@
 #include "net/http_result.h"
 #include "routing/host_choice.h"
 #include "routing/request_plan.h"
+#include "routing/service_room.h"
 
 #include <cstdint>
 #include <functional>
@@ -93,6 +94,8 @@
 
   void joinParent(EntryRequest &Request);
   void leaveParent(const EntryRequest &Request, Outcome FinalOutcome);
+  ServiceRoom roomFor(const EntryRequest &Request);
+  void startFirstAttempt(const EntryRequestPtr &Request);
   void startAttempt(const EntryRequestPtr &Request);
   std::string ownerOf(const EntryRequest &Request) const;
   std::optional<std::string> selectHost(const EntryRequest &Request,
@@ -139,6 +142,7 @@
   RequestRouterConfig Config_;
   EventCallback LogEvent_;
   HostChoiceOptions HostChoiceOptions_;
+  ServiceRoomOptions ServiceRoomOptions_;
   std::map<std::string, SharedRetryBudget> RetryBudgets_;
   std::map<std::uint64_t, EntryRequestPtr> OpenRequests_;
   std::uint64_t LastNumber_ = 0;
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -113,15 +113,7 @@
   const std::uint64_t Number = ++LastNumber_;
   OpenRequest &Entry = Requests_[Number];
   NumbersById_[Request.Id_] = Number;
-  Entry.QueuedRequest_ = {Number,
-                          Request.Rank_,
-                          Request.ObjectiveAt_,
-                          Request.Deadline_,
-                          Request.Objective_,
-                          Request.Deadline_ - Now,
-                          Request.Id_.Attempt_ > 1,
-                          Request.Chained_,
-                          !Request.Key_ && Request.Id_.Attempt_ == 1};
+  Entry.QueuedRequest_ = toQueuedRequest(Request, Number, Now);
   Entry.Request_ = std::move(Request);
   Entry.Callback_ = std::move(Callback);
   Entry.Since_ = Now;
--- a/limits/admission_queue.cpp
+++ b/limits/admission_queue.cpp
@@ -56,20 +56,6 @@
   return std::max(BySlots, std::chrono::duration_cast<Duration>(ByRate));
 }
 
-/// Returns the longest time that a request may wait and still be worth running.
-Duration maxWaitOf(const AdmissionQueue &State, const QueuedRequest &Request,
-                   Instant Now) {
-  const Duration ProcessingTime = expectedProcessingTime(State, Request);
-  const Duration BeforeDeadline = Request.Deadline_ - Now - ProcessingTime;
-  if (Request.Chained_ ||
-      Request.Timeout_ < State.Options_.MinRetryableTimeout_)
-    return BeforeDeadline;
-  const Duration BeforeObjective = Request.ObjectiveAt_ - Now - ProcessingTime;
-  const Duration AfterObjective = std::chrono::duration_cast<Duration>(
-      Request.Objective_ * State.Options_.LateWaitFraction_);
-  return std::min(std::max(BeforeObjective, AfterObjective), BeforeDeadline);
-}
-
 void updateAverage(Duration &Average, Duration Sample, double Weight) {
   Average = std::chrono::duration_cast<Duration>(Average * (1 - Weight) +
                                                  Sample * Weight);
@@ -95,6 +81,18 @@
           Request.Number_};
 }
 
+Duration longestUsefulWait(const QueuedRequest &Request,
+                           Duration ProcessingTime,
+                           const AdmissionQueueOptions &Options, Instant Now) {
+  const Duration BeforeDeadline = Request.Deadline_ - Now - ProcessingTime;
+  if (Request.Chained_ || Request.Timeout_ < Options.MinRetryableTimeout_)
+    return BeforeDeadline;
+  const Duration BeforeObjective = Request.ObjectiveAt_ - Now - ProcessingTime;
+  const Duration AfterObjective = std::chrono::duration_cast<Duration>(
+      Request.Objective_ * Options.LateWaitFraction_);
+  return std::min(std::max(BeforeObjective, AfterObjective), BeforeDeadline);
+}
+
 void resetForUpstream(AdmissionQueue &State, std::uint32_t Slots) {
   State.Slots_ = Slots;
   State.ProcessingTime_ = State.Options_.InitialProcessingTime_;
@@ -175,7 +173,9 @@
     return {AdmissionDecision::Kind::Start, {}};
   }
   const Duration Wait = expectedWait(State, Request, Now);
-  if (Wait > maxWaitOf(State, Request, Now) || !hasPlace(State, Request))
+  const Duration LongestWait = longestUsefulWait(
+      Request, expectedProcessingTime(State, Request), State.Options_, Now);
+  if (Wait > LongestWait || !hasPlace(State, Request))
     return {AdmissionDecision::Kind::Reject,
             retryAfter(State, Request, Wait, Now)};
   State.Waiting_[orderOf(Request)] = Request;
--- a/limits/admission_queue.h
+++ b/limits/admission_queue.h
@@ -160,6 +160,12 @@
 /// Returns whether the upstream is cold.
 bool isCold(const AdmissionQueue &State, Instant Now);
 
+/// Returns the longest time that a request may wait and still be worth running.
+/// It is negative if the request can't be answered by its deadline.
+Duration longestUsefulWait(const QueuedRequest &Request,
+                           Duration ProcessingTime,
+                           const AdmissionQueueOptions &Options, Instant Now);
+
 /// Starts a request, queues it, or rejects it.
 AdmissionDecision submitRequest(AdmissionQueue &State,
                                 const QueuedRequest &Request, Instant Now);
--- a/routing/request_plan.cpp
+++ b/routing/request_plan.cpp
@@ -11,6 +11,10 @@
 constexpr unsigned FirstServerError = 500;
 /// Maximum number of times that one request is sent to an upstream's daemon.
 constexpr std::uint32_t MaxSends = 5;
+/// The same limit for a request that is rejected for lack of capacity when the
+/// other upstreams report to have none. The second attempt finds a wrong
+/// report.
+constexpr std::uint32_t MaxSendsIfFull = 2;
 /// The same limit for a call of a running request, whose rejection loses a run.
 constexpr std::uint32_t MaxCallSends = 8;
 /// The same limit while a key changes its owner.
@@ -111,6 +115,13 @@
          (Reason == RejectReason::DeadlineExceeded && !OthersCanRun);
 }
 
+/// Returns whether a further attempt would probably be rejected as well.
+bool areOthersFull(const RequestPlan &Plan, const AttemptResult &Result) {
+  return Result.RejectReason_ == RejectReason::Overloaded &&
+         Result.OthersFull_ && !Plan.Chained_ &&
+         Plan.SentAttempts_ >= MaxSendsIfFull;
+}
+
 /// Returns whether a request that may have run can be run again.
 /// \param Runs the number of times that it may have run.
 bool canRerun(const RequestPlan &Plan, std::uint32_t Runs, Instant Now) {
@@ -204,6 +215,9 @@
   if (Plan.Keyed_ && Result.RejectReason_ == RejectReason::Overloaded)
     return lookUpOrReject(Plan, Result.RetryAfter_,
                           "the key's owner has no room in time");
+  if (areOthersFull(Plan, Result))
+    return lookUpOrReject(Plan, Result.RetryAfter_,
+                          "no upstream has room in time");
   // The upstream itself has handled the rejected request, so another attempt
   // counts as a retry.
   if (Result.RejectedByUpstream_ && !Spend(RetryCause::Rejected))
--- a/routing/request_plan.h
+++ b/routing/request_plan.h
@@ -66,6 +66,9 @@
   bool RejectedByUpstream_ = false;
   /// Whether the key has another owner now.
   bool OwnerChanged_ = false;
+  /// Whether the other upstreams of the service report that they have no
+  /// capacity either.
+  bool OthersFull_ = false;
   /// Whether the attempt was given up because its gateway could not be asked.
   bool Unresolved_ = false;
 };
--- a/tests/unit/plan_test.cpp
+++ b/tests/unit/plan_test.cpp
@@ -469,4 +469,21 @@
               PlanStep::Kind::Reject));
 }
 
+/// Requests were sent to five full upstreams and then rejected.
+BOOST_AUTO_TEST_CASE(SendsTwiceIfTheOthersAreFull) {
+  for (const bool Chained : {false, true}) {
+    RequestPlan Plan = callPlan();
+    Plan.Chained_ = Chained;
+    AttemptResult Result = rejection(RejectReason::Overloaded);
+    Result.OthersFull_ = true;
+    BOOST_TEST((endAttempt(Plan, Result, Start).Kind_ == PlanStep::Kind::Send));
+    ++Plan.SentAttempts_;
+    const PlanStep Step = endAttempt(Plan, Result, Start);
+    BOOST_TEST((Step.Kind_ == PlanStep::Kind::Send) == Chained);
+    // Upstreams that have stopped say nothing about the others.
+    Result.RejectReason_ = RejectReason::Unavailable;
+    BOOST_TEST((endAttempt(Plan, Result, Start).Kind_ == PlanStep::Kind::Send));
+  }
+}
+
 } // namespace lagoonhitch
