--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -46,6 +46,7 @@
     {EventId::RequestFailed, EventLevel::Warn, "request-failed"},
     {EventId::RunCut, EventLevel::Warn, "run-cut"},
     {EventId::CallerLeft, EventLevel::Info, "caller-left"},
+    {EventId::RunLostByCall, EventLevel::Warn, "run-lost-by-call"},
 };
 
 } // namespace
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -54,6 +54,7 @@
   RequestFailed = 701,
   RunCut = 702,
   CallerLeft = 703,
+  RunLostByCall = 704,
 };
 
 /// One entry of the catalogue.
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -83,8 +83,8 @@
               retryBudgetOptions(Settings_.Bounds_),
               {Settings_.Host_, Settings_.Zone_, Settings_.Service_, Process},
               [this](EventId Id, const std::string &Request,
-                     const std::string &Details) {
-                Recorder_.recordRequest(Id, Request, Details);
+                     const std::string &Details, const std::string &Parent) {
+                Recorder_.recordRequest(Id, Request, Details, Parent);
               }),
       Watcher_(Loop_, Time, Store_, Site_, Settings_.Host_, siteCallbacks()),
       PeerService_(Time, Gateway_, Store_, Process),
--- a/daemon/daemon_callbacks.cpp
+++ b/daemon/daemon_callbacks.cpp
@@ -69,6 +69,13 @@
                                const std::string &Why) {
     Recorder_.recordRequest(EventId::RunCut, Request, Why);
   };
+  Callbacks.OnRunLostByCall_ = [this](const std::string &Request,
+                                      unsigned Status) {
+    Recorder_.recordRequest(
+        EventId::RunLostByCall, Request,
+        absl::StrCat("the upstream answered ", Status,
+                     " after a call of this request was rejected"));
+  };
   return Callbacks;
 }
 
--- a/daemon/event_recorder.cpp
+++ b/daemon/event_recorder.cpp
@@ -28,9 +28,13 @@
 }
 
 void EventRecorder::recordRequest(EventId Id, const std::string &Request,
-                                  const std::string &Reason) {
+                                  const std::string &Reason,
+                                  const std::string &Parent) {
   Counters_.countEvent(eventInfo(Id).Name_);
-  Log_.write(Id, {{"request", Request}, {"why", Reason}});
+  nlohmann::json Details = {{"request", Request}, {"why", Reason}};
+  if (!Parent.empty())
+    Details["parent"] = Parent;
+  Log_.write(Id, Details);
 }
 
 } // namespace lagoonhitch
--- a/daemon/event_recorder.h
+++ b/daemon/event_recorder.h
@@ -28,8 +28,11 @@
 
   /// Records an event of one request and its reason. Such events are not in the
   /// audit trail.
+  /// \param Parent the running request that made this one as a call; empty if
+  /// it is none.
   void recordRequest(EventId Id, const std::string &Request,
-                     const std::string &Reason);
+                     const std::string &Reason,
+                     const std::string &Parent = std::string());
 
 private:
   const Clock &Time_;
--- a/daemon/request_admission.cpp
+++ b/daemon/request_admission.cpp
@@ -6,6 +6,7 @@
 #include "daemon/request_preparation.h"
 #include "daemon/request_router.h"
 #include "daemon/upstream_gateway.h"
+#include "observe/metrics.h"
 
 #include <optional>
 #include <set>
@@ -24,9 +25,11 @@
 
 void RequestRouter::leaveParent(const EntryRequest &Request,
                                 Outcome FinalOutcome) {
-  if (Request.GatewayRequest_.Chained_)
-    Gateway_.endCall(Request.Routed_.ParentRequestId_,
-                     FinalOutcome == Outcome::NotRun);
+  if (!Request.GatewayRequest_.Chained_)
+    return;
+  Gateway_.endCall(Request.Routed_.ParentRequestId_,
+                   FinalOutcome == Outcome::NotRun);
+  DaemonMetrics_.countCall(Request.GatewayRequest_.Service_, FinalOutcome);
 }
 
 /// Returns whether the upstreams that the request has not been sent to can
@@ -51,10 +54,12 @@
       roomFor(*Request),
       toQueuedRequest(Request->GatewayRequest_, Request->Number_, Now),
       ServiceRoomOptions_, Random_(), Now);
-  if (RetryAfter)
-    reject(Request, "all upstreams of the service are full", *RetryAfter);
-  else
+  if (!RetryAfter) {
     startAttempt(Request);
+    return;
+  }
+  DaemonMetrics_.countRejectedAtOnce(Request->GatewayRequest_.Service_);
+  reject(Request, "all upstreams of the service are full", *RetryAfter);
 }
 
 } // namespace lagoonhitch
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -99,8 +99,8 @@
     reject(Request, "no configuration is known yet", NoManifestRetryAfter);
     return;
   case RoutedRequest::Kind::NoRoute:
-    LogEvent_(EventId::RequestRefused, Request->Routed_.CallerRequestId_,
-              describeMissingRoute(*Request, Site_));
+    logEvent(EventId::RequestRefused, *Request,
+             describeMissingRoute(*Request, Site_));
     reply(Request, errorResponse(NotFound, "no route takes this path"),
           Outcome::NotRun);
     return;
@@ -270,8 +270,8 @@
   }
   PeerClient_.closeIdle(Request->PeerAddress_);
   Request->EndCause_ = describeLostCall(Result.Status_);
-  LogEvent_(EventId::LinkSettled, Request->Routed_.CallerRequestId_,
-            describeAttempt(*Request, Request->EndCause_, Time_.now()));
+  logEvent(EventId::LinkSettled, *Request,
+           describeAttempt(*Request, Request->EndCause_, Time_.now()));
   if (Result.Status_ == HttpCallStatus::NotSent) {
     avoidHost(*Request);
     GatewayResult Unreached;
@@ -360,8 +360,8 @@
     PeerClient_.cancel(Request->Call_);
     PeerClient_.closeIdle(Request->PeerAddress_);
     Request->EndCause_ = describeLookup(Lookup);
-    LogEvent_(EventId::LinkSettled, Request->Routed_.CallerRequestId_,
-              describeAttempt(*Request, Request->EndCause_, Time_.now()));
+    logEvent(EventId::LinkSettled, *Request,
+             describeAttempt(*Request, Request->EndCause_, Time_.now()));
     onGatewayResult(Request, Attempt,
                     Lookup == AttemptLookup::Ended ? std::move(Reply.Result_)
                                                    : GatewayResult());
@@ -537,8 +537,8 @@
   Request->DeadlineTimer_.reset();
   leaveParent(*Request, Outcome::Unknown);
   if (isAttemptOpen(*Request))
-    LogEvent_(
-        EventId::CallerLeft, Request->Routed_.CallerRequestId_,
+    logEvent(
+        EventId::CallerLeft, *Request,
         absl::StrCat(describeAttempt(*Request, "the caller left", Time_.now()),
                      Request->LastRun_));
   if (Request->Host_ == Config_.Host_)
@@ -547,10 +547,18 @@
   OpenRequests_.erase(Request->Number_);
 }
 
+void RequestRouter::logEvent(EventId Event, const EntryRequest &Request,
+                             const std::string &Details) {
+  const RoutedRequest &Routed = Request.Routed_;
+  const bool IsCall = Request.GatewayRequest_.Chained_;
+  LogEvent_(Event, Routed.CallerRequestId_, Details,
+            IsCall ? Routed.ParentRequestId_ : std::string());
+}
+
 void RequestRouter::reject(const EntryRequestPtr &Request,
                            const std::string &Reason, Duration RetryAfter) {
-  LogEvent_(EventId::RequestRefused, Request->Routed_.CallerRequestId_,
-            describeDecision(*Request, Reason, Site_, Time_.now()));
+  logEvent(EventId::RequestRefused, *Request,
+           describeDecision(*Request, Reason, Site_, Time_.now()));
   reply(Request, rejectionResponse(Reason, RetryAfter, Random_()),
         Outcome::NotRun);
 }
@@ -559,10 +567,10 @@
                          const std::string &Reason) {
   const std::string Decision =
       describeDecision(*Request, Reason, Site_, Time_.now());
-  LogEvent_(EventId::RequestFailed, Request->Routed_.CallerRequestId_,
-            Request->Attempt_ == 0
-                ? Decision
-                : describeAttempt(*Request, Decision, Time_.now()));
+  logEvent(EventId::RequestFailed, *Request,
+           Request->Attempt_ == 0
+               ? Decision
+               : describeAttempt(*Request, Decision, Time_.now()));
   reply(Request, errorResponse(Status, Reason), Outcome::Unknown);
 }
 
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -51,9 +51,11 @@
 /// thread only.
 class RequestRouter {
 public:
-  /// Logs an event about a request.
+  /// Logs an event about a request. Parent is the request that made it as a
+  /// call; empty if it is none.
   using EventCallback = std::function<void(
-      EventId Event, const std::string &RequestId, const std::string &Details)>;
+      EventId Event, const std::string &RequestId, const std::string &Details,
+      const std::string &Parent)>;
 
   /// \param Site the daemon's view of the site; updated by responses.
   /// \param PeerClient the client for peers' gateways.
@@ -124,6 +126,8 @@
   void onDeadlineExpired(const EntryRequestPtr &Request);
   void onAbandoned(const EntryRequestPtr &Request);
   void cancelAttempt(EntryRequest &Request);
+  void logEvent(EventId Event, const EntryRequest &Request,
+                const std::string &Details);
   void reject(const EntryRequestPtr &Request, const std::string &Reason,
               Duration RetryAfter);
   void fail(const EntryRequestPtr &Request, unsigned Status,
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -36,6 +36,7 @@
 constexpr std::chrono::milliseconds DisconnectedRunTime{1500};
 
 constexpr unsigned MisdirectedRequest = 421;
+constexpr unsigned FirstServerError = 500;
 
 /// Returns whether the entry daemon is this process.
 bool isFromThisDaemon(const GatewayRequest &Request) {
@@ -393,8 +394,7 @@
   OpenRequest Entry = std::move(Found->second);
   Requests_.erase(Found);
   NumbersById_.erase(Entry.Request_.Id_);
-  if (Entry.Phase_ == OpenRequest::Phase::Running)
-    endRun(Parents_, callerIdOf(Entry));
+  endParentRun(Entry, Result);
   const bool Disconnected = Disconnected_.erase(Entry.Request_.Id_) > 0;
   AttemptEnd End;
   // The local entry daemon gets the answer below and looks up no status.
@@ -409,6 +409,17 @@
     Entry.Callback_(std::move(Result));
 }
 
+void UpstreamGateway::endParentRun(const OpenRequest &Entry,
+                                   const GatewayResult &Result) {
+  if (Entry.Phase_ != OpenRequest::Phase::Running)
+    return;
+  const std::string Id = callerIdOf(Entry);
+  const bool Failed = Result.Outcome_ == Outcome::Ran &&
+                      Result.Response_.Status_ >= FirstServerError;
+  if (endRun(Parents_, Id) && Failed && Callbacks_.OnRunLostByCall_)
+    Callbacks_.OnRunLostByCall_(Id, Result.Response_.Status_);
+}
+
 bool UpstreamGateway::cancel(const RequestId &Id, const char *Cause) {
   const auto Found = NumbersById_.find(Id);
   if (Found != NumbersById_.end())
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -63,6 +63,11 @@
   /// \param Request the caller's ID of the request.
   std::function<void(const std::string &Request, const std::string &Why)>
       OnRunCut_{};
+  /// Called when the upstream reports a failure of a request of which a call
+  /// was rejected.
+  /// \param Request the caller's ID of the request.
+  std::function<void(const std::string &Request, unsigned Status)>
+      OnRunLostByCall_{};
 };
 
 /// Admits requests to the local upstream: forwards them while it has capacity,
@@ -202,6 +207,7 @@
   GatewayResult classify(const OpenRequest &Entry, HttpResult CallResult);
   void reject(std::uint64_t Number, RejectReason Reason, Duration RetryAfter);
   void complete(std::uint64_t Number, GatewayResult Result);
+  void endParentRun(const OpenRequest &Entry, const GatewayResult &Result);
   void cancelUnwanted();
 
   IoLoop &Loop_;
--- a/observe/metrics.cpp
+++ b/observe/metrics.cpp
@@ -28,6 +28,17 @@
           .Name("lagoonhitch_answer_seconds")
           .Help("Time from a request to its answer")
           .Register(Registry_);
+  prometheus::Family<prometheus::Counter> &Calls_ =
+      prometheus::BuildCounter()
+          .Name("lagoonhitch_calls_total")
+          .Help("Calls of requests that run at the local upstream, by called "
+                "service and outcome")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Counter> &RejectedAtOnce_ =
+      prometheus::BuildCounter()
+          .Name("lagoonhitch_rejected_at_once_total")
+          .Help("Requests rejected because all upstreams report to be full")
+          .Register(Registry_);
   prometheus::Family<prometheus::Counter> &Events_ =
       prometheus::BuildCounter()
           .Name("lagoonhitch_events_total")
@@ -79,6 +90,15 @@
       .Observe(std::chrono::duration<double>(Latency).count());
 }
 
+void Metrics::countCall(const std::string &Service, Outcome Result) {
+  Impl_->Calls_.Add({{"service", Service}, {"outcome", outcomeName(Result)}})
+      .Increment();
+}
+
+void Metrics::countRejectedAtOnce(const std::string &Service) {
+  Impl_->RejectedAtOnce_.Add({{"service", Service}}).Increment();
+}
+
 void Metrics::countEvent(const char *Name) {
   Impl_->Events_.Add({{"name", Name}}).Increment();
 }
--- a/observe/metrics.h
+++ b/observe/metrics.h
@@ -24,6 +24,14 @@
   void countResponse(const std::string &Service, Outcome Result,
                      Duration Latency);
 
+  /// Counts the end of a call of a request that runs at the local upstream.
+  /// \param Service the service that is called.
+  void countCall(const std::string &Service, Outcome Result);
+
+  /// Counts a request that was rejected without being sent because all
+  /// upstreams of its service are full.
+  void countRejectedAtOnce(const std::string &Service);
+
   /// Counts a log event.
   /// \param Name the event's name, such as `lease-lapsed`.
   void countEvent(const char *Name);
--- a/tests/unit/calls_test.cpp
+++ b/tests/unit/calls_test.cpp
@@ -33,14 +33,14 @@
 constexpr const char *Host = "h1";
 constexpr std::uint32_t OwnRank = 2;
 
-/// Routes all requests to the local service, as the platform's manifest would.
+/// Routes all requests to one service, as the platform's manifest would.
 class FixedInterface : public CallerInterface {
 public:
   RoutedRequest route(const HttpRequest &Request,
                       std::uint64_t) const override {
     RoutedRequest Routed;
     Routed.Kind_ = RoutedRequest::Kind::Found;
-    Routed.Service_ = Service;
+    Routed.Service_ = Service_;
     Routed.Idempotent_ = true;
     Routed.Rank_ = Request.Target_ == "/urgent" ? 0 : OwnRank;
     Routed.Timeout_ = milliseconds(4000);
@@ -52,6 +52,8 @@
   }
   void addResponseHeaders(HttpResponse &, const RoutedRequest &,
                           Outcome) const override {}
+
+  std::string Service_ = Service;
 };
 
 /// An exchange that keeps the response.
@@ -83,12 +85,23 @@
         Client_(Loop_, Time_, HttpClientOptions()),
         Gateway_(Loop_, Time_, Client_, platformHeaders(), Service,
                  Upstream_.address(), KeyHooks(),
-                 {[] {}, [](const GatewayRequest &) { return std::nullopt; },
-                  [](const StatedRateLimit &) {}, [] {}, [] {}}),
+                 {[] {},
+                  [](const GatewayRequest &) { return std::nullopt; },
+                  [](const StatedRateLimit &) {},
+                  [] {},
+                  [] {},
+                  {},
+                  [this](const std::string &Request, unsigned) {
+                    LostRuns_.push_back(Request);
+                  }}),
         Router_(Loop_, Time_, Site_, Client_, Gateway_, Metrics_,
                 platformHeaders(), SharedRetryBudgetOptions(),
                 {Host, "z", Service, 7},
-                [](EventId, const std::string &, const std::string &) {}) {
+                [this](EventId Event, const std::string &Request,
+                       const std::string &, const std::string &Parent) {
+                  if (Event == EventId::RequestRefused)
+                    Refused_.emplace_back(Request, Parent);
+                }) {
     MemberRecord Record;
     Record.Host_ = Host;
     Record.Zone_ = "z";
@@ -156,6 +169,9 @@
   FixedInterface Interface_;
   std::vector<std::string> Started_;
   std::map<std::string, std::shared_ptr<HttpExchange>> Running_;
+  std::vector<std::string> LostRuns_;
+  /// The IDs of rejected requests and of their parents, as logged.
+  std::vector<std::pair<std::string, std::string>> Refused_;
   SiteState Site_;
   Metrics Metrics_;
   HttpServer Upstream_;
@@ -297,4 +313,81 @@
     BOOST_TEST(Fixture.Gateway_.beginCall("a").has_value());
 }
 
+/// From a request that ended as 500, an operator must find the call that was
+/// rejected.
+BOOST_AUTO_TEST_CASE(RunLostByARejectedCallIsReported) {
+  for (const unsigned Status : {200U, 500U}) {
+    CallsFixture Fixture;
+    Fixture.call("a");
+    Fixture.Gateway_.setAccepting(false);
+    Fixture.call("a.1");
+    Fixture.call("b.1");
+    BOOST_REQUIRE(Fixture.Refused_.size() == 2U);
+    BOOST_TEST(Fixture.Refused_[0].first == "a.1");
+    BOOST_TEST(Fixture.Refused_[0].second == "a");
+    // The parent b does not run here, so b.1 is no call.
+    BOOST_TEST(Fixture.Refused_[1].second.empty());
+    Fixture.finish("a", Status);
+    BOOST_TEST(Fixture.LostRuns_.size() == (Status == 500 ? 1U : 0U));
+    const std::string Text = Fixture.Metrics_.text();
+    const std::string Calls = "lagoonhitch_calls_total{outcome=\"not-run\","
+                              "service=\"s\"} 1";
+    BOOST_TEST((Text.find(Calls) != std::string::npos), Text);
+  }
+}
+
+/// The failure has another cause.
+BOOST_AUTO_TEST_CASE(FailureWithoutARejectedCallIsNoLostRun) {
+  CallsFixture Fixture;
+  Fixture.call("a");
+  Fixture.call("a.1");
+  Fixture.finish("a.1");
+  Fixture.finish("a", 500);
+  BOOST_TEST(Fixture.LostRuns_.empty());
+}
+
+/// Nothing is sent to a service of which all upstreams report to be full.
+BOOST_AUTO_TEST_CASE(RequestToAFullServiceIsNotSent) {
+  CallsFixture Fixture;
+  MemberRecord Record;
+  Record.Host_ = "h2";
+  Record.Zone_ = "z";
+  Record.Service_ = "t";
+  Record.PeerAddress_ = "127.0.0.1:1";
+  Record.State_ = UpstreamState::Ready;
+  applyRecord(Fixture.Site_.Fleet_, Record, Fixture.Time_.now());
+  LoadDigest Digest;
+  Digest.Host_ = "h2";
+  Digest.Process_ = 8;
+  Digest.Sequence_ = 1;
+  Digest.IntervalMillis_ = 1000;
+  Digest.Accepting_ = true;
+  Digest.Slots_ = 6;
+  Digest.Running_ = 6;
+  Digest.Queued_ = 100;
+  Digest.ProcessingMillis_ = 100;
+  Digest.Work_.WaitMillis_.fill(3500);
+  applyDigest(Fixture.Site_.Fleet_, Digest, Fixture.Time_.now());
+  Fixture.Interface_.Service_ = "t";
+  std::size_t Sent = 0;
+  constexpr std::size_t Requests = 100;
+  for (std::size_t Number = 0; Number < Requests; ++Number) {
+    HttpRequest Request;
+    Request.Headers_.push_back(
+        {platformHeaders().RequestId_, std::to_string(Number)});
+    const std::shared_ptr<RecordedExchange> Exchange =
+        std::make_shared<RecordedExchange>();
+    Fixture.Router_.handle(std::move(Request), Exchange, Fixture.Interface_);
+    if (!Exchange->Response_) {
+      ++Sent;
+      continue;
+    }
+    BOOST_TEST(Exchange->Response_->Status_ == 503U);
+    BOOST_TEST(
+        (findHeader(Exchange->Response_->Headers_, "Retry-After") != nullptr));
+  }
+  BOOST_TEST(Sent <= Requests / 10);
+  Fixture.Router_.endOpenRequests();
+}
+
 } // namespace lagoonhitch
