--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -55,7 +55,10 @@
       Names_(std::move(Names)), RetryBudgetOptions_(RetryBudget),
       Config_(std::move(Config)), LogEvent_(std::move(LogEvent)),
       HostSelector_(Site, Gateway, DaemonMetrics, Config_.Host_, Config_.Zone_,
-                    LogEvent_),
+                    [this](EventId Event, const std::string &RequestId,
+                           const std::string &Details) {
+                      LogEvent_(Event, RequestId, Details, std::string());
+                    }),
       Random_(Config_.Process_) {}
 
 RequestRouter::~RequestRouter() = default;
@@ -76,8 +79,8 @@
     reject(Request, "no configuration is known yet", NoManifestRetryAfter);
     return;
   case RoutedRequest::Kind::NoRoute:
-    LogEvent_(EventId::RequestRefused, Request->Routed_.CallerRequestId_,
-              describeMissingRoute(*Request, Site_));
+    logEvent(EventId::RequestRefused, *Request,
+             describeMissingRoute(*Request, Site_));
     reply(Request, errorResponse(NotFound, "no route takes this path"),
           Outcome::NotRun);
     return;
@@ -104,23 +107,7 @@
                     if (const EntryRequestPtr Alive = WeakRequest.lock())
                       onDeadlineExpired(Alive);
                   });
-  startAttempt(Request);
-}
-
-/// Marks a request as a call if its parent runs at the local gateway.
-void RequestRouter::joinParent(EntryRequest &Request) {
-  if (Request.Routed_.ParentRequestId_.empty())
-    return;
-  if (const std::optional<std::uint32_t> Rank =
-          Gateway_.beginCall(Request.Routed_.ParentRequestId_))
-    markAsCall(Request, *Rank);
-}
-
-void RequestRouter::leaveParent(const EntryRequest &Request,
-                                Outcome FinalOutcome) {
-  if (Request.GatewayRequest_.Chained_)
-    Gateway_.endCall(Request.Routed_.ParentRequestId_,
-                     FinalOutcome == Outcome::NotRun);
+  startFirstAttempt(Request);
 }
 
 std::string RequestRouter::ownerOf(const EntryRequest &Request) const {
@@ -255,8 +242,8 @@
   }
   PeerClient_.closeIdle(Request->PeerAddress_);
   Request->EndCause_ = describeLostCall(Result.Status_);
-  LogEvent_(EventId::LinkSettled, Request->Routed_.CallerRequestId_,
-            describeAttempt(*Request, Request->EndCause_, Time_.now()));
+  logEvent(EventId::LinkSettled, *Request,
+           describeAttempt(*Request, Request->EndCause_, Time_.now()));
   if (Result.Status_ == HttpCallStatus::NotSent) {
     avoidHost(*Request);
     GatewayResult Unreached;
@@ -345,8 +332,8 @@
     PeerClient_.cancel(Request->Call_);
     PeerClient_.closeIdle(Request->PeerAddress_);
     Request->EndCause_ = describeLookup(Lookup);
-    LogEvent_(EventId::LinkSettled, Request->Routed_.CallerRequestId_,
-              describeAttempt(*Request, Request->EndCause_, Time_.now()));
+    logEvent(EventId::LinkSettled, *Request,
+             describeAttempt(*Request, Request->EndCause_, Time_.now()));
     onGatewayResult(Request, Attempt,
                     Lookup == AttemptLookup::Ended ? std::move(Reply.Result_)
                                                    : GatewayResult());
@@ -387,6 +374,9 @@
   AttemptOutcome.RejectedByUpstream_ = Result.RejectedByUpstream_;
   AttemptOutcome.OwnerChanged_ =
       Request->GatewayRequest_.Key_ && ownerOf(*Request) != Request->Host_;
+  AttemptOutcome.OthersFull_ =
+      Result.RejectReason_ == RejectReason::Overloaded &&
+      roomFor(*Request).Full_;
   AttemptOutcome.Unresolved_ =
       Result.Outcome_ == Outcome::Unknown && isUnresolved(*Request);
   const PlanStep Step =
@@ -509,8 +499,8 @@
   Request->DeadlineTimer_.reset();
   leaveParent(*Request, Outcome::Unknown);
   if (isAttemptOpen(*Request))
-    LogEvent_(
-        EventId::CallerLeft, Request->Routed_.CallerRequestId_,
+    logEvent(
+        EventId::CallerLeft, *Request,
         absl::StrCat(describeAttempt(*Request, "the caller left", Time_.now()),
                      Request->LastRun_));
   if (Request->Host_ == Config_.Host_)
@@ -519,10 +509,18 @@
   OpenRequests_.erase(Request->Number_);
 }
 
+void RequestRouter::logEvent(EventId Event, const EntryRequest &Request,
+                             const std::string &Details) {
+  const RoutedRequest &Routed = Request.Routed_;
+  const bool IsCall = Request.GatewayRequest_.Chained_;
+  LogEvent_(Event, Routed.CallerRequestId_, Details,
+            IsCall ? Routed.ParentRequestId_ : std::string());
+}
+
 void RequestRouter::reject(const EntryRequestPtr &Request,
                            const std::string &Reason, Duration RetryAfter) {
-  LogEvent_(EventId::RequestRefused, Request->Routed_.CallerRequestId_,
-            describeDecision(*Request, Reason, Site_, Time_.now()));
+  logEvent(EventId::RequestRefused, *Request,
+           describeDecision(*Request, Reason, Site_, Time_.now()));
   reply(Request, rejectionResponse(Reason, RetryAfter, Random_()),
         Outcome::NotRun);
 }
@@ -531,10 +529,10 @@
                          const std::string &Reason) {
   const std::string Decision =
       describeDecision(*Request, Reason, Site_, Time_.now());
-  LogEvent_(EventId::RequestFailed, Request->Routed_.CallerRequestId_,
-            Request->Attempt_ == 0
-                ? Decision
-                : describeAttempt(*Request, Decision, Time_.now()));
+  logEvent(EventId::RequestFailed, *Request,
+           Request->Attempt_ == 0
+               ? Decision
+               : describeAttempt(*Request, Decision, Time_.now()));
   reply(Request, errorResponse(Status, Reason), Outcome::Unknown);
 }
 
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -15,6 +15,7 @@
 #include "net/header_names.h"
 #include "net/http_result.h"
 #include "routing/request_plan.h"
+#include "routing/service_room.h"
 
 #include <cstdint>
 #include <functional>
@@ -50,9 +51,11 @@
 /// thread only.
 class RequestRouter {
 public:
-  /// Logs an event about a request.
+  /// Logs an event about a request. Parent is the request that made it as a
+  /// call; empty if it is none.
   using EventCallback = std::function<void(
-      EventId Event, const std::string &RequestId, const std::string &Details)>;
+      EventId Event, const std::string &RequestId, const std::string &Details,
+      const std::string &Parent)>;
 
   /// \param Site the daemon's view of the site; updated by responses.
   /// \param PeerClient the client for peers' gateways.
@@ -93,6 +96,8 @@
 
   void joinParent(EntryRequest &Request);
   void leaveParent(const EntryRequest &Request, Outcome FinalOutcome);
+  ServiceRoom roomFor(const EntryRequest &Request);
+  void startFirstAttempt(const EntryRequestPtr &Request);
   void startAttempt(const EntryRequestPtr &Request);
   std::string ownerOf(const EntryRequest &Request) const;
   std::optional<std::string> selectHost(const EntryRequest &Request,
@@ -119,6 +124,8 @@
   void onDeadlineExpired(const EntryRequestPtr &Request);
   void onAbandoned(const EntryRequestPtr &Request);
   void cancelAttempt(EntryRequest &Request);
+  void logEvent(EventId Event, const EntryRequest &Request,
+                const std::string &Details);
   void reject(const EntryRequestPtr &Request, const std::string &Reason,
               Duration RetryAfter);
   void fail(const EntryRequestPtr &Request, unsigned Status,
@@ -137,6 +144,7 @@
   RequestRouterConfig Config_;
   EventCallback LogEvent_;
   SharedHostSelector HostSelector_;
+  ServiceRoomOptions ServiceRoomOptions_;
   std::map<std::string, SharedRetryBudget> RetryBudgets_;
   std::map<std::uint64_t, EntryRequestPtr> OpenRequests_;
   std::uint64_t LastNumber_ = 0;
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -37,6 +37,7 @@
 constexpr std::chrono::milliseconds DisconnectedRunTime{1500};
 
 constexpr unsigned MisdirectedRequest = 421;
+constexpr unsigned FirstServerError = 500;
 
 } // namespace
 
@@ -110,16 +111,7 @@
   const std::uint64_t Number = ++LastNumber_;
   OpenRequest &Entry = Requests_[Number];
   NumbersById_[Request.Id_] = Number;
-  Entry.QueuedRequest_ = {Number,
-                          Request.Rank_,
-                          Request.ObjectiveAt_,
-                          Request.Deadline_,
-                          Request.Objective_,
-                          Request.Deadline_ - Now,
-                          Request.Id_.Attempt_ > 1,
-                          Request.Class_,
-                          Request.Chained_,
-                          !Request.Key_ && Request.Id_.Attempt_ == 1};
+  Entry.QueuedRequest_ = toQueuedRequest(Request, Number, Now);
   Entry.Request_ = std::move(Request);
   Entry.Callback_ = std::move(Callback);
   Entry.Since_ = Now;
@@ -414,8 +406,7 @@
   OpenRequest Entry = std::move(Found->second);
   Requests_.erase(Found);
   NumbersById_.erase(Entry.Request_.Id_);
-  if (Entry.Phase_ == OpenRequest::Phase::Running)
-    endRun(Parents_, callerIdOf(Entry));
+  endParentRun(Entry, Result);
   const bool Disconnected = Disconnected_.erase(Entry.Request_.Id_) > 0;
   AttemptEnd End;
   // The local entry daemon gets the answer below and looks up no status.
@@ -430,6 +421,17 @@
     Entry.Callback_(std::move(Result));
 }
 
+void UpstreamGateway::endParentRun(const OpenRequest &Entry,
+                                   const GatewayResult &Result) {
+  if (Entry.Phase_ != OpenRequest::Phase::Running)
+    return;
+  const std::string Id = callerIdOf(Entry);
+  const bool Failed = Result.Outcome_ == Outcome::Ran &&
+                      Result.Response_.Status_ >= FirstServerError;
+  if (endRun(Parents_, Id) && Failed && Callbacks_.OnRunLostByCall_)
+    Callbacks_.OnRunLostByCall_(Id, Result.Response_.Status_);
+}
+
 bool UpstreamGateway::cancel(const RequestId &Id, const char *Cause) {
   const auto Found = NumbersById_.find(Id);
   if (Found != NumbersById_.end())
