At most two in five upstreams of a service are avoided

Cause: with a limit of one half the rule had no effect: at most half of the upstreams can exceed the lower median.

Change: the limit is 0.4, so that half of a service is not left to carry all requests by a fixed rule; the expected attempts still make the failing half more expensive, which weighs failures against load.

--- a/routing/upstream_health.h
+++ b/routing/upstream_health.h
@@ -30,8 +30,9 @@
   /// The same for an avoided upstream to stay avoided.
   double AvoidUntil_ = 0.15;
   /// If more than this share of a service's upstreams would be avoided, none
-  /// is: the others could not take their requests.
-  double MaxAvoidedShare_ = 0.5;
+  /// is, as the others could not take their requests: then only the expected
+  /// attempts count. At most half can exceed the median at all.
+  double MaxAvoidedShare_ = 0.4;
   /// Requests per second by which all entry daemons together probe an avoided
   /// upstream.
   double ProbesPerSecond_ = 3;
