--- a/tests/process/endless_response_test.cpp
+++ b/tests/process/endless_response_test.cpp
@@ -2,6 +2,7 @@
 /// Tests a daemon whose upstream sends bytes without end instead of responses.
 
 #define BOOST_TEST_MODULE endless_response
+#include "tests/process/process_usage.h"
 #include "tests/process/site_fixture.h"
 #include "tests/unit/endless_server.h"
 
@@ -9,7 +10,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
-#include <fstream>
 #include <string>
 
 namespace lagoonhitch {
@@ -22,19 +22,6 @@
 /// A host of the service that is not sharded. Callers use its daemon.
 constexpr std::uint32_t FaultyHost = 1;
 
-/// Returns the largest memory that a process has had, in kilobytes.
-std::size_t peakMemory(pid_t Process) {
-  std::ifstream Status("/proc/" + std::to_string(Process) + "/status");
-  std::string Word;
-  while (Status >> Word)
-    if (Word == "VmHWM:") {
-      std::size_t Kilobytes = 0;
-      Status >> Kilobytes;
-      return Kilobytes;
-    }
-  return 0;
-}
-
 } // namespace
 
 /// Every call must end, a response must come from a real upstream, calls must
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -59,6 +59,7 @@
   Folder_ = Template;
   startStore();
   Json Settings = baseSettings();
+  Settings["limits"]["body_bytes"] = Options_.MaxBodyBytes_;
   if (Options_.UseHeartbeatReplies_)
     Settings["services"]["katalog"]["grants"] = "heartbeat_replies";
   writeFile("base.json", Settings);
--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -30,6 +30,8 @@
   bool UseHeartbeatReplies_ = false;
   /// Whether upstreams record the requests they execute in files.
   bool RecordRuns_ = true;
+  /// Maximum size of a caller's request body, in bytes.
+  std::size_t MaxBodyBytes_ = std::size_t{1024} * 1024;
 };
 
 /// Runs the processes of a site, with their files in a temporary directory. The
--- a/tests/standin/upstream_standin.cpp
+++ b/tests/standin/upstream_standin.cpp
@@ -20,6 +20,10 @@
 /// Interval of the heartbeats until a release of keys has been reported.
 constexpr std::chrono::milliseconds ReleaseHeartbeatInterval{100};
 
+/// Size of a request body from which it is not repeated in the response, which
+/// would exceed the daemon's limit of responses.
+constexpr std::size_t MaxEchoBytes = std::size_t{7} * 1024 * 1024;
+
 std::int64_t microsOf(Instant At) {
   return std::chrono::duration_cast<std::chrono::microseconds>(
              At.time_since_epoch())
@@ -224,7 +228,9 @@
     Response.Body_ = Json({{"instance", Options_.InstanceId_},
                            {"target", Ended.Request_.Target_},
                            {"token", Ended.Fence_},
-                           {"echo", Ended.Request_.Body_}})
+                           {"echo", Ended.Request_.Body_.size() > MaxEchoBytes
+                                        ? std::string()
+                                        : Ended.Request_.Body_}})
                          .dump();
   }
   Ended.Exchange_->respond(std::move(Response));
