--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -42,6 +42,7 @@
     {EventId::RingFull, EventLevel::Error, "ring-full"},
     {EventId::LateTick, EventLevel::Warn, "late-tick"},
     {EventId::HandlerFailed, EventLevel::Error, "handler-failed"},
+    {EventId::MemoryScarce, EventLevel::Warn, "memory-scarce"},
     {EventId::RequestRefused, EventLevel::Info, "request-refused"},
     {EventId::RequestFailed, EventLevel::Warn, "request-failed"},
     {EventId::RunCut, EventLevel::Warn, "run-cut"},
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -50,6 +50,7 @@
   RingFull = 600,
   LateTick = 601,
   HandlerFailed = 602,
+  MemoryScarce = 603,
   RequestRefused = 700,
   RequestFailed = 701,
   RunCut = 702,
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -52,7 +52,10 @@
       Names_(headerNames(Settings_)), Events_(Time, Settings_.Host_),
       Trail_(MaxAuditEntries),
       Recorder_(Time, Settings_.Host_, Events_, Trail_, Metrics_),
-      Random_(Process), Loop_([this](const std::exception &Failure) {
+      Random_(Process),
+      Budget_(std::make_shared<MemoryBudget>(
+          budgetOptions(Settings_.MemoryMegabytes_, Settings_.MaxBodyBytes_))),
+      Loop_([this](const std::exception &Failure) {
         Recorder_.record(EventId::HandlerFailed, Failure.what());
       }),
       PublicInterface_(makeCallerInterface(Settings_, Site_, false)),
@@ -88,7 +91,7 @@
               }),
       Watcher_(Loop_, Time, Store_, Site_, Settings_.Host_, siteCallbacks()),
       PeerService_(Time, Gateway_, Store_, Process),
-      PeerServer_(Loop_, peerServerOptions(Settings_.PeersAddress_),
+      PeerServer_(Loop_, withBudget(peerServerOptions(Settings_.PeersAddress_)),
                   [this](HttpRequest Request,
                          const std::shared_ptr<HttpExchange> &Exchange) {
                     PeerService_.handle(std::move(Request), Exchange);
@@ -113,18 +116,20 @@
           }),
       AdminService_(Time, Settings_, Site_, Ownership_, Gateway_, Store_,
                     Trail_, Metrics_),
-      HeartbeatServer_(Loop_, serverOptions(Settings_.HeartbeatAddress_),
+      HeartbeatServer_(Loop_,
+                       withBudget(serverOptions(Settings_.HeartbeatAddress_)),
                        [this](const HttpRequest &Request,
                               const std::shared_ptr<HttpExchange> &Exchange) {
                          UpstreamManager_.handle(Request, Exchange);
                        }),
-      AdminServer_(Loop_, serverOptions(Settings_.AdminAddress_),
+      AdminServer_(Loop_, withBudget(serverOptions(Settings_.AdminAddress_)),
                    [this](const HttpRequest &Request,
                           const std::shared_ptr<HttpExchange> &Exchange) {
                      AdminService_.handle(Request, *Exchange);
                    }),
       CallerServer_(
-          Loop_, callerServerOptions(Settings_, Settings_.CallersAddress_),
+          Loop_,
+          withBudget(callerServerOptions(Settings_, Settings_.CallersAddress_)),
           [this](HttpRequest Request,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             Router_.handle(std::move(Request), Exchange, *PublicInterface_);
@@ -165,7 +170,7 @@
   if (Settings_.ReadyAddress_.empty())
     return nullptr;
   return std::make_unique<HttpServer>(
-      Loop_, serverOptions(Settings_.ReadyAddress_),
+      Loop_, withBudget(serverOptions(Settings_.ReadyAddress_)),
       [this](const HttpRequest &,
              const std::shared_ptr<HttpExchange> &Exchange) {
         handleReadiness(*Exchange);
@@ -177,7 +182,8 @@
   if (Settings_.InternalAddress_.empty())
     return nullptr;
   return std::make_unique<HttpServer>(
-      Loop_, callerServerOptions(Settings_, Settings_.InternalAddress_),
+      Loop_,
+      withBudget(callerServerOptions(Settings_, Settings_.InternalAddress_)),
       [this](HttpRequest Request,
              const std::shared_ptr<HttpExchange> &Exchange) {
         Router_.handle(std::move(Request), Exchange, *InternalInterface_);
@@ -194,6 +200,21 @@
   return Servers;
 }
 
+/// Returns all servers whose messages count in the memory budget.
+std::vector<HttpServer *> Daemon::Impl::budgetedServers() {
+  std::vector<HttpServer *> Servers = callerServers();
+  Servers.insert(Servers.end(),
+                 {&PeerServer_, &HeartbeatServer_, &AdminServer_});
+  if (ReadyServer_)
+    Servers.push_back(ReadyServer_.get());
+  return Servers;
+}
+
+HttpServerOptions Daemon::Impl::withBudget(HttpServerOptions Options) const {
+  Options.Budget_ = Budget_;
+  return Options;
+}
+
 void Daemon::Impl::logStart() {
   nlohmann::json Details = {{"callers", CallerServer_.address()},
                             {"peers", PeerServer_.address()},
@@ -212,6 +233,9 @@
   Options.MaxBodyBytes_ = Limits.MaxBodyBytes_;
   Options.RequestTimeout_ = Limits.RequestTimeout_;
   Options.IdleTimeout_ = Limits.IdleTimeout_;
+  Options.MaxConnections_ = maxCallerConnections(Settings_.MaxDescriptors_);
+  Budget_->setOptions(
+      budgetOptions(Settings_.MemoryMegabytes_, Limits.MaxBodyBytes_));
   CallerServer_.setLimits(Options);
   PeerServer_.setLimits(peerServerOptions(Settings_.PeersAddress_, Limits));
   UpstreamManager_.onSiteChanged();
@@ -308,6 +332,7 @@
   runDuty([this] { UpstreamClient_.reapIdle(); });
   runDuty([this] { PeerClient_.reapIdle(); });
   runDuty([this] { PeerService_.tick(); });
+  runDuty([this] { reportMemory(); });
   Shutdown_.tick();
 }
 
@@ -334,6 +359,20 @@
                      std::to_string(toMillis(*Reported).count()));
 }
 
+void Daemon::Impl::reportMemory() {
+  RejectionCounts Counts{};
+  for (const HttpServer *Server : budgetedServers())
+    addCounts(Counts, Server->rejections());
+  Metrics_.setHeldBytes(Budget_->bytes());
+  const std::vector<NewRejections> Added = newRejections(MemoryReport_, Counts);
+  for (const NewRejections &Entry : Added)
+    Metrics_.countRejections(rejectionName(Entry.Reason_), Entry.Count_);
+  if (const std::string Text =
+          describeRejections(MemoryReport_, Budget_->bytes(), Time_.now());
+      !Text.empty())
+    Recorder_.record(EventId::MemoryScarce, Text);
+}
+
 void Daemon::Impl::startShutdown(Instant RequestedAt) {
   Shutdown_.start(RequestedAt, Settings_.Bounds_.StopTimeout_ - ShutdownMargin);
 }
--- a/daemon/daemon_impl.h
+++ b/daemon/daemon_impl.h
@@ -12,6 +12,7 @@
 #include "daemon/event_recorder.h"
 #include "daemon/graceful_shutdown.h"
 #include "daemon/loop_lag.h"
+#include "daemon/memory_report.h"
 #include "daemon/ownership_manager.h"
 #include "daemon/peer_service.h"
 #include "daemon/request_router.h"
@@ -22,6 +23,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/io_loop.h"
+#include "net/memory_budget.h"
 #include "observe/audit_trail.h"
 #include "observe/event_log.h"
 #include "observe/metrics.h"
@@ -50,6 +52,9 @@
   std::unique_ptr<HttpServer> openReadyServer();
   std::unique_ptr<HttpServer> openInternalServer();
   std::vector<HttpServer *> callerServers();
+  std::vector<HttpServer *> budgetedServers();
+  HttpServerOptions withBudget(HttpServerOptions Options) const;
+  void reportMemory();
   void logStart();
   void onManifest();
   void announceOperatorRecords();
@@ -75,6 +80,8 @@
   Metrics Metrics_;
   EventRecorder Recorder_;
   std::mt19937_64 Random_;
+  /// Shared by all servers; outlives them.
+  std::shared_ptr<MemoryBudget> Budget_;
   IoLoop Loop_;
   SiteState Site_;
   std::unique_ptr<CallerInterface> PublicInterface_;
@@ -102,6 +109,7 @@
   std::uint64_t DigestSequence_ = 0;
   std::shared_ptr<void> TickTimer_;
   LoopLag Lag_;
+  MemoryReport MemoryReport_;
   GracefulShutdown Shutdown_;
 };
 
--- a/daemon/daemon_options.cpp
+++ b/daemon/daemon_options.cpp
@@ -1,5 +1,7 @@
 #include "daemon/daemon_options.h"
 
+#include "daemon/forward_codec.h"
+#include "net/request_rejection.h"
 #include "settings/daemon_settings.h"
 
 #include <algorithm>
@@ -13,6 +15,10 @@
 /// Limit of all responses that a client is receiving. Hosts have as little as
 /// 160 MB.
 constexpr std::size_t MaxReceivingBytes = 24U * 1024U * 1024U;
+/// Part of the memory budget for small messages only.
+constexpr std::size_t SmallMessageReserve = 8U * 1024U * 1024U;
+/// What other messages may use while the largest body is received.
+constexpr std::size_t LargestBodySlack = 8U * 1024U * 1024U;
 /// Larger than the usual limits for callers and upstreams: forwarded requests
 /// and their responses have additional headers.
 constexpr std::size_t MaxPeerHeaderBytes = 128U * 1024U;
@@ -38,6 +44,23 @@
   return Options;
 }
 
+MemoryBudgetOptions budgetOptions(std::size_t MemoryMegabytes,
+                                  std::size_t MaxBodyBytes) {
+  constexpr std::size_t Megabyte = std::size_t{1024} * 1024;
+  // Besides, up to 48 MB of responses are being received, and a daemon needs
+  // about 15 MB for itself and its connections.
+  MemoryBudgetOptions Options;
+  Options.SmallReserve_ = SmallMessageReserve;
+  Options.MaxBytes_ =
+      std::max(MemoryMegabytes * Megabyte / 2,
+               MaxBodyBytes + SmallMessageReserve + LargestBodySlack);
+  return Options;
+}
+
+std::size_t maxCallerConnections(std::size_t MaxDescriptors) {
+  return MaxDescriptors / 4 * 3;
+}
+
 HttpServerOptions serverOptions(const std::string &Address) {
   HttpServerOptions Options;
   Options.Address_ = Address;
@@ -48,6 +71,7 @@
   HttpServerOptions Options = serverOptions(Address);
   Options.MaxHeaderBytes_ = MaxPeerHeaderBytes;
   Options.MaxBodyBytes_ = MaxForwardedBodyBytes;
+  Options.NoMemoryHeaders_ = {noMemoryHeader()};
   return Options;
 }
 
@@ -64,6 +88,7 @@
                                       const std::string &Address) {
   HttpServerOptions Options = serverOptions(Address);
   Options.MaxBodyBytes_ = Settings.MaxBodyBytes_;
+  Options.MaxConnections_ = maxCallerConnections(Settings.MaxDescriptors_);
   return Options;
 }
 
--- a/daemon/daemon_options.h
+++ b/daemon/daemon_options.h
@@ -8,9 +8,11 @@
 #include "manifest/manifest.h"
 #include "net/http_client.h"
 #include "net/http_server_options.h"
+#include "net/memory_budget.h"
 #include "ownership/key_ownership_options.h"
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 
 namespace lagoonhitch {
@@ -25,6 +27,16 @@
 /// Returns the options of the client for other daemons.
 HttpClientOptions peerClientOptions();
 
+/// Returns the size of the memory budget of the servers for callers and other
+/// daemons.
+/// \param MaxBodyBytes the maximum size of one body, which always fits.
+MemoryBudgetOptions budgetOptions(std::size_t MemoryMegabytes,
+                                  std::size_t MaxBodyBytes);
+
+/// Returns how many connections of callers a daemon keeps open. The others are
+/// for files, upstreams, other daemons and the store.
+std::size_t maxCallerConnections(std::size_t MaxDescriptors);
+
 /// Returns the options of a server that listens on an address.
 HttpServerOptions serverOptions(const std::string &Address);
 
--- a/daemon/forward_codec.cpp
+++ b/daemon/forward_codec.cpp
@@ -1,5 +1,7 @@
 #include "daemon/forward_codec.h"
 
+#include "net/request_rejection.h"
+
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -219,6 +221,12 @@
   return Message;
 }
 
+HttpHeader noMemoryHeader() {
+  return {RejectionHeader,
+          absl::StrCat(static_cast<int>(RejectReason::Overloaded), ";",
+                       MemoryRetryAfter.count(), ";0")};
+}
+
 GatewayResult decodeGatewayResult(HttpResponse Message) {
   GatewayResult Result;
   Result.Outcome_ = parseOutcome(findHeader(Message.Headers_, OutcomeHeader));
--- a/daemon/forward_codec.h
+++ b/daemon/forward_codec.h
@@ -36,6 +36,10 @@
 /// Encodes a gateway's result.
 HttpResponse encodeGatewayResult(GatewayResult Result);
 
+/// Returns the header of a peer's response that rejects a forwarded request
+/// because its body does not fit into the memory.
+HttpHeader noMemoryHeader();
+
 /// Decodes a gateway's result. Its outcome is Unknown if it is malformed.
 GatewayResult decodeGatewayResult(HttpResponse Message);
 
--- a/daemon/gateway_request.cpp
+++ b/daemon/gateway_request.cpp
@@ -21,7 +21,7 @@
   Identity.CallerService_ = headerOf(Message, Names.CallerService_);
   Identity.Method_ = Message.Method_;
   Identity.Target_ = Message.Target_;
-  Identity.Body_ = Message.Body_;
+  Identity.Body_ = Message.Body_.text();
   return fingerprintOf(Identity);
 }
 
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -16,6 +16,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 #include <random>
 #include <string>
 #include <thread>
@@ -61,6 +62,14 @@
   }
 }
 
+/// Returns the memory of each large body to the system when it is freed. By
+/// default, the allocator keeps ever larger ones, and memory in between.
+void limitAllocator() {
+  constexpr int LargeBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, LargeBytes);
+  mallopt(M_TRIM_THRESHOLD, 8 * LargeBytes);
+}
+
 lagoonhitch::DaemonSettings readSettings() {
   const std::string Platform = absl::GetFlag(FLAGS_platform);
   if (!Platform.empty())
@@ -97,6 +106,7 @@
   };
   absl::SetFlagsUsageConfig(Usage);
   absl::ParseCommandLine(Argc, Argv);
+  limitAllocator();
   const sigset_t Signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
--- a/net/beast_convert.h
+++ b/net/beast_convert.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <memory>
 #include <utility>
 
 namespace lagoonhitch {
@@ -32,14 +33,15 @@
       Target.insert(Header.Name_, Header.Value_);
 }
 
-/// Converts a Beast request.
+/// Converts a Beast request. Its body counts in the budget while it exists.
 inline HttpRequest requestFromBeast(
-    boost::beast::http::request<boost::beast::http::string_body> Source) {
+    boost::beast::http::request<boost::beast::http::string_body> Source,
+    std::shared_ptr<MemoryBudget> Budget) {
   HttpRequest Request;
   Request.Method_ = std::string(Source.method_string());
   Request.Target_ = std::string(Source.target());
   Request.Headers_ = headersFromBeast(Source.base());
-  Request.Body_ = std::move(Source.body());
+  Request.Body_ = MessageBody(std::move(Source.body()), std::move(Budget));
   return Request;
 }
 
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "net/address.h"
 #include "net/beast_convert.h"
+#include "net/connection_pool.h"
 #include "net/io_loop_impl.h"
 #include "net/receiving_limit.h"
 #include "net/response_reader.h"
@@ -11,6 +12,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -35,42 +37,12 @@
 /// Maximum size of what one call reads in one turn of the loop, so that a large
 /// response does not delay other tasks for long.
 constexpr std::size_t MaxTurnBytes = std::size_t{256} * 1024;
-/// Time between two checks of an idle connection for unexpected data. Each
-/// check is a system call.
-constexpr std::chrono::milliseconds IdleCheckInterval{500};
 /// Requests without success that a connection remembers.
 constexpr std::size_t MaxFailedRequests = 32;
 constexpr unsigned FirstClientError = 400;
 /// Extra responses to other requests that a call skips.
 constexpr std::size_t MaxSkippedResponses = 3;
 
-struct Connection {
-  explicit Connection(boost::asio::io_context &Context) : Stream_(Context) {}
-
-  boost::beast::tcp_stream Stream_;
-  Instant OpenedAt_;
-  Instant IdleSince_;
-  /// When the idle connection was last checked for unexpected data.
-  Instant CheckedAt_;
-  /// Whether it has carried an earlier request.
-  bool Reused_ = false;
-  /// Whether it has carried a HEAD request. The length that a response to it
-  /// states is not that of its body.
-  bool CarriedHead_ = false;
-  /// Hashes of the IDs of requests that were answered without success on this
-  /// connection. Such a request may be sent again, and a second copy of its
-  /// response can't be told from the response to that.
-  std::vector<std::size_t> FailedRequests_;
-};
-
-struct Pool {
-  std::vector<std::unique_ptr<Connection>> Idle_;
-  std::size_t Open_ = 0;
-  std::size_t Limit_ = 0;
-  /// Number of connections that the peer has ended.
-  std::size_t Lost_ = 0;
-};
-
 } // namespace
 
 struct HttpClient::Impl {
@@ -78,54 +50,19 @@
       : Context_(Loop.impl().Context_), Time_(Time), Options_(Options),
         Receiving_(Options.MaxReceivingBytes_, Options.SmallResponseBytes_) {}
 
-  Pool &pool(const std::string &Address) {
-    Pool &Found = Pools_[Address];
-    if (Found.Limit_ == 0)
-      Found.Limit_ = Options_.MaxConnections_;
-    return Found;
+  ConnectionPool &pool(const std::string &Address) {
+    return poolOf(Pools_, Address, Options_);
   }
 
   boost::asio::io_context &Context_;
   const Clock &Time_;
   HttpClientOptions Options_;
-  std::map<std::string, Pool> Pools_;
+  ConnectionPools Pools_;
   ReceivingLimit Receiving_;
 };
 
 namespace {
 
-/// Returns whether the peer has neither closed an idle connection nor sent
-/// unexpected data on it. Counts it as lost if the peer has closed it.
-bool isOpenAndQuiet(Connection &Idle, Pool &Target) {
-  char Byte = 0;
-  error_code Failure;
-  Idle.Stream_.socket().non_blocking(true, Failure);
-  Idle.Stream_.socket().receive(boost::asio::buffer(&Byte, 1),
-                                tcp::socket::message_peek, Failure);
-  const bool Quiet = Failure == boost::asio::error::would_block;
-  if (Failure && !Quiet)
-    ++Target.Lost_;
-  return Quiet;
-}
-
-/// Checks an idle connection if its last check was some time ago. Returns
-/// whether it can be kept.
-bool passesIdleCheck(Connection &Idle, Pool &Target, Instant Now) {
-  if (Now - Idle.CheckedAt_ < IdleCheckInterval)
-    return true;
-  Idle.CheckedAt_ = Now;
-  return isOpenAndQuiet(Idle, Target);
-}
-
-/// Returns whether a request may be sent on a connection that has carried
-/// others.
-bool canCarry(const Connection &Used, const std::string &RequestId) {
-  const std::vector<std::size_t> &Failed = Used.FailedRequests_;
-  return RequestId.empty() ||
-         std::find(Failed.begin(), Failed.end(),
-                   std::hash<std::string>()(RequestId)) == Failed.end();
-}
-
 /// One call in progress. Keeps itself alive while an operation is pending.
 class Call : public std::enable_shared_from_this<Call> {
 public:
@@ -143,7 +80,8 @@
             findHeader(Request.Headers_, Options_.EchoHeader_))
       ExpectedEcho_ = *Expected;
     headersToBeast(Request.Headers_, Message_);
-    Message_.body() = std::move(Request.Body_);
+    Body_ = std::move(Request.Body_);
+    Message_.body() = {Body_.text().data(), Body_.size()};
     Message_.keep_alive(true);
     Message_.prepare_payload();
   }
@@ -158,7 +96,7 @@
       write();
       return;
     }
-    Pool &Target = Client_->pool(Address_);
+    ConnectionPool &Target = Client_->pool(Address_);
     makeRoom(Target);
     if (Target.Open_ >= Target.Limit_) {
       finishLater(HttpCallStatus::NotSent);
@@ -183,43 +121,18 @@
 
 private:
   bool reuseIdleConnection() {
-    Pool &Target = Client_->pool(Address_);
-    std::size_t Left = Target.Idle_.size();
-    while (Left > 0) {
-      const auto Latest =
-          Target.Idle_.begin() + static_cast<std::ptrdiff_t>(--Left);
-      if (!canCarry(**Latest, ExpectedEcho_))
-        continue;
-      std::unique_ptr<Connection> Candidate = std::move(*Latest);
-      Target.Idle_.erase(Latest);
-      if (isRecent(*Candidate) && isOpenAndQuiet(*Candidate, Target)) {
-        Connection_ = std::move(Candidate);
-        return true;
-      }
-      --Target.Open_;
-    }
-    return false;
-  }
-
-  bool isRecent(const Connection &Idle) const {
-    const Instant Now = Client_->Time_.now();
-    const Duration MaxIdleTime = Options_.MaxIdleTime_ > Duration::zero()
-                                     ? Options_.MaxIdleTime_
-                                     : Client_->Options_.MaxIdleTime_;
-    return Now - Idle.IdleSince_ < MaxIdleTime &&
-           Now - Idle.OpenedAt_ < Client_->Options_.MaxConnectionAge_;
-  }
-
-  /// Closes an idle connection that this request can't use if there may be no
-  /// further one.
-  static void makeRoom(Pool &Target) {
-    if (Target.Open_ < Target.Limit_ || Target.Idle_.empty())
-      return;
-    Target.Idle_.erase(Target.Idle_.begin());
-    --Target.Open_;
-  }
-
-  void connect(Pool &Target) {
+    ConnectionChoice Choice;
+    Choice.RequestId_ = ExpectedEcho_;
+    Choice.MaxIdleTime_ = Options_.MaxIdleTime_ > Duration::zero()
+                              ? Options_.MaxIdleTime_
+                              : Client_->Options_.MaxIdleTime_;
+    Choice.MaxAge_ = Client_->Options_.MaxConnectionAge_;
+    Connection_ =
+        takeIdle(Client_->pool(Address_), Choice, Client_->Time_.now());
+    return Connection_ != nullptr;
+  }
+
+  void connect(ConnectionPool &Target) {
     tcp::endpoint Endpoint;
     try {
       Endpoint = parseEndpoint(Address_);
@@ -228,7 +141,7 @@
       return;
     }
     ++Target.Open_;
-    Connection_ = std::make_unique<Connection>(Client_->Context_);
+    Connection_ = std::make_unique<ClientConnection>(Client_->Context_);
     Connection_->OpenedAt_ = Client_->Time_.now();
     Connection_->Stream_.expires_after(Client_->Options_.ConnectTimeout_);
     Connection_->Stream_.async_connect(
@@ -547,7 +460,9 @@
   std::string Address_;
   HttpCallOptions Options_;
   HttpClient::Callback Done_;
-  http::request<http::string_body> Message_;
+  MessageBody Body_;
+  /// Refers to Body_.
+  http::request<http::span_body<const char>> Message_;
   /// Set once sending has started. An aborted operation refers to its buffer.
   std::optional<ResponseReader> Reader_;
   IncompleteResponse Received_;
@@ -556,8 +471,8 @@
   /// When the call fails if the response is not arriving.
   Instant TimeoutAt_;
   std::optional<Instant> FirstByteAt_;
-  std::unique_ptr<Connection> Connection_;
-  std::unique_ptr<Connection> ClosedConnection_;
+  std::unique_ptr<ClientConnection> Connection_;
+  std::unique_ptr<ClientConnection> ClosedConnection_;
   /// The value that the echoed header must have; empty if the request has no
   /// such header.
   std::string ExpectedEcho_;
@@ -599,23 +514,12 @@
 }
 
 void HttpClient::reapIdle() {
-  const Instant Now = Impl_->Time_.now();
-  for (auto &Entry : Impl_->Pools_) {
-    Pool &Target = Entry.second;
-    Target.Open_ -= std::erase_if(
-        Target.Idle_, [&](const std::unique_ptr<Connection> &Idle) {
-          return Now - Idle->IdleSince_ >= Impl_->Options_.MaxIdleTime_ ||
-                 !passesIdleCheck(*Idle, Target, Now);
-        });
-  }
+  for (auto &[Address, Pool] : Impl_->Pools_)
+    reapIdleConnections(Pool, Impl_->Options_.MaxIdleTime_, Impl_->Time_.now());
 }
 
 void HttpClient::closeEnded(const std::string &Address) {
-  Pool &Target = Impl_->pool(Address);
-  Target.Open_ -= std::erase_if(
-      Target.Idle_, [&Target](const std::unique_ptr<Connection> &Idle) {
-        return !isOpenAndQuiet(*Idle, Target);
-      });
+  closeEndedConnections(Impl_->pool(Address));
 }
 
 std::size_t HttpClient::lostConnections(const std::string &Address) const {
@@ -624,14 +528,13 @@
 }
 
 void HttpClient::closeIdle(const std::string &Address) {
-  Pool &Target = Impl_->pool(Address);
+  ConnectionPool &Target = Impl_->pool(Address);
   Target.Open_ -= Target.Idle_.size();
   Target.Idle_.clear();
 }
 
 std::size_t HttpClient::openConnections(const std::string &Address) const {
-  const std::map<std::string, Pool>::const_iterator Found =
-      Impl_->Pools_.find(Address);
+  const auto Found = Impl_->Pools_.find(Address);
   return Found == Impl_->Pools_.end() ? 0 : Found->second.Open_;
 }
 
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -4,6 +4,8 @@
 /// \file
 /// HTTP messages as plain structs, independent of the HTTP library.
 
+#include "net/message_body.h"
+
 #include <string>
 #include <vector>
 
@@ -21,7 +23,7 @@
   /// Path and query.
   std::string Target_ = "/";
   std::vector<HttpHeader> Headers_;
-  std::string Body_;
+  MessageBody Body_;
 };
 
 /// A response with its complete body.
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -20,9 +20,29 @@
 /// Maximum number of connections that are accepted in one turn of the loop.
 constexpr std::size_t MaxAcceptedPerTurn = 128;
 
+/// Closes the connection that has been idle for the longest time. Returns
+/// whether there was one.
+bool closeLongestIdle(HttpServer::Impl &Server) {
+  HttpSession *Found = nullptr;
+  for (HttpSession *Open : Server.Sessions_)
+    if (Open->idleSince() &&
+        (Found == nullptr || *Open->idleSince() < *Found->idleSince()))
+      Found = Open;
+  if (Found == nullptr)
+    return false;
+  Found->abandon();
+  return true;
+}
+
 /// Returns whether the client is still there.
 bool startSession(const std::shared_ptr<HttpServer::Impl> &Server,
                   tcp::socket Socket) {
+  if (Server->Sessions_.size() >= Server->Options_.MaxConnections_) {
+    ++Server->Rejections_[static_cast<std::size_t>(
+        RequestRejection::TooManyConnections)];
+    if (!closeLongestIdle(*Server))
+      return false;
+  }
   configureSocket(Socket);
   return std::make_shared<HttpSession>(std::move(Socket), Server)->start();
 }
@@ -131,6 +151,10 @@
 
 std::size_t HttpServer::openExchanges() const { return Impl_->OpenExchanges_; }
 
+const RejectionCounts &HttpServer::rejections() const {
+  return Impl_->Rejections_;
+}
+
 std::size_t HttpServer::openConnections() const {
   return Impl_->Sessions_.size();
 }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -6,6 +6,7 @@
 
 #include "net/http_exchange.h"
 #include "net/http_server_options.h"
+#include "net/request_rejection.h"
 
 #include <functional>
 #include <memory>
@@ -41,7 +42,7 @@
   /// Returns the listening address as `ip:port`, with the port that is in use.
   std::string address() const;
 
-  /// Replaces the limits and timeouts. The address is ignored.
+  /// Replaces the limits and timeouts. The address and the budget are ignored.
   void setLimits(const HttpServerOptions &Limits);
 
   /// Sets whether a request is dropped if its client has closed the connection
@@ -63,6 +64,10 @@
   /// Returns the number of requests whose response is not sent completely.
   std::size_t openExchanges() const;
 
+  /// Returns how many requests were rejected, and connections closed, for each
+  /// reason.
+  const RejectionCounts &rejections() const;
+
   /// Returns the number of open connections.
   std::size_t openConnections() const;
 
--- a/net/http_server_options.h
+++ b/net/http_server_options.h
@@ -4,9 +4,15 @@
 /// \file
 /// Options of an HTTP server.
 
+#include "net/http_message.h"
+#include "net/memory_budget.h"
+
 #include <chrono>
 #include <cstddef>
+#include <limits>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace lagoonhitch {
 
@@ -23,6 +29,14 @@
   std::chrono::milliseconds RequestTimeout_{5000};
   /// Maximum time that a connection may stay open between two requests.
   std::chrono::milliseconds IdleTimeout_{60000};
+  /// Maximum number of connections. Above it, the longest idle one is closed,
+  /// or the new one if none is idle.
+  std::size_t MaxConnections_ = std::numeric_limits<std::size_t>::max();
+  /// The memory for bodies and responses, which servers may share; null for no
+  /// limit.
+  std::shared_ptr<MemoryBudget> Budget_;
+  /// Added to the response to a request that does not fit into the budget.
+  std::vector<HttpHeader> NoMemoryHeaders_;
 };
 
 } // namespace lagoonhitch
--- a/net/http_server_state.h
+++ b/net/http_server_state.h
@@ -6,10 +6,13 @@
 
 #include "net/http_server.h"
 #include "net/io_loop_impl.h"
+#include "net/memory_budget.h"
+#include "net/request_rejection.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <memory>
 #include <set>
 #include <utility>
 
@@ -22,13 +25,17 @@
   Impl(IoLoop &Loop, HttpServerOptions Options, Handler Handle,
        OverlapRule MayOverlap)
       : Options_(std::move(Options)), Handle_(std::move(Handle)),
-        MayOverlap_(std::move(MayOverlap)), Acceptor_(Loop.impl().Context_) {}
+        MayOverlap_(std::move(MayOverlap)), Acceptor_(Loop.impl().Context_),
+        Budget_(Options_.Budget_ ? Options_.Budget_
+                                 : std::make_shared<MemoryBudget>()) {}
 
   HttpServerOptions Options_;
   Handler Handle_;
   OverlapRule MayOverlap_;
   boost::asio::ip::tcp::acceptor Acceptor_;
   std::set<HttpSession *> Sessions_;
+  std::shared_ptr<MemoryBudget> Budget_;
+  RejectionCounts Rejections_{};
   std::size_t OpenExchanges_ = 0;
   bool KeepAliveDisabled_ = false;
   /// Whether requests of clients that have left are dropped.
--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -2,8 +2,8 @@
 
 #include "net/beast_convert.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -18,61 +18,10 @@
 
 namespace {
 
-constexpr std::size_t ReadChunkBytes = 8192;
-/// Bytes that a read may take beyond the limit for headers.
-constexpr std::size_t MaxUnparsedBytes = std::size_t{64} * 1024;
-/// Maximum number of requests of one connection that are handled at a time.
-constexpr std::size_t MaxPendingExchanges = 16;
-/// Size of waiting responses, in bytes, from which no further request of the
-/// connection is read.
-constexpr std::size_t MaxWaitingBytes = std::size_t{256} * 1024;
-/// How long the input behind the last request is discarded.
-constexpr std::chrono::milliseconds MaxDiscardTime{500};
+/// Size from which a response is sent in parts, whose progress is observed.
+constexpr std::size_t LargeResponseBytes = std::size_t{64} * 1024;
 constexpr std::string_view ProgressResponse = "HTTP/1.1 102 Processing\r\n\r\n";
 
-unsigned parseErrorStatus(const error_code &Failure) {
-  if (Failure == http::error::header_limit ||
-      Failure == http::error::buffer_overflow)
-    return 431;
-  if (Failure == http::error::body_limit)
-    return 413;
-  if (Failure == boost::beast::error::timeout)
-    return 408;
-  return 400;
-}
-
-const char *parseErrorMessage(unsigned Status) {
-  switch (Status) {
-  case 431:
-    return "the request headers exceed the size limit";
-  case 413:
-    return "the request body exceeds the size limit";
-  case 408:
-    return "the request was not received completely in time";
-  default:
-    return "the request is malformed";
-  }
-}
-
-HttpResponse parseErrorResponse(unsigned Status) {
-  HttpResponse Response;
-  Response.Status_ = Status;
-  Response.Headers_.push_back({"Content-Type", "application/json"});
-  Response.Headers_.push_back({"Lagoonhitch-Outcome", "not-run"});
-  Response.Body_ = std::string("{\"kind\":\"protocol\",\"message\":\"") +
-                   parseErrorMessage(Status) +
-                   "\",\"remedy\":\"send one well-formed request within "
-                   "the limits of docs/SETTINGS.md\"}";
-  return Response;
-}
-
-ConnectionEnd endOf(const error_code &Failure) {
-  const bool Closed = Failure == boost::asio::error::eof ||
-                      Failure == http::error::end_of_stream ||
-                      Failure == boost::asio::error::operation_aborted;
-  return Closed ? ConnectionEnd::Closed : ConnectionEnd::Broken;
-}
-
 /// Connects a handler to one request of a session, so that a late response is
 /// never sent for another request.
 class SessionExchange : public HttpExchange {
@@ -99,11 +48,16 @@
 
 HttpSession::HttpSession(tcp::socket Socket,
                          std::shared_ptr<HttpServer::Impl> Server)
-    : Stream_(std::move(Socket)), Server_(std::move(Server)) {
+    : Stream_(std::move(Socket)), Server_(std::move(Server)),
+      RequestTimer_(Stream_.get_executor()) {
   Server_->Sessions_.insert(this);
 }
 
-HttpSession::~HttpSession() { Server_->Sessions_.erase(this); }
+HttpSession::~HttpSession() {
+  endInput();
+  endOutput();
+  Server_->Sessions_.erase(this);
+}
 
 bool HttpSession::start() {
   readArrived();
@@ -113,16 +67,6 @@
   return true;
 }
 
-/// Reads the start of the first request if it has arrived.
-void HttpSession::readArrived() {
-  error_code Failure;
-  Stream_.socket().non_blocking(true, Failure);
-  const std::size_t Size =
-      Stream_.socket().read_some(Buffer_.prepare(ReadChunkBytes), Failure);
-  if (!Failure)
-    Buffer_.commit(Size);
-}
-
 HttpSession::PendingExchange *HttpSession::findPending(std::uint64_t Number) {
   const auto Found = std::find_if(Pending_.begin(), Pending_.end(),
                                   [Number](const PendingExchange &Entry) {
@@ -138,6 +82,7 @@
   WaitingBytes_ += Response.Body_.size();
   Answered->Response_ = std::move(Response);
   Answered->OnAbandoned_ = nullptr;
+  countOutput();
   writeNext();
 }
 
@@ -156,127 +101,6 @@
   Stream_.cancel();
 }
 
-bool HttpSession::canRead() const {
-  return !Reading_ && !Closed_ && !LastRequestRead_ && !WaitingRequest_ &&
-         Pending_.size() < MaxPendingExchanges &&
-         WaitingBytes_ < MaxWaitingBytes;
-}
-
-void HttpSession::readNext() {
-  if (!canRead())
-    return;
-  Reading_ = true;
-  Parser_.emplace();
-  Parser_->header_limit(
-      static_cast<std::uint32_t>(Server_->Options_.MaxHeaderBytes_));
-  Parser_->body_limit(Server_->Options_.MaxBodyBytes_);
-  // The parser limits neither chunk headers nor trailers, and keeps them here
-  // until they are complete.
-  Buffer_.max_size(std::max(Server_->Options_.MaxHeaderBytes_, Buffer_.size()) +
-                   MaxUnparsedBytes);
-  if (Buffer_.size() > 0) {
-    readRequest();
-    return;
-  }
-  Idle_ = true;
-  Stream_.expires_after(Pending_.empty() ? Server_->Options_.IdleTimeout_
-                                         : Server_->Options_.RequestTimeout_);
-  Stream_.async_read_some(
-      Buffer_.prepare(ReadChunkBytes),
-      [Self = shared_from_this()](error_code Failure, std::size_t Size) {
-        Self->Idle_ = false;
-        if (Failure) {
-          Self->Reading_ = false;
-          Self->closeUnlessDataPending(Failure);
-          return;
-        }
-        Self->Buffer_.commit(Size);
-        Self->readRequest();
-      });
-}
-
-void HttpSession::closeUnlessDataPending(const error_code &Cause) {
-  error_code Failure;
-  const bool DataPending =
-      IdleReadCancelled_ && Stream_.socket().available(Failure) > 0;
-  if (!DataPending || Failure) {
-    abandon(endOf(Cause));
-    return;
-  }
-  IdleReadCancelled_ = false;
-  readNext();
-}
-
-void HttpSession::readRequest() {
-  Stream_.expires_after(Server_->Options_.RequestTimeout_);
-  http::async_read(
-      Stream_, Buffer_, *Parser_,
-      [Self = shared_from_this()](error_code Failure, std::size_t) {
-        Self->Reading_ = false;
-        Self->onRead(Failure);
-      });
-}
-
-void HttpSession::onRead(const error_code &Failure) {
-  if (Closed_)
-    return;
-  if (LastRequestRead_) {
-    if (!Failure && Discarding_)
-      discardInput();
-    return;
-  }
-  if (Failure) {
-    onReadFailed(Failure);
-    return;
-  }
-  if (hasAmbiguousFraming()) {
-    rejectRequest(400);
-    return;
-  }
-  const bool KeepAlive = Parser_->keep_alive();
-  WaitingRequest_ = requestFromBeast(Parser_->release());
-  LastRequestRead_ = !KeepAlive;
-  Pipelined_ = Pipelined_ || !Pending_.empty();
-  if (Server_->ChecksClients_ && isClientGone()) {
-    abandon();
-    return;
-  }
-  startWaitingRequest();
-}
-
-void HttpSession::onReadFailed(const error_code &Failure) {
-  const bool ConnectionLost =
-      Failure == http::error::end_of_stream ||
-      Failure == boost::asio::error::operation_aborted ||
-      Failure == boost::asio::error::connection_reset;
-  if (ConnectionLost) {
-    abandon(endOf(Failure));
-    return;
-  }
-  rejectRequest(parseErrorStatus(Failure));
-}
-
-/// Returns whether the request's length is ambiguous: repeated length
-/// headers, or a length together with chunked encoding, allow request
-/// smuggling.
-bool HttpSession::hasAmbiguousFraming() const {
-  const http::fields &Fields = Parser_->get().base();
-  const bool HasLength = Fields.count(http::field::content_length) > 0;
-  const bool HasChunks = Fields.count(http::field::transfer_encoding) > 0;
-  if (HasLength && HasChunks)
-    return true;
-  return Fields.count(http::field::content_length) > 1 ||
-         Fields.count(http::field::transfer_encoding) > 1;
-}
-
-/// Answers a malformed request, after the requests before it. Nothing behind it
-/// can be read.
-void HttpSession::rejectRequest(unsigned Status) {
-  LastRequestRead_ = true;
-  const std::uint64_t Number = addPending(false);
-  respond(Number, parseErrorResponse(Status));
-}
-
 /// Returns whether the waiting request can't be handled yet.
 bool HttpSession::mustWait() const {
   if (Pending_.empty())
@@ -302,15 +126,6 @@
   readAhead();
 }
 
-/// Reads the requests that the client sends before the pending ones are
-/// answered.
-void HttpSession::readAhead() {
-  if (Buffer_.size() > 0)
-    readNext();
-  else
-    watchForInput();
-}
-
 std::uint64_t HttpSession::addPending(bool Overlappable) {
   PendingExchange Added;
   Added.Number_ = ++LastNumber_;
@@ -343,6 +158,7 @@
 void HttpSession::write(HttpResponse Source, bool KeepAlive) {
   Writing_ = true;
   WaitingBytes_ -= Source.Body_.size();
+  SendingBytes_ = Source.Body_.size();
   Response_.emplace();
   Response_->version(11);
   Response_->result(Source.Status_);
@@ -350,6 +166,11 @@
   Response_->body() = std::move(Source.Body_);
   Response_->keep_alive(KeepAlive);
   Response_->prepare_payload();
+  if (SendingBytes_ > LargeResponseBytes) {
+    Serializer_.emplace(*Response_);
+    writePart(KeepAlive);
+    return;
+  }
   Stream_.expires_never();
   http::async_write(
       Stream_, *Response_,
@@ -358,11 +179,58 @@
       });
 }
 
+/// Sends what the client takes of a large response. A client that takes nothing
+/// for as long as a connection may be idle is disconnected.
+void HttpSession::writePart(bool KeepAlive) {
+  Stream_.expires_after(Server_->Options_.IdleTimeout_);
+  http::async_write_some(
+      Stream_, *Serializer_,
+      [Self = shared_from_this(), KeepAlive](error_code Failure, std::size_t) {
+        if (Failure || Self->Closed_ || Self->Serializer_->is_done()) {
+          Self->onWritten(Failure, KeepAlive);
+          return;
+        }
+        Self->Output_.ProgressAt_ = std::chrono::steady_clock::now();
+        Self->writePart(KeepAlive);
+      });
+}
+
+/// Counts the responses that are not sent completely.
+void HttpSession::countOutput() {
+  const std::size_t Bytes = WaitingBytes_ + SendingBytes_;
+  if (Bytes > LargeResponseBytes && !Output_.GiveWay_) {
+    Output_.ProgressAt_ = std::chrono::steady_clock::now();
+    Output_.GiveWay_ = [this] {
+      ++Server_->Rejections_[static_cast<std::size_t>(
+          RequestRejection::ResponseNotRead)];
+      abandon();
+    };
+  }
+  Server_->Budget_->resize(Output_, Bytes);
+  if (!Server_->Budget_->isExceeded())
+    return;
+  // The request's body still counts while its response is passed on.
+  boost::asio::post(Stream_.get_executor(), [Budget = Server_->Budget_] {
+    Budget->enforce(std::chrono::steady_clock::now());
+  });
+}
+
+void HttpSession::endOutput() {
+  Output_.GiveWay_ = nullptr;
+  Server_->Budget_->resize(Output_, 0);
+}
+
 void HttpSession::onWritten(const error_code &Failure, bool KeepAlive) {
   Writing_ = false;
+  Serializer_.reset();
   Response_.reset();
+  SendingBytes_ = 0;
   if (Closed_)
     return;
+  if (WaitingBytes_ == 0)
+    endOutput();
+  else
+    countOutput();
   Pending_.pop_front();
   --Server_->OpenExchanges_;
   if (Failure) {
@@ -408,62 +276,11 @@
   writeNext();
 }
 
-/// Waits until the client sends another request or closes the connection.
-void HttpSession::watchForInput() {
-  if (Watching_ || Reading_ || Closed_ || Pending_.empty())
-    return;
-  Watching_ = true;
-  Stream_.socket().async_wait(tcp::socket::wait_read,
-                              [Self = shared_from_this()](error_code Failure) {
-                                Self->Watching_ = false;
-                                Self->onReadable(Failure);
-                              });
-}
-
-void HttpSession::onReadable(const error_code &Failure) {
-  if (Failure || Reading_ || Closed_ || Pending_.empty())
-    return;
-  switch (peekInput()) {
-  case InputState::Data:
-    readNext();
-    return;
-  case InputState::None:
-    watchForInput();
-    return;
-  case InputState::Ended:
-    abandon();
-    return;
-  case InputState::Broken:
-    abandon(ConnectionEnd::Broken);
-    return;
-  }
-}
-
-/// Returns what the socket holds, without reading it.
-HttpSession::InputState HttpSession::peekInput() {
-  char Byte = 0;
-  error_code Failure;
-  Stream_.socket().non_blocking(true, Failure);
-  Stream_.socket().receive(boost::asio::buffer(&Byte, 1),
-                           tcp::socket::message_peek, Failure);
-  if (!Failure)
-    return InputState::Data;
-  if (Failure == boost::asio::error::would_block)
-    return InputState::None;
-  return endOf(Failure) == ConnectionEnd::Closed ? InputState::Ended
-                                                 : InputState::Broken;
-}
-
-bool HttpSession::isClientGone() {
-  const InputState Input = peekInput();
-  return Input == InputState::Ended || Input == InputState::Broken;
-}
-
 /// Closes the connection after its last response. If requests behind it may
 /// still arrive, they are discarded for a while: closing a connection with
 /// unread data resets it, and the client could lose the response.
 void HttpSession::closeAfterResponse() {
-  if (!Pipelined_ && !Reading_) {
+  if (!Pipelined_ && !Reading_ && !InputLeft_) {
     abandon();
     return;
   }
@@ -471,24 +288,9 @@
   error_code Ignored;
   Stream_.socket().shutdown(tcp::socket::shutdown_send, Ignored);
   if (Reading_)
-    return;
-  Buffer_.clear();
-  Stream_.expires_after(MaxDiscardTime);
-  discardInput();
-}
-
-void HttpSession::discardInput() {
-  Reading_ = true;
-  Buffer_.clear();
-  Stream_.async_read_some(
-      Buffer_.prepare(ReadChunkBytes),
-      [Self = shared_from_this()](error_code Failure, std::size_t) {
-        Self->Reading_ = false;
-        if (Failure)
-          Self->abandon();
-        else
-          Self->discardInput();
-      });
+    Stream_.cancel();
+  else
+    startDiscarding();
 }
 
 /// Closes the connection. The requests without a response are abandoned.
@@ -507,6 +309,11 @@
 
 void HttpSession::close() {
   Closed_ = true;
+  endInput();
+  endOutput();
+  Server_->Sessions_.erase(this);
+  Idle_ = false;
+  Reader_.reset();
   WaitingRequest_.reset();
   error_code Ignored;
   Stream_.socket().shutdown(tcp::socket::shutdown_both, Ignored);
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -5,10 +5,15 @@
 /// One connection to an HTTP server. Internal to net/.
 
 #include "net/http_server_state.h"
+#include "net/memory_budget.h"
+#include "net/request_reader.h"
+#include "net/request_rejection.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
@@ -56,6 +61,16 @@
   /// about to send its first one, so that stays open, too.
   void closeIfIdle();
 
+  /// Returns since when the connection has waited for a request; std::nullopt
+  /// if it does not wait for one.
+  std::optional<Instant> idleSince() const {
+    return Idle_ && Pending_.empty() ? std::optional<Instant>(IdleSince_)
+                                     : std::nullopt;
+  }
+
+  /// Closes the connection. The requests without a response are abandoned.
+  void abandon(ConnectionEnd End = ConnectionEnd::Closed);
+
 private:
   /// A request that was passed to the handler and is not answered completely.
   struct PendingExchange {
@@ -79,18 +94,26 @@
   PendingExchange *findPending(std::uint64_t Number);
   bool canRead() const;
   void readNext();
-  void readRequest();
   void closeUnlessDataPending(const boost::beast::error_code &Cause);
-  void onRead(const boost::beast::error_code &Failure);
+  void onInput(const boost::beast::error_code &Failure, std::size_t Size);
+  void readOn();
+  std::size_t nextReadBytes() const;
+  void setRequestTimer();
+  bool isRequestLate() const;
+  bool reserveInput();
+  void endInput();
+  void onRequest();
   void onReadFailed(const boost::beast::error_code &Failure);
-  bool hasAmbiguousFraming() const;
-  void rejectRequest(unsigned Status);
+  void rejectRequest(RequestRejection Reason);
   bool mustWait() const;
   void startWaitingRequest();
   void startExchange(HttpRequest Request);
   std::uint64_t addPending(bool Overlappable);
   void writeNext();
   void write(HttpResponse Source, bool KeepAlive);
+  void writePart(bool KeepAlive);
+  void countOutput();
+  void endOutput();
   void onWritten(const boost::beast::error_code &Failure, bool KeepAlive);
   void onProgressWritten(const boost::beast::error_code &Failure);
   void readAhead();
@@ -99,19 +122,29 @@
   InputState peekInput();
   void readArrived();
   void closeAfterResponse();
+  void startDiscarding();
   void discardInput();
   bool isClientGone();
-  void abandon(ConnectionEnd End = ConnectionEnd::Closed);
   void close();
 
   boost::beast::tcp_stream Stream_;
   std::shared_ptr<HttpServer::Impl> Server_;
   boost::beast::flat_buffer Buffer_;
-  std::optional<
-      boost::beast::http::request_parser<boost::beast::http::string_body>>
-      Parser_;
+  /// Ends the reading of an incomplete request.
+  boost::asio::steady_timer RequestTimer_;
+  bool RequestTimerSet_ = false;
+  std::optional<RequestReader> Reader_;
+  /// The request that is being read.
+  BudgetEntry Input_;
   std::optional<boost::beast::http::response<boost::beast::http::string_body>>
       Response_;
+  /// Set while a large response is being sent.
+  std::optional<
+      boost::beast::http::response_serializer<boost::beast::http::string_body>>
+      Serializer_;
+  /// The responses that are not sent completely.
+  BudgetEntry Output_;
+  std::size_t SendingBytes_ = 0;
   /// Requests without a complete response, in the order of their arrival.
   std::deque<PendingExchange> Pending_;
   /// The size of the responses in Pending_ that wait for an earlier one, in
@@ -125,6 +158,7 @@
   bool Watching_ = false;
   /// Whether no byte of a request has been received since the last one.
   bool Idle_ = false;
+  Instant IdleSince_;
   /// Whether closeIfIdle() cancelled the pending read.
   bool IdleReadCancelled_ = false;
   /// Whether the client has sent a request before the one before it was
@@ -133,8 +167,11 @@
   /// Whether no further request is handled: the response to the last one in
   /// Pending_ closes the connection.
   bool LastRequestRead_ = false;
+  /// Whether the rest of a rejected request may still arrive.
+  bool InputLeft_ = false;
   /// Whether the last response is sent and further input is discarded.
   bool Discarding_ = false;
+  std::size_t DiscardedBytes_ = 0;
   bool Closed_ = false;
 };
 
--- /dev/null
+++ b/net/http_session_input.cpp
@@ -0,0 +1,349 @@
+/// \file
+/// How a connection to an HTTP server reads requests.
+
+#include "net/http_session.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::beast::error_code;
+
+namespace lagoonhitch {
+
+namespace {
+
+constexpr std::size_t ReadChunkBytes = 8192;
+/// Maximum size of one read of a large body.
+constexpr std::size_t MaxReadBytes = std::size_t{64} * 1024;
+/// Size from which a body is read in larger parts.
+constexpr std::size_t LargeBodyBytes = std::size_t{64} * 1024;
+/// Maximum size of the buffer that a connection keeps between two requests.
+constexpr std::size_t MaxIdleBufferBytes = std::size_t{16} * 1024;
+/// Maximum number of requests of one connection that are handled at a time.
+constexpr std::size_t MaxPendingExchanges = 16;
+/// Size of waiting responses, in bytes, from which no further request of the
+/// connection is read.
+constexpr std::size_t MaxWaitingBytes = std::size_t{256} * 1024;
+/// How long the input behind the last request is discarded.
+constexpr std::chrono::milliseconds MaxDiscardTime{500};
+/// How much of it is read.
+constexpr std::size_t MaxDiscardedBytes = std::size_t{4} * 1024 * 1024;
+
+ConnectionEnd endOf(const error_code &Failure) {
+  const bool Closed = Failure == boost::asio::error::eof ||
+                      Failure == http::error::end_of_stream ||
+                      Failure == boost::asio::error::operation_aborted;
+  return Closed ? ConnectionEnd::Closed : ConnectionEnd::Broken;
+}
+
+} // namespace
+
+/// Reads the start of the first request if it has arrived.
+void HttpSession::readArrived() {
+  error_code Failure;
+  Stream_.socket().non_blocking(true, Failure);
+  const std::size_t Size =
+      Stream_.socket().read_some(Buffer_.prepare(ReadChunkBytes), Failure);
+  if (!Failure)
+    Buffer_.commit(Size);
+}
+
+bool HttpSession::canRead() const {
+  return !Reading_ && !Closed_ && !LastRequestRead_ && !WaitingRequest_ &&
+         Pending_.size() < MaxPendingExchanges &&
+         WaitingBytes_ < MaxWaitingBytes;
+}
+
+void HttpSession::readNext() {
+  if (!canRead())
+    return;
+  Reading_ = true;
+  const HttpServerOptions &Options = Server_->Options_;
+  Reader_.emplace(
+      RequestLimits{Options.MaxHeaderBytes_, Options.MaxBodyBytes_});
+  if (Buffer_.size() > 0) {
+    boost::asio::post(Stream_.get_executor(), [Self = shared_from_this()] {
+      Self->onInput(error_code(), 0);
+    });
+    return;
+  }
+  Idle_ = true;
+  IdleSince_ = std::chrono::steady_clock::now();
+  Stream_.expires_after(Pending_.empty() ? Options.IdleTimeout_
+                                         : Options.RequestTimeout_);
+  Stream_.async_read_some(
+      Buffer_.prepare(ReadChunkBytes),
+      [Self = shared_from_this()](error_code Failure, std::size_t Size) {
+        Self->Idle_ = false;
+        if (Failure && !Self->Discarding_) {
+          Self->Reading_ = false;
+          Self->closeUnlessDataPending(Failure);
+          return;
+        }
+        Self->onInput(Failure, Size);
+      });
+}
+
+void HttpSession::closeUnlessDataPending(const error_code &Cause) {
+  error_code Failure;
+  const bool DataPending =
+      IdleReadCancelled_ && Stream_.socket().available(Failure) > 0;
+  if (!DataPending || Failure) {
+    abandon(endOf(Cause));
+    return;
+  }
+  IdleReadCancelled_ = false;
+  readNext();
+}
+
+/// Handles what was read of a request.
+void HttpSession::onInput(const error_code &Failure, std::size_t Size) {
+  Reading_ = false;
+  if (Closed_)
+    return;
+  if (LastRequestRead_) {
+    if (Discarding_)
+      startDiscarding();
+    return;
+  }
+  if (Failure) {
+    onReadFailed(Failure);
+    return;
+  }
+  Buffer_.commit(Size);
+  RequestReader::Progress Progress = Reader_->parse(Buffer_);
+  if (Progress == RequestReader::Progress::Header) {
+    // A body that has arrived needs no reservation.
+    if (Reader_->bodyBytesLeft() > Buffer_.size() && !reserveInput()) {
+      rejectRequest(RequestRejection::NoMemory);
+      return;
+    }
+    Progress = Reader_->parse(Buffer_);
+  }
+  switch (Progress) {
+  case RequestReader::Progress::Complete:
+    onRequest();
+    return;
+  case RequestReader::Progress::Rejected:
+    rejectRequest(Reader_->rejection());
+    return;
+  case RequestReader::Progress::Header:
+  case RequestReader::Progress::Incomplete:
+    readOn();
+    return;
+  }
+}
+
+/// Reads more of an incomplete request.
+void HttpSession::readOn() {
+  if (!RequestTimerSet_)
+    setRequestTimer();
+  if (!reserveInput()) {
+    rejectRequest(RequestRejection::NoMemory);
+    return;
+  }
+  Reading_ = true;
+  Stream_.expires_never();
+  Stream_.async_read_some(
+      Buffer_.prepare(nextReadBytes()),
+      [Self = shared_from_this()](error_code Failure, std::size_t Size) {
+        Self->onInput(Failure, Size);
+      });
+}
+
+std::size_t HttpSession::nextReadBytes() const {
+  if (Reader_->bodyBytes(0) <= LargeBodyBytes)
+    return ReadChunkBytes;
+  return std::clamp(Reader_->bodyBytesLeft(), ReadChunkBytes, MaxReadBytes);
+}
+
+/// The timeout of the stream would close it, and no response could be sent.
+void HttpSession::setRequestTimer() {
+  RequestTimerSet_ = true;
+  RequestTimer_.expires_after(Server_->Options_.RequestTimeout_);
+  RequestTimer_.async_wait([Weak = weak_from_this()](error_code Failure) {
+    const std::shared_ptr<HttpSession> Self = Weak.lock();
+    // A cancelled timer that has expired calls back without an error.
+    if (!Failure && Self && Self->isRequestLate())
+      Self->rejectRequest(RequestRejection::Late);
+  });
+}
+
+bool HttpSession::isRequestLate() const {
+  return RequestTimerSet_ && !Closed_ && !LastRequestRead_ &&
+         RequestTimer_.expiry() <= std::chrono::steady_clock::now();
+}
+
+/// Counts what the incomplete request needs for the next read. Returns whether
+/// it fits into the memory.
+bool HttpSession::reserveInput() {
+  const std::size_t ReadBytes = nextReadBytes();
+  const std::size_t BufferBytes =
+      std::max(Buffer_.capacity(), Buffer_.size() + ReadBytes);
+  const std::size_t Bytes = Reader_->bodyBytes(ReadBytes) +
+                            (BufferBytes > ReadChunkBytes ? BufferBytes : 0);
+  if (!Input_.GiveWay_)
+    Input_.GiveWay_ = [this] { rejectRequest(RequestRejection::NoMemory); };
+  return Server_->Budget_->tryResize(Input_, Bytes,
+                                     std::chrono::steady_clock::now());
+}
+
+/// Ends the reservation and the timeout of the request that was being read.
+void HttpSession::endInput() {
+  if (RequestTimerSet_) {
+    RequestTimerSet_ = false;
+    RequestTimer_.cancel();
+  }
+  if (Input_.Bytes_ == 0 && !Input_.GiveWay_)
+    return;
+  Input_.GiveWay_ = nullptr;
+  Server_->Budget_->resize(Input_, 0);
+}
+
+void HttpSession::onRequest() {
+  endInput();
+  const bool KeepAlive = Reader_->keepsAlive();
+  WaitingRequest_ = Reader_->release(Server_->Budget_);
+  Reader_.reset();
+  if (Buffer_.size() == 0 && Buffer_.capacity() > MaxIdleBufferBytes)
+    Buffer_ = boost::beast::flat_buffer();
+  // A small body is not counted before it is complete.
+  if (Server_->Budget_->isExceeded()) {
+    Server_->Budget_->enforce(std::chrono::steady_clock::now());
+    if (Server_->Budget_->isExceeded() && !WaitingRequest_->Body_.empty()) {
+      WaitingRequest_.reset();
+      rejectRequest(RequestRejection::NoMemory);
+      return;
+    }
+  }
+  LastRequestRead_ = !KeepAlive;
+  Pipelined_ = Pipelined_ || !Pending_.empty();
+  if (Server_->ChecksClients_ && isClientGone()) {
+    abandon();
+    return;
+  }
+  startWaitingRequest();
+}
+
+void HttpSession::onReadFailed(const error_code &Failure) {
+  const bool Incomplete =
+      Failure == boost::asio::error::eof && Reader_->onEndOfStream();
+  if (Incomplete)
+    rejectRequest(RequestRejection::Malformed);
+  else
+    abandon(endOf(Failure));
+}
+
+/// Answers a request that can't be handled, after the requests before it.
+/// Nothing behind it can be read.
+void HttpSession::rejectRequest(RequestRejection Reason) {
+  endInput();
+  Reader_.reset();
+  if (!Reading_)
+    Buffer_ = boost::beast::flat_buffer();
+  LastRequestRead_ = true;
+  InputLeft_ = true;
+  ++Server_->Rejections_[static_cast<std::size_t>(Reason)];
+  const std::uint64_t Number = addPending(false);
+  HttpResponse Response = rejectionResponse(Reason);
+  if (Reason == RequestRejection::NoMemory)
+    for (const HttpHeader &Header : Server_->Options_.NoMemoryHeaders_)
+      Response.Headers_.push_back(Header);
+  respond(Number, std::move(Response));
+}
+
+/// Reads the requests that the client sends before the pending ones are
+/// answered.
+void HttpSession::readAhead() {
+  if (Buffer_.size() > 0)
+    readNext();
+  else
+    watchForInput();
+}
+
+/// Waits until the client sends another request or closes the connection.
+void HttpSession::watchForInput() {
+  if (Watching_ || Reading_ || Closed_ || Pending_.empty())
+    return;
+  Watching_ = true;
+  Stream_.socket().async_wait(tcp::socket::wait_read,
+                              [Self = shared_from_this()](error_code Failure) {
+                                Self->Watching_ = false;
+                                Self->onReadable(Failure);
+                              });
+}
+
+void HttpSession::onReadable(const error_code &Failure) {
+  if (Failure || Reading_ || Closed_ || Pending_.empty())
+    return;
+  switch (peekInput()) {
+  case InputState::Data:
+    readNext();
+    return;
+  case InputState::None:
+    watchForInput();
+    return;
+  case InputState::Ended:
+    abandon();
+    return;
+  case InputState::Broken:
+    abandon(ConnectionEnd::Broken);
+    return;
+  }
+}
+
+/// Returns what the socket holds, without reading it.
+HttpSession::InputState HttpSession::peekInput() {
+  char Byte = 0;
+  error_code Failure;
+  Stream_.socket().non_blocking(true, Failure);
+  Stream_.socket().receive(boost::asio::buffer(&Byte, 1),
+                           tcp::socket::message_peek, Failure);
+  if (!Failure)
+    return InputState::Data;
+  if (Failure == boost::asio::error::would_block)
+    return InputState::None;
+  return endOf(Failure) == ConnectionEnd::Closed ? InputState::Ended
+                                                 : InputState::Broken;
+}
+
+bool HttpSession::isClientGone() {
+  const InputState Input = peekInput();
+  return Input == InputState::Ended || Input == InputState::Broken;
+}
+
+void HttpSession::startDiscarding() {
+  Buffer_ = boost::beast::flat_buffer();
+  Stream_.expires_never();
+  RequestTimerSet_ = true;
+  RequestTimer_.expires_after(MaxDiscardTime);
+  RequestTimer_.async_wait([Self = shared_from_this()](error_code Failure) {
+    if (!Failure)
+      Self->abandon();
+  });
+  discardInput();
+}
+
+/// A client that sends without end is not read any more, but has time to read
+/// the response.
+void HttpSession::discardInput() {
+  if (DiscardedBytes_ > MaxDiscardedBytes)
+    return;
+  Reading_ = true;
+  Stream_.async_read_some(
+      Buffer_.prepare(ReadChunkBytes),
+      [Self = shared_from_this()](error_code Failure, std::size_t Size) {
+        Self->Reading_ = false;
+        Self->DiscardedBytes_ += Size;
+        if (Failure)
+          Self->abandon();
+        else
+          Self->discardInput();
+      });
+}
+
+} // namespace lagoonhitch
--- a/observe/metrics.cpp
+++ b/observe/metrics.cpp
@@ -60,6 +60,18 @@
           .Help("How late the serving loop runs its timers")
           .Register(Registry_)
           .Add({}, LatencyBuckets);
+  prometheus::Gauge &HeldBytes_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_held_bytes")
+          .Help("Request bodies and responses that servers hold, in bytes")
+          .Register(Registry_)
+          .Add({});
+  prometheus::Family<prometheus::Counter> &Rejections_ =
+      prometheus::BuildCounter()
+          .Name("lagoonhitch_server_rejections_total")
+          .Help("Requests rejected before they were handled, and connections "
+                "closed, by reason")
+          .Register(Registry_);
   prometheus::Gauge &OwnedShards_ = prometheus::BuildGauge()
                                         .Name("lagoonhitch_owned_shards")
                                         .Help("Shards that this daemon owns")
@@ -79,6 +91,15 @@
       .Observe(std::chrono::duration<double>(Latency).count());
 }
 
+void Metrics::setHeldBytes(std::size_t Bytes) {
+  Impl_->HeldBytes_.Set(static_cast<double>(Bytes));
+}
+
+void Metrics::countRejections(const char *Reason, std::uint64_t Count) {
+  Impl_->Rejections_.Add({{"reason", Reason}})
+      .Increment(static_cast<double>(Count));
+}
+
 void Metrics::countEvent(const char *Name) {
   Impl_->Events_.Add({{"name", Name}}).Increment();
 }
--- a/observe/metrics.h
+++ b/observe/metrics.h
@@ -7,6 +7,8 @@
 #include "core/clock.h"
 #include "core/outcome.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -46,6 +48,14 @@
   /// Sets the number of shards that the daemon owns.
   void setOwnedShards(std::size_t Count);
 
+  /// Sets the size of the request bodies and responses that servers hold.
+  void setHeldBytes(std::size_t Bytes);
+
+  /// Counts requests that servers rejected before they handled them, and
+  /// connections that they closed.
+  /// \param Reason such as `no_memory`.
+  void countRejections(const char *Reason, std::uint64_t Count);
+
   /// Returns all metrics in the Prometheus text format.
   std::string text() const;
 
--- a/settings/daemon_settings.h
+++ b/settings/daemon_settings.h
@@ -36,6 +36,10 @@
   std::chrono::milliseconds SuspectAfter_{2500};
   /// Maximum size of a caller's request body.
   std::size_t MaxBodyBytes_ = 1024 * 1024;
+  /// Memory of the host, in MB. The default is that of the smallest hosts.
+  std::size_t MemoryMegabytes_ = 160;
+  /// Maximum number of file descriptors of the daemon.
+  std::size_t MaxDescriptors_ = 4100;
 
   /// Whether the site starts for the first time, so that no daemon of an
   /// earlier time can have granted keys.
--- a/settings/host_settings.cpp
+++ b/settings/host_settings.cpp
@@ -52,6 +52,17 @@
     Target = Field->get<double>();
   }
 
+  /// Reads a number of at least one; a missing or null field keeps its default.
+  void readCount(const char *Name, std::size_t &Target) {
+    constexpr double MaxCount = 1e15;
+    double Value = static_cast<double>(Target);
+    readNumber(Name, Value);
+    if (Value >= 1 && Value <= MaxCount)
+      Target = static_cast<std::size_t>(Value);
+    else
+      addFault(Name, find(Name), "a number of at least one");
+  }
+
   /// Reads a field that may be missing.
   void readFlag(const char *Name, bool &Target) {
     const Json *Field = find(Name);
@@ -114,6 +125,8 @@
   Fields.readString("admin", Settings.AdminAddress_);
   Fields.readString("store", Settings.StoreAddress_);
   Fields.readFlag("first_start", Settings.FirstStart_);
+  Fields.readCount("memory_mb", Settings.MemoryMegabytes_);
+  Fields.readCount("max_fds", Settings.MaxDescriptors_);
   std::vector<SettingsFault> Faults = Fields.takeFaults();
   const Json None = Json::object();
   const Json &Bounds = Source.is_object() && Source.contains("bounds")
--- a/settings/schema.cpp
+++ b/settings/schema.cpp
@@ -92,7 +92,9 @@
         "stop_timeout_ms": {"type": "integer", "minimum": 3000,
                             "maximum": 120000},
         "body_bytes": {"type": "integer", "minimum": 1024,
-                       "maximum": 16777216},
+                       "maximum": 67108864},
+        "memory_mb": {"type": "integer", "minimum": 64, "maximum": 1048576},
+        "max_fds": {"type": "integer", "minimum": 1024, "maximum": 1048576},
         "retry_percent": {"type": "integer", "minimum": 0, "maximum": 50}
       }
     },
--- a/settings/settings_load.cpp
+++ b/settings/settings_load.cpp
@@ -80,6 +80,9 @@
   readMillis(Limits, "suspect_ms", Settings.SuspectAfter_);
   readMillis(Limits, "stop_timeout_ms", Settings.Bounds_.StopTimeout_);
   Settings.MaxBodyBytes_ = Limits.value("body_bytes", Settings.MaxBodyBytes_);
+  Settings.MemoryMegabytes_ =
+      Limits.value("memory_mb", Settings.MemoryMegabytes_);
+  Settings.MaxDescriptors_ = Limits.value("max_fds", Settings.MaxDescriptors_);
   constexpr double Percent = 100;
   if (Limits.contains("retry_percent"))
     Settings.Bounds_.RetryRatio_ =
--- a/tests/process/load_generator.cpp
+++ b/tests/process/load_generator.cpp
@@ -82,15 +82,16 @@
   Request.Target_ = Chosen.Prefix_ + Key + Chosen.Suffix_;
   const std::string CallName = Request.Method_ + " " + std::to_string(Number);
   Request.Headers_.push_back({"X-Call", CallName});
-  Request.Body_ = Request.Method_ == "POST" ? "body " + CallName : "";
-  if (Request.Body_.size() < Options_.MinBodyBytes_)
-    Request.Body_.resize(Options_.MinBodyBytes_, 'x');
+  std::string Body = Request.Method_ == "POST" ? "body " + CallName : "";
+  if (Body.size() < Options_.MinBodyBytes_)
+    Body.resize(Options_.MinBodyBytes_, 'x');
+  Request.Body_ = std::move(Body);
   Call Entry;
   Entry.SentAt_ = Time_.now();
   Entry.Target_ = Request.Target_;
   History::CallAnswer Answered;
   Answered.Call_ = CallName;
-  Answered.Expected_ = Request.Target_ + Request.Body_;
+  Answered.Expected_ = Request.Target_ + Request.Body_.text();
   HttpCallOptions Options;
   Options.Timeout_ = CallTimeout;
   ++InFlight_;
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -303,13 +303,14 @@
 unsigned Site::appendToStore(const std::string &Topic, const std::string &Key,
                              const std::string &Value) const {
   const std::size_t Size = 1 + Key.size() + Value.size();
+  std::string Body;
   HttpRequest Request;
   Request.Method_ = "POST";
   Request.Target_ = "/log-append?topic=" + Topic + "&part=0";
   for (const unsigned Shift : {24U, 16U, 8U, 0U})
-    Request.Body_.push_back(static_cast<char>((Size >> Shift) & 0xFFU));
-  Request.Body_.push_back(static_cast<char>(Key.size()));
-  Request.Body_ += Key + Value;
+    Body.push_back(static_cast<char>((Size >> Shift) & 0xFFU));
+  Body.push_back(static_cast<char>(Key.size()));
+  Request.Body_ = Body + Key + Value;
   return callBlocking(Time_, StoreAddress_, std::move(Request),
                       std::chrono::seconds(3))
       .Response_.Status_;
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -36,7 +36,7 @@
 using lagoonhitch::HttpRequest;
 
 lagoonhitch::HttpServerOptions serverOptions() {
-  constexpr std::size_t BodyLimit = 16 * 1024 * 1024;
+  constexpr std::size_t BodyLimit = 64 * 1024 * 1024;
   lagoonhitch::HttpServerOptions Options;
   Options.Address_ = absl::GetFlag(FLAGS_listen);
   Options.MaxBodyBytes_ = BodyLimit;
--- a/tests/standin/store_standin.cpp
+++ b/tests/standin/store_standin.cpp
@@ -218,7 +218,7 @@
 }
 
 void StoreStandin::setMode(const HttpRequest &Request, HttpExchange &Exchange) {
-  const Json Mode = Json::parse(Request.Body_, nullptr, false);
+  const Json Mode = Json::parse(Request.Body_.text(), nullptr, false);
   if (!Mode.is_object()) {
     Exchange.respond(jsonResponse(400, Json::object()));
     return;
--- a/tests/standin/upstream_standin.cpp
+++ b/tests/standin/upstream_standin.cpp
@@ -230,7 +230,7 @@
                            {"token", Ended.Fence_},
                            {"echo", Ended.Request_.Body_.size() > MaxEchoBytes
                                         ? std::string()
-                                        : Ended.Request_.Body_}})
+                                        : Ended.Request_.Body_.text()}})
                          .dump();
   }
   Ended.Exchange_->respond(std::move(Response));
@@ -259,7 +259,7 @@
 
 void UpstreamStandin::setMode(const HttpRequest &Request,
                               HttpExchange &Exchange) {
-  const Json Mode = Json::parse(Request.Body_, nullptr, false);
+  const Json Mode = Json::parse(Request.Body_.text(), nullptr, false);
   HttpResponse Response;
   if (!Mode.is_object()) {
     Response.Status_ = 400;
--- a/tests/standin/upstream_standin_keys.cpp
+++ b/tests/standin/upstream_standin_keys.cpp
@@ -25,7 +25,7 @@
     Exchange.respond(std::move(Response));
     return;
   }
-  const Json Body = Json::parse(Request.Body_, nullptr, false);
+  const Json Body = Json::parse(Request.Body_.text(), nullptr, false);
   if (!Body.is_object()) {
     Exchange.respond(makeResponse(Request, 400));
     return;
@@ -66,7 +66,7 @@
 
 void UpstreamStandin::handleRelease(
     const HttpRequest &Request, const std::shared_ptr<HttpExchange> &Exchange) {
-  const Json Body = Json::parse(Request.Body_, nullptr, false);
+  const Json Body = Json::parse(Request.Body_.text(), nullptr, false);
   if (!Body.is_object()) {
     Exchange->respond(makeResponse(Request, 400));
     return;
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -695,7 +695,7 @@
   ClientFixture Fixture(Script);
   HttpRequest Request;
   Request.Method_ = "POST";
-  Request.Body_.assign(RequestBytes, 'a');
+  Request.Body_ = std::string(RequestBytes, 'a');
   HttpCallOptions Call;
   Call.Timeout_ = CallTimeout;
   Fixture.Client_.send(Fixture.Server_.address(), std::move(Request), Call,
--- a/tests/unit/manifest_test.cpp
+++ b/tests/unit/manifest_test.cpp
@@ -202,7 +202,7 @@
   Row.Fence_ = 12;
   Row.Handover_ = "5c";
   const HttpRequest Grant = encodeGrant(Row, std::chrono::milliseconds(2500));
-  const nlohmann::json Body = nlohmann::json::parse(Grant.Body_);
+  const nlohmann::json Body = nlohmann::json::parse(Grant.Body_.text());
   BOOST_TEST(Body == nlohmann::json::parse(
                          R"({"from":4096,"to":8191,"fence":12,"hold-s":2.5,
                              "handover":"5c"})"));
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -123,6 +123,8 @@
     {R"({"host": {"upstream": null}})", "/host"},
     {R"({"limits": {"moves": 4}})", "/limits"},
     {R"({"limits": {"body_bytes": 1}})", "/limits/body_bytes"},
+    {R"({"limits": {"memory_mb": 0}})", "/limits/memory_mb"},
+    {R"({"limits": {"max_fds": "x"}})", "/limits/max_fds"},
     {R"({"host": null})", "/"},
     {R"({"host": {"name": null}})", "/host"},
     {R"({"host": {"zone": "kv-z"}})", "/host/zone"},
@@ -180,6 +182,30 @@
   BOOST_CHECK_THROW(parseHostSettings(Host), SettingsError);
 }
 
+/// Files of earlier versions have neither field, and a platform that knows no
+/// limit gives null.
+BOOST_AUTO_TEST_CASE(ReadsTheLimitsOfTheHost) {
+  Json Host;
+  for (const char *Name : {"host", "zone", "service", "upstream", "callers",
+                           "ready", "announce", "peers", "admin", "store"})
+    Host[Name] = "x";
+  BOOST_TEST(parseHostSettings(Host).MemoryMegabytes_ == 160U);
+  BOOST_TEST(parseHostSettings(Host).MaxDescriptors_ == 4100U);
+  Host["memory_mb"] = nullptr;
+  Host["max_fds"] = 8192;
+  BOOST_TEST(parseHostSettings(Host).MemoryMegabytes_ == 160U);
+  BOOST_TEST(parseHostSettings(Host).MaxDescriptors_ == 8192U);
+  for (const Json &Invalid : {Json("512"), Json(0), Json(-1), Json(1e300)}) {
+    Host["memory_mb"] = Invalid;
+    BOOST_CHECK_THROW(parseHostSettings(Host), SettingsError);
+  }
+  Json Own = Json::parse(ValidSettings);
+  BOOST_TEST(parseSettings(Own).MemoryMegabytes_ == 160U);
+  Own["limits"] = {{"memory_mb", 512}, {"max_fds", 8192}};
+  BOOST_TEST(parseSettings(Own).MemoryMegabytes_ == 512U);
+  BOOST_TEST(parseSettings(Own).MaxDescriptors_ == 8192U);
+}
+
 BOOST_AUTO_TEST_CASE(ThrowsForAMissingFile) {
   BOOST_CHECK_THROW(mergeSettings({"no-such-file.json", "", ""}),
                     SettingsError);
