Revert "A hot key no longer stays with its neighbours on a slow host"

Taken out again, as it costs callers. Moving the neighbours of a hot key away at once makes their requests late at hosts that have no room for them; the key itself gains little. Which of its two rules costs it was not told apart.

--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -9,6 +9,7 @@
 #include "store/store.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <string>
 #include <utility>
@@ -21,6 +22,14 @@
 /// The upstream answers a release only when its running requests for the keys
 /// have ended.
 constexpr std::chrono::milliseconds ReleaseTimeout{4000};
+constexpr std::chrono::milliseconds DecayInterval{200};
+/// Time constant of the exponential decay of request rates: without new
+/// requests a rate falls to about a third in this time.
+constexpr std::chrono::milliseconds RateDecayTime{2500};
+/// Shortest time over which request rates are averaged after the first request.
+constexpr std::chrono::milliseconds MinCountingTime{400};
+/// Keys with fewer requests per second are forgotten.
+constexpr double MinTrackedRate = 0.02;
 /// Time after a gain of keys until the host's load reflects them.
 constexpr std::chrono::milliseconds LoadSettleTime{1500};
 /// Age of the last load digest from which a host gets no keys.
@@ -48,7 +57,8 @@
                                    OwnershipCallbacks Callbacks)
     : Time_(Time), KeyStore_(KeyStore), UpstreamClient_(UpstreamClient),
       Site_(Site), Config_(std::move(Config)), Callbacks_(std::move(Callbacks)),
-      StartedAt_(Time.now()), ContactClock_{StartedAt_, StartedAt_} {
+      StartedAt_(Time.now()), ContactClock_{StartedAt_, StartedAt_},
+      DecayedAt_(StartedAt_) {
   State_.Host_ = Config_.Host_;
   State_.Options_ = Options;
   State_.EarlierProcessGrantsEnd_ =
@@ -106,11 +116,43 @@
 }
 
 void OwnershipManager::countRequest(KeyId Key) {
-  lagoonhitch::countRequest(KeyRates_, Key, Time_.now());
+  const double PerSecond =
+      1.0 / std::chrono::duration<double>(RateDecayTime).count();
+  if (!CountingSince_)
+    CountingSince_ = Time_.now();
+  KeyRates_[Key] += PerSecond;
+  TotalRate_ += PerSecond;
+}
+
+/// Returns by how much the averages are too low because counting began only a
+/// moment ago.
+double OwnershipManager::startUpCorrection(Instant Now) const {
+  if (!CountingSince_)
+    return 1;
+  const Duration Counted =
+      std::max<Duration>(Now - *CountingSince_, MinCountingTime);
+  return 1 /
+         (1 - std::exp(-std::chrono::duration<double>(Counted).count() /
+                       std::chrono::duration<double>(RateDecayTime).count()));
 }
 
 double OwnershipManager::requestRate() const {
-  return KeyRates_.Total_ * startUpCorrection(KeyRates_, Time_.now());
+  return TotalRate_ * startUpCorrection(Time_.now());
+}
+
+void OwnershipManager::decayRates(Instant Now) {
+  if (Now - DecayedAt_ < DecayInterval)
+    return;
+  const double Factor =
+      std::exp(-std::chrono::duration<double>(Now - DecayedAt_).count() /
+               std::chrono::duration<double>(RateDecayTime).count());
+  DecayedAt_ = Now;
+  TotalRate_ *= Factor;
+  for (auto &[Key, Rate] : KeyRates_)
+    Rate *= Factor;
+  std::erase_if(KeyRates_, [](const auto &Entry) {
+    return Entry.second < MinTrackedRate;
+  });
 }
 
 bool OwnershipManager::recentlyGainedKeys() const {
@@ -128,10 +170,8 @@
 KeyOwnershipInputs OwnershipManager::inputs() const {
   const Instant Now = Time_.now();
   KeyOwnershipInputs Inputs;
-  Inputs.KeyRates_ = &KeyRates_.Rates_;
-  Inputs.KeyRateFactor_ = startUpCorrection(KeyRates_, Now);
-  if (LastGainAt_ != Instant::min())
-    Inputs.SinceLastGain_ = Now - LastGainAt_;
+  Inputs.KeyRates_ = &KeyRates_;
+  Inputs.KeyRateFactor_ = startUpCorrection(Now);
   const FleetMember *Own = findMember(Site_.Fleet_, Config_.Host_);
   Inputs.Uptime_ = Now - ContactClock_.ListeningSince_;
   Inputs.ContactTimeout_ = contactTimeout(nullptr, Own);
@@ -173,7 +213,7 @@
   const ScopedFlag Guard(Ticking_);
   const Instant Now = Time_.now();
   tickContactClock(ContactClock_, Now);
-  decayRates(KeyRates_, Now);
+  decayRates(Now);
   updateGrantMethod();
   if (!isSharded(Site_, Config_.Service_))
     return;
@@ -323,9 +363,7 @@
 
 void OwnershipManager::onTableChanged() {
   KnownTable_ = State_.Table_.Offset_;
-  // Otherwise this host would seem to have the load of keys that other hosts
-  // own now for seconds, and move more keys.
-  keepKeys(KeyRates_, [this](KeyId Key) { return ownsKey(State_, Key); });
+  dropRatesOfOtherOwners();
   LastGains_.clear();
   for (const KeyRow &Row : State_.Table_.Rows_) {
     Offset &Last = LastGains_[Row.Owner_.Host_];
@@ -333,6 +371,18 @@
   }
 }
 
+/// Forgets the request rates of keys that other hosts own now. Otherwise, this
+/// host would seem to have their load for seconds, and move more keys.
+void OwnershipManager::dropRatesOfOtherOwners() {
+  std::erase_if(KeyRates_, [this](const auto &Entry) {
+    if (ownsKey(State_, Entry.first))
+      return false;
+    TotalRate_ -= Entry.second;
+    return true;
+  });
+  TotalRate_ = std::max(TotalRate_, 0.0);
+}
+
 void OwnershipManager::onOwnershipChanged() {
   std::size_t Owned = 0;
   for (const KeyRow &Row : rowsOf(State_.Table_, Config_.Host_))
--- a/daemon/ownership_manager.h
+++ b/daemon/ownership_manager.h
@@ -11,7 +11,6 @@
 #include "net/header_names.h"
 #include "ownership/declared_holds.h"
 #include "ownership/key_ownership.h"
-#include "ownership/key_rates.h"
 
 #include <functional>
 #include <map>
@@ -113,6 +112,7 @@
 
 private:
   KeyOwnershipInputs inputs() const;
+  void decayRates(Instant Now);
   void execute(const KeyAction &Action);
   void onNotExecuted(const KeyAction &Action);
   void appendEpoch(const KeyAction &Action);
@@ -124,6 +124,8 @@
   void onOwnershipChanged();
   bool gainedSince(const std::string &Host, Offset End) const;
   void onTableChanged();
+  double startUpCorrection(Instant Now) const;
+  void dropRatesOfOtherOwners();
   void updateGrantMethod();
 
   const Clock &Time_;
@@ -135,7 +137,11 @@
   KeyOwnershipState State_;
   Instant StartedAt_;
   ContactClock ContactClock_;
-  KeyRates KeyRates_;
+  std::map<KeyId, double> KeyRates_;
+  double TotalRate_ = 0;
+  /// When the first request was counted.
+  std::optional<Instant> CountingSince_;
+  Instant DecayedAt_;
   Instant LastGainAt_ = Instant::min();
   std::size_t OwnedKeyCount_ = 0;
   /// The highest fencing token of each host in the table at KnownTable_.
--- a/ownership/key_balance.cpp
+++ b/ownership/key_balance.cpp
@@ -1,7 +1,5 @@
 #include "ownership/key_balance.h"
 
-#include "ownership/hot_key_placement.h"
-
 #include <xxhash.h>
 
 #include <algorithm>
@@ -292,8 +290,6 @@
                                     const std::string &Host,
                                     const KeyOwnershipInputs &Inputs,
                                     const KeyOwnershipOptions &Options) {
-  if (const std::optional<BusyKey> Hot = findHotKey(OwnRows, Host, Inputs))
-    return findHotKeyMoves(OwnRows, Host, Inputs, *Hot);
   const std::size_t MaxMoves = concurrentMoveLimit(Host, Inputs);
   KeyOwnershipInputs Predicted = Inputs;
   KeyTable Remaining;
--- a/ownership/key_balance.h
+++ b/ownership/key_balance.h
@@ -6,7 +6,6 @@
 
 #include "ownership/key_ownership_options.h"
 #include "ownership/key_peer.h"
-#include "ownership/key_placement.h"
 #include "ownership/key_table.h"
 
 #include <optional>
@@ -15,6 +14,12 @@
 
 namespace lagoonhitch {
 
+/// A key range and the host that receives it.
+struct KeyPlacement {
+  KeyRange Range_;
+  std::string Host_;
+};
+
 /// Distributes ranges among the hosts that accept keys, so that their loads are
 /// about equal.
 /// \param Except a host that receives no keys; empty for none.
@@ -32,8 +37,7 @@
 
 /// Finds the ranges to move at the same time, each to a different host. On a
 /// large site, a host whose load is many times its capacity would otherwise
-/// need many moves one after the other. For a host with a hot key these are the
-/// moves of findHotKeyMoves().
+/// need many moves one after the other.
 std::vector<KeyPlacement> findMoves(const std::vector<KeyRow> &OwnRows,
                                     const std::string &Host,
                                     const KeyOwnershipInputs &Inputs,
--- a/ownership/key_peer.h
+++ b/ownership/key_peer.h
@@ -44,8 +44,6 @@
   const std::map<KeyId, double> *KeyRates_ = nullptr;
   /// Factor by which the rates in KeyRates_ are higher than stated there.
   double KeyRateFactor_ = 1;
-  /// Time since this host last gained keys.
-  Duration SinceLastGain_ = Duration::max();
   /// How long this daemon has been able to receive digests without a pause.
   Duration Uptime_{};
   /// Minimum time without contact before a host that is not a member is
