Overloaded hosts spread a step in the load sooner, and more evenly

Cause: after a step in the load, the rates of keys were known after seconds; the first round of moves was small, and the next one waited 1.5 s; a round ended at the first target that no part of a row fitted; hosts that had just received too many keys gave none away for 1.5 s.

Change: on large sites, ownership/load_spreading fills hosts in a weighted random order with as many keys as they have room for. A host with more requests than it can run starts a round every 400 ms, also just after it has received keys. Rates of gained keys are corrected for the time since the gain, and a step of the host's whole load counts for its keys. The state keeps when the last round started instead of when the next one may.

Giving fast hosts more than their proportional share was not tried.

--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -106,10 +106,6 @@
   lagoonhitch::countRequest(KeyRates_, Key, Time_.now());
 }
 
-double OwnershipManager::requestRate() const {
-  return KeyRates_.Total_ * startUpCorrection(KeyRates_, Time_.now());
-}
-
 bool OwnershipManager::recentlyGainedKeys() const {
   return LastGainAt_ != Instant::min() &&
          Time_.now() - LastGainAt_ < LoadSettleTime;
@@ -126,7 +122,6 @@
   const Instant Now = Time_.now();
   KeyOwnershipInputs Inputs;
   Inputs.KeyRates_ = &KeyRates_.Rates_;
-  Inputs.KeyRateFactor_ = startUpCorrection(KeyRates_, Now);
   if (LastGainAt_ != Instant::min())
     Inputs.SinceLastGain_ = Now - LastGainAt_;
   const FleetMember *Own = findMember(Site_.Fleet_, Config_.Host_);
@@ -320,6 +315,10 @@
   // Otherwise this host would seem to have the load of keys that other hosts
   // own now for seconds, and move more keys.
   keepKeys(KeyRates_, [this](KeyId Key) { return ownsKey(State_, Key); });
+  std::vector<KeyRow> OwnRows = rowsOf(State_.Table_, Config_.Host_);
+  for (const KeyRange &Gained : keysNotIn(OwnRows_, OwnRows))
+    onKeysGained(KeyRates_, Gained, Time_.now());
+  OwnRows_ = std::move(OwnRows);
   LastGains_.clear();
   for (const KeyRow &Row : State_.Table_.Rows_) {
     Offset &Last = LastGains_[Row.Owner_.Host_];
--- a/daemon/ownership_manager.h
+++ b/daemon/ownership_manager.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lagoonhitch {
 
@@ -102,7 +103,7 @@
   void countRequest(KeyId Key);
 
   /// Returns the recent rate of requests with a key, in requests per second.
-  double requestRate() const;
+  double requestRate() const { return KeyRates_.Total_; }
 
   /// Returns whether this host has gained keys so recently that its load does
   /// not reflect them yet.
@@ -136,6 +137,8 @@
   Instant StartedAt_;
   ContactClock ContactClock_;
   KeyRates KeyRates_;
+  /// The rows of this host in the table at KnownTable_.
+  std::vector<KeyRow> OwnRows_;
   Instant LastGainAt_ = Instant::min();
   std::size_t OwnedKeyCount_ = 0;
   /// The highest fencing token of each host in the table at KnownTable_.
--- a/ownership/hot_key_placement.cpp
+++ b/ownership/hot_key_placement.cpp
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace lagoonhitch {
 
@@ -66,32 +65,10 @@
   return KeyPlacement{{Hot.Key_, Hot.Key_}, Best->Host_};
 }
 
-/// Keys beside a hot key that can move together.
-struct Part {
-  KeyRange Range_;
-  /// Its keys with requests, in their order.
-  std::vector<BusyKey> Keys_;
-  double Rate_ = 0;
-};
-
-void addPart(std::vector<Part> &Parts, const KeyRange &Range,
-             const KeyOwnershipInputs &Inputs) {
-  Part Added;
-  Added.Range_ = Range;
-  const std::map<KeyId, double> &Rates = *Inputs.KeyRates_;
-  for (auto At = Rates.lower_bound(Range.First_);
-       At != Rates.end() && At->first <= Range.Last_; ++At) {
-    Added.Keys_.push_back({At->first, At->second * Inputs.KeyRateFactor_});
-    Added.Rate_ += Added.Keys_.back().Rate_;
-  }
-  if (!Added.Keys_.empty())
-    Parts.push_back(std::move(Added));
-}
-
 /// Returns the host's keys without the hot one, the busiest part first.
-std::vector<Part> partsBeside(KeyId Hot, const std::vector<KeyRow> &OwnRows,
-                              const KeyOwnershipInputs &Inputs) {
-  std::vector<Part> Parts;
+std::vector<KeyPart> partsBeside(KeyId Hot, const std::vector<KeyRow> &OwnRows,
+                                 const KeyOwnershipInputs &Inputs) {
+  std::vector<KeyPart> Parts;
   for (const KeyRow &Row : OwnRows) {
     if (!contains(Row.Range_, Hot)) {
       addPart(Parts, Row.Range_, Inputs);
@@ -102,10 +79,7 @@
     if (Hot < Row.Range_.Last_)
       addPart(Parts, {Hot + 1, Row.Range_.Last_}, Inputs);
   }
-  std::stable_sort(Parts.begin(), Parts.end(),
-                   [](const Part &Left, const Part &Right) {
-                     return Left.Rate_ > Right.Rate_;
-                   });
+  sortParts(Parts);
   return Parts;
 }
 
@@ -167,39 +141,21 @@
   return Fitting != nullptr ? Fitting : Roomiest;
 }
 
-/// Takes keys from the start of a part until a receiver has no more room, but
-/// at least one.
-Part takeFront(Part &From, double Room) {
-  Part Taken;
-  std::size_t Count = 0;
-  while (Count < From.Keys_.size() &&
-         (Count == 0 || Taken.Rate_ + From.Keys_[Count].Rate_ <= Room))
-    Taken.Rate_ += From.Keys_[Count++].Rate_;
-  const auto Split = From.Keys_.begin() + static_cast<std::ptrdiff_t>(Count);
-  Taken.Keys_.assign(From.Keys_.begin(), Split);
-  const bool TakesAll = Split == From.Keys_.end();
-  Taken.Range_ = {From.Range_.First_,
-                  TakesAll ? From.Range_.Last_ : Split->Key_ - 1};
-  From.Range_.First_ = Taken.Range_.Last_ + 1;
-  From.Rate_ -= Taken.Rate_;
-  From.Keys_.erase(From.Keys_.begin(), Split);
-  return Taken;
-}
-
 std::vector<KeyPlacement> clearHost(const KeyPeer &Self,
                                     const std::vector<KeyRow> &OwnRows,
                                     const KeyOwnershipInputs &Inputs,
                                     const BusyKey &Hot) {
   std::vector<KeyPlacement> Moves;
   Receivers All = receiversOf(Self, Inputs, Hot);
-  for (Part &Rest : partsBeside(Hot.Key_, OwnRows, Inputs)) {
+  for (KeyPart &Rest : partsBeside(Hot.Key_, OwnRows, Inputs)) {
     if (Rest.Rate_ < MinLoadToClear * Self.Capacity_)
       break;
     while (!Rest.Keys_.empty() && Moves.size() < MaxMoves) {
       Receiver *Host = chooseReceiver(All, Rest.Rate_);
       if (Host == nullptr)
         return Moves;
-      const Part Taken = takeFront(Rest, roomOf(*Host, All.FillTo_));
+      const double Room = roomOf(*Host, All.FillTo_);
+      const KeyPart Taken = takeFront(Rest, Room, Room);
       // A busy key that fits on no host moves only to a host that is less
       // loaded with it than this one.
       const bool Relieves =
--- a/ownership/hot_key_placement.h
+++ b/ownership/hot_key_placement.h
@@ -4,6 +4,7 @@
 /// \file
 /// Placement of a key whose requests alone use up the capacity of its owner.
 
+#include "ownership/key_part.h"
 #include "ownership/key_peer.h"
 #include "ownership/key_placement.h"
 
@@ -13,12 +14,6 @@
 
 namespace lagoonhitch {
 
-/// A key with its requests per second.
-struct BusyKey {
-  KeyId Key_ = 0;
-  double Rate_ = 0;
-};
-
 /// Returns the busiest key of a host if its rate alone uses up nearly all of
 /// the host's capacity. Moving parts of the host's rows by their rates does not
 /// help such a host: the key fits on no other host either.
--- a/ownership/key_balance.cpp
+++ b/ownership/key_balance.cpp
@@ -1,6 +1,7 @@
 #include "ownership/key_balance.h"
 
 #include "ownership/hot_key_placement.h"
+#include "ownership/load_spreading.h"
 
 #include <xxhash.h>
 
@@ -228,6 +229,20 @@
   }
 }
 
+/// Returns whether a host is busy and knows its load.
+bool mayGiveKeys(const std::string &Host, const KeyOwnershipInputs &Inputs,
+                 const KeyOwnershipOptions &Options) {
+  const KeyPeer *Self = findPeer(Inputs, Host);
+  if (Self == nullptr || Inputs.KeyRates_ == nullptr)
+    return false;
+  // The measured rates of keys that were gained a moment ago are too low, but a
+  // host that is overloaded by these rates really is.
+  const bool KnowsLoad =
+      !Self->RecentlyGainedKeys_ || Self->Rate_ > Self->Capacity_;
+  return KnowsLoad &&
+         Self->Rate_ >= Options.RebalanceMinLoad_ * Self->Capacity_;
+}
+
 } // namespace
 
 std::vector<KeyPlacement> placeKeys(const std::vector<KeyRange> &Ranges,
@@ -259,18 +274,22 @@
   return Placements;
 }
 
+Duration rebalanceInterval(const std::string &Host,
+                           const KeyOwnershipInputs &Inputs,
+                           const KeyOwnershipOptions &Options) {
+  const KeyPeer *Self = findPeer(Inputs, Host);
+  const bool Overloaded = Self != nullptr && Self->Rate_ > Self->Capacity_;
+  return Overloaded ? Options.OverloadedRebalanceInterval_
+                    : Options.RebalanceInterval_;
+}
+
 std::optional<KeyPlacement> findMove(const std::vector<KeyRow> &OwnRows,
                                      const std::string &Host,
                                      const KeyOwnershipInputs &Inputs,
                                      const KeyOwnershipOptions &Options) {
-  const KeyPeer *Self = findPeer(Inputs, Host);
-  if (Self == nullptr || Self->RecentlyGainedKeys_ ||
-      Inputs.KeyRates_ == nullptr)
-    return std::nullopt;
-  const bool IsBusy =
-      Self->Rate_ >= Options.RebalanceMinLoad_ * Self->Capacity_;
-  if (!IsBusy)
+  if (!mayGiveKeys(Host, Inputs, Options))
     return std::nullopt;
+  const KeyPeer *Self = findPeer(Inputs, Host);
   const MoveTarget Target = chooseTarget(*Self, Inputs, Options);
   if (Target.Peer_ == nullptr || Target.Rate_ <= 0)
     return std::nullopt;
@@ -295,6 +314,11 @@
   if (const std::optional<BusyKey> Hot = findHotKey(OwnRows, Host, Inputs))
     return findHotKeyMoves(OwnRows, Host, Inputs, *Hot);
   const std::size_t MaxMoves = concurrentMoveLimit(Host, Inputs);
+  if (isLargeSite(Inputs) && mayGiveKeys(Host, Inputs, Options))
+    if (std::vector<KeyPlacement> Moves =
+            spreadExcess(OwnRows, Host, Inputs, MaxConcurrentMoves);
+        !Moves.empty())
+      return Moves;
   KeyOwnershipInputs Predicted = Inputs;
   KeyTable Remaining;
   Remaining.Rows_ = OwnRows;
--- a/ownership/key_balance.h
+++ b/ownership/key_balance.h
@@ -23,6 +23,12 @@
                                     const KeyOwnershipInputs &Inputs,
                                     const std::string &Except);
 
+/// Returns the minimum time between two rounds of moves. It is shorter while a
+/// host has more requests than it can run.
+Duration rebalanceInterval(const std::string &Host,
+                           const KeyOwnershipInputs &Inputs,
+                           const KeyOwnershipOptions &Options);
+
 /// Finds a range to move from a busy host to a less loaded one.
 /// \returns std::nullopt if the host is not busy or the loads are close enough.
 std::optional<KeyPlacement> findMove(const std::vector<KeyRow> &OwnRows,
--- a/ownership/key_ownership.cpp
+++ b/ownership/key_ownership.cpp
@@ -119,7 +119,10 @@
           startMove(State, Placement, Now);
     return;
   }
-  if (Now < State.NextRebalanceAt_ || !State.Moves_.empty())
+  const bool Due = !State.LastRebalanceAt_ ||
+                   Now - *State.LastRebalanceAt_ >=
+                       rebalanceInterval(State.Host_, Inputs, State.Options_);
+  if (!Due || !State.Moves_.empty())
     return;
   // Their keys would have no owner until the earlier grants have ended.
   std::erase_if(Own, [&State, Now](const KeyRow &Row) {
@@ -129,7 +132,7 @@
       findMoves(Own, State.Host_, Inputs, State.Options_);
   if (Found.empty())
     return;
-  State.NextRebalanceAt_ = Now + State.Options_.RebalanceInterval_;
+  State.LastRebalanceAt_ = Now;
   for (const KeyPlacement &Placement : Found)
     startMove(State, Placement, Now);
 }
--- a/ownership/key_ownership_options.h
+++ b/ownership/key_ownership_options.h
@@ -51,6 +51,10 @@
   std::chrono::milliseconds AppendRetryDelay_{150};
   /// Minimum time between two rounds of moves for load balance.
   std::chrono::milliseconds RebalanceInterval_{1500};
+  /// The same for a host with more requests than it can run. Its own load is
+  /// known again right after a round, and receivers are protected by
+  /// KeyPeer::RecentlyGainedKeys_.
+  std::chrono::milliseconds OverloadedRebalanceInterval_{400};
   /// Load from which a host moves keys away, as a fraction of its capacity.
   double RebalanceMinLoad_ = 0.55;
   /// Minimum difference between the loads of two hosts for a move from one to
--- a/ownership/key_ownership_state.h
+++ b/ownership/key_ownership_state.h
@@ -178,8 +178,9 @@
   /// Where the table's topic ended when it was first read. An earlier process
   /// can only have granted rows with fencing tokens up to this offset.
   Offset FirstTopicEnd_ = 0;
-  /// Earliest time of the next moves for load balance.
-  Instant NextRebalanceAt_ = Instant::min();
+  /// When the last round of moves for load balance started; std::nullopt if
+  /// there was none.
+  std::optional<Instant> LastRebalanceAt_;
   /// Since when the number of hosts that accept keys is unchanged, and that
   /// number. Used only while there is no table.
   Instant MembershipStableSince_ = Instant::min();
--- a/ownership/key_table.cpp
+++ b/ownership/key_table.cpp
@@ -90,6 +90,25 @@
   return Rows;
 }
 
+std::vector<KeyRange> keysNotIn(const std::vector<KeyRow> &Others,
+                                const std::vector<KeyRow> &Rows) {
+  std::vector<KeyRange> Missing;
+  for (const KeyRow &Row : Rows) {
+    // Others are sorted by key, without overlaps.
+    std::uint64_t Next = Row.Range_.First_;
+    for (const KeyRow &Other : Others) {
+      if (!overlaps(Other.Range_, Row.Range_))
+        continue;
+      if (Next < Other.Range_.First_)
+        Missing.push_back({static_cast<KeyId>(Next), Other.Range_.First_ - 1});
+      Next = std::uint64_t{Other.Range_.Last_} + 1;
+    }
+    if (Next <= Row.Range_.Last_)
+      Missing.push_back({static_cast<KeyId>(Next), Row.Range_.Last_});
+  }
+  return Missing;
+}
+
 void assignKeys(KeyTable &Table, const KeyRow &Row) {
   std::vector<KeyRow> Rows;
   for (const KeyRow &Old : Table.Rows_) {
--- a/ownership/key_table.h
+++ b/ownership/key_table.h
@@ -61,6 +61,10 @@
 /// Returns the rows whose keys a host owns.
 std::vector<KeyRow> rowsOf(const KeyTable &Table, const std::string &Host);
 
+/// Returns the keys of some rows that are in none of others.
+std::vector<KeyRange> keysNotIn(const std::vector<KeyRow> &Others,
+                                const std::vector<KeyRow> &Rows);
+
 /// Adds a row and removes its keys from the other rows, which are split where
 /// necessary.
 void assignKeys(KeyTable &Table, const KeyRow &Row);
--- a/tests/unit/key_rates_test.cpp
+++ b/tests/unit/key_rates_test.cpp
@@ -33,12 +33,7 @@
     }
   }
 
-  double rate(KeyId Key) const {
-    const auto Found = Rates_.Rates_.find(Key);
-    return Found == Rates_.Rates_.end()
-               ? 0
-               : Found->second * startUpCorrection(Rates_, Now_);
-  }
+  double rate(KeyId Key) const { return rateOf(Rates_, Key); }
 };
 
 } // namespace
@@ -81,6 +76,33 @@
   BOOST_TEST(std::abs(Requests.rate(6) - 100) < 45);
 }
 
+/// A host gains keys, some with few requests each. Their averages start at zero
+/// and would be too low for seconds.
+BOOST_AUTO_TEST_CASE(KnowsTheRatesOfGainedKeys) {
+  Load Requests;
+  Requests.run(std::chrono::seconds(10), {{5, 20}});
+  onKeysGained(Requests.Rates_, {100, 299}, Requests.Now_);
+  std::map<KeyId, double> Gained = {{5, 20}};
+  for (KeyId Key = 100; Key < 300; ++Key)
+    Gained[Key] = 0.5;
+  Requests.run(std::chrono::milliseconds(1000), Gained);
+  BOOST_TEST(std::abs(Requests.Rates_.Total_ - 120) < 25);
+}
+
+/// Many keys get more requests at the same time, each too few to show a step.
+BOOST_AUTO_TEST_CASE(KnowsAStepOfManyKeys) {
+  Load Requests;
+  std::map<KeyId, double> PerSecond;
+  for (KeyId Key = 0; Key < 100; ++Key)
+    PerSecond[Key] = 0.3;
+  Requests.run(std::chrono::seconds(10), PerSecond);
+  for (auto &[Key, Rate] : PerSecond)
+    Rate = 5;
+  Requests.run(std::chrono::milliseconds(1000), PerSecond);
+  BOOST_TEST(Requests.Rates_.Total_ > 350);
+  BOOST_TEST(Requests.Rates_.Total_ < 600);
+}
+
 /// Keys that moved away must not count towards the host's load.
 BOOST_AUTO_TEST_CASE(ForgetsKeysOfOtherOwners) {
   Load Requests;
--- a/tests/unit/keys_test.cpp
+++ b/tests/unit/keys_test.cpp
@@ -69,6 +69,20 @@
   RC_ASSERT(Decoded->Rows_ == Table.Rows_);
 }
 
+/// Rates of keys that a host gains are averaged from the gain on. Keys that it
+/// keeps must not count as gained because their rows were split or merged.
+BOOST_AUTO_TEST_CASE(FindsTheKeysThatAreNotInOtherRows) {
+  const std::vector<KeyRow> Before = {row(10, 20, "a"), row(40, 50, "a")};
+  const std::vector<KeyRow> After = {row(0, 15, "a"), row(16, 60, "a"),
+                                     row(LastKey, LastKey, "a")};
+  const std::vector<KeyRange> Expected = {
+      {0, 9}, {21, 39}, {51, 60}, {LastKey, LastKey}};
+  BOOST_TEST((keysNotIn(Before, After) == Expected));
+  BOOST_TEST(keysNotIn(After, Before).empty());
+  BOOST_TEST(
+      (keysNotIn({}, Before) == std::vector<KeyRange>{{10, 20}, {40, 50}}));
+}
+
 BOOST_AUTO_TEST_CASE(RejectsInvalidTables) {
   KeyTable Table;
   Table.Rows_ = {row(0, 10, "a"), row(10, 20, "b")};
