Entry daemons reject the excess requests for hot keys; owners keep slots for others

Cause: requests for a key with more requests than its owner can run were all sent to the owner, which rejected most of them, and meanwhile they filled its slots and its queue.

Change: the owner reports hot keys in its digests (membership/hot_key_report), which go to all members meanwhile, at most 100 a second. Entry daemons send their shares and reject the rest at once, if the request has not been sent yet (routing/hot_key_admission). While other keys have requests, a hot key may not use the slots that they need (limits/key_share).

Passed: hot_key_admission, hot_key_report, key_share, key_rates, keys, hot_key_placement, takeover, plan, key_holds, grant_target, gateway, fleet, events. Not run: process tests, the linter; no test covers the wiring in request_router.cpp, upstream_gateway.cpp and digest_exchange.cpp beyond the existing ones.

--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -20,6 +20,8 @@
     {EventId::TableChanged, EventLevel::Info, "table-changed"},
     {EventId::ReleaseStarted, EventLevel::Info, "release-started"},
     {EventId::Removed, EventLevel::Warn, "removed"},
+    {EventId::KeyHot, EventLevel::Warn, "key-hot"},
+    {EventId::KeyCooled, EventLevel::Info, "key-cooled"},
     {EventId::LogUnavailable, EventLevel::Warn, "log-unavailable"},
     {EventId::LogRestored, EventLevel::Info, "log-restored"},
     {EventId::LogGap, EventLevel::Warn, "log-gap"},
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -28,6 +28,8 @@
   TableChanged = 205,
   ReleaseStarted = 206,
   Removed = 207,
+  KeyHot = 208,
+  KeyCooled = 209,
   LogUnavailable = 300,
   LogRestored = 301,
   LogGap = 302,
--- a/daemon/admin_service.cpp
+++ b/daemon/admin_service.cpp
@@ -238,6 +238,7 @@
   for (const KeyRow &Row : rowsOf(Ownership_.state().Table_, Settings_.Host_))
     Owned += sizeOf(Row.Range_);
   DaemonMetrics_.setOwnedShards(Owned);
+  DaemonMetrics_.setHotKeys(Ownership_.hotKeys().size());
   HttpResponse Response;
   Response.Headers_.push_back({"Content-Type", "text/plain; version=0.0.4"});
   Response.Body_ = DaemonMetrics_.text();
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -247,6 +247,7 @@
   Digest.ProcessingMillis_ = Load.ProcessingMillis_;
   Digest.RateLimit_ = Load.RateLimit_;
   Digest.Work_ = Load.Work_;
+  Digest.HotKeys_ = Ownership_.hotKeys();
   Digest.KeyEpoch_ = Ownership_.state().Epoch_;
   Digest.KeyRate_ =
       static_cast<std::uint32_t>(Ownership_.requestRate() * Hundred);
--- a/daemon/daemon_callbacks.cpp
+++ b/daemon/daemon_callbacks.cpp
@@ -48,6 +48,9 @@
   Hooks.Serves_ = [this](KeyId Key) { return Ownership_.serves(Key); };
   Hooks.Owns_ = [this](KeyId Key) { return Ownership_.owns(Key); };
   Hooks.CountRequest_ = [this](KeyId Key) { Ownership_.countRequest(Key); };
+  Hooks.RateBesideHotKey_ = [this](KeyId Key) {
+    return Ownership_.rateBesideHotKey(Key);
+  };
   return Hooks;
 }
 
--- a/daemon/digest_exchange.cpp
+++ b/daemon/digest_exchange.cpp
@@ -14,6 +14,9 @@
 /// The maximum number of digests per second, over all recipients. With many
 /// recipients, the interval grows accordingly.
 constexpr double MaxDigestsPerSecond = 50;
+/// The same for a host with hot keys, whose digests go to all members. They
+/// spare it the messages of the requests that it would reject.
+constexpr double MaxHotKeyDigestsPerSecond = 100;
 /// Larger records are not pushed; peers read them from the store.
 constexpr std::size_t MaxPushedBytes = 8000;
 
@@ -34,40 +37,39 @@
     sendNow();
 }
 
-void DigestExchange::sendNow() {
-  const std::vector<const MemberRecord *> Recipients =
-      digestRecipients(Site_.Fleet_, OwnHost_, isSharded(Site_, OwnService_),
-                       DigestSampleOptions());
-  const std::string Message = encodeDigest(makeDigest(Recipients.size()));
-  for (const MemberRecord *Recipient : Recipients)
-    Socket_.send(Recipient->DigestAddress_, Message);
-}
+void DigestExchange::sendNow() { send(false); }
 
-void DigestExchange::sendToAll() {
-  const std::size_t Recipients =
-      digestRecipients(Site_.Fleet_, OwnHost_, isSharded(Site_, OwnService_),
-                       DigestSampleOptions())
-          .size();
-  const std::string Message = encodeDigest(makeDigest(Recipients));
-  for (const auto &[Host, Member] : Site_.Fleet_.Members_)
-    if (Host != OwnHost_)
-      Socket_.send(Member.Record_.DigestAddress_, Message);
-}
+void DigestExchange::sendToAll() { send(true); }
 
-/// Makes the next digest and schedules the one after it.
-/// \param Recipients the number of those that get each digest.
-LoadDigest DigestExchange::makeDigest(std::size_t Recipients) {
+void DigestExchange::send(bool ToAll) {
   const Instant Now = Time_.now();
+  LoadDigest Digest = Callbacks_.MakeDigest_();
+  const FleetMember *Own = findMember(Site_.Fleet_, OwnHost_);
+  // The end of a report goes to all peers as well.
+  const bool HasHotKeys = !Digest.HotKeys_.empty() ||
+                          (Own != nullptr && !Own->Digest_.HotKeys_.empty());
+  const std::vector<const MemberRecord *> Sample =
+      digestRecipients(Site_.Fleet_, OwnHost_, isSharded(Site_, OwnService_),
+                       DigestSampleOptions());
   const std::chrono::duration<double> MinInterval(
-      static_cast<double>(Recipients) / MaxDigestsPerSecond);
+      HasHotKeys ? static_cast<double>(Site_.Fleet_.Members_.size()) /
+                       MaxHotKeyDigestsPerSecond
+                 : static_cast<double>(Sample.size()) / MaxDigestsPerSecond);
   const Duration Interval = std::max<Duration>(
       DigestInterval, std::chrono::duration_cast<Duration>(MinInterval));
   NextSendAt_ = Now + Interval;
-  LoadDigest Digest = Callbacks_.MakeDigest_();
   Digest.IntervalMillis_ =
       static_cast<std::uint32_t>(toMillis(Interval).count());
   applyDigest(Site_.Fleet_, Digest, Now);
-  return Digest;
+  const std::string Message = encodeDigest(Digest);
+  if (!ToAll && !HasHotKeys) {
+    for (const MemberRecord *Recipient : Sample)
+      Socket_.send(Recipient->DigestAddress_, Message);
+    return;
+  }
+  for (const auto &[Host, Member] : Site_.Fleet_.Members_)
+    if (Host != OwnHost_)
+      Socket_.send(Member.Record_.DigestAddress_, Message);
 }
 
 void DigestExchange::pushRecord(const PushedRecord &Pushed) {
--- a/daemon/digest_exchange.h
+++ b/daemon/digest_exchange.h
@@ -46,7 +46,8 @@
   /// the record from the store.
   void pushRecord(const PushedRecord &Pushed);
 
-  /// Sends a digest immediately.
+  /// Sends a digest immediately: to all peers while this host has hot keys,
+  /// since any of them may be the entry daemon of requests for these keys.
   void sendNow();
 
   /// Sends a digest immediately to all peers, also to those that usually get
@@ -54,7 +55,7 @@
   void sendToAll();
 
 private:
-  LoadDigest makeDigest(std::size_t Recipients);
+  void send(bool ToAll);
   void receive(const char *Data, std::size_t Size);
 
   const Clock &Time_;
--- a/daemon/gateway_request.h
+++ b/daemon/gateway_request.h
@@ -9,6 +9,7 @@
 #include "core/request_fingerprint.h"
 #include "core/request_id.h"
 #include "net/http_message.h"
+#include "recovery/lost_runs.h"
 
 #include <cstdint>
 #include <optional>
@@ -56,6 +57,17 @@
 RequestFingerprint fingerprintOf(const GatewayRequest &Request,
                                  const HeaderNames &Names);
 
+/// Sets the headers with which a caller's request is forwarded.
+/// \param CallerService the service of the entry daemon's upstream.
+/// \param NewId the request ID if the caller sent none.
+void setForwardedHeaders(GatewayRequest &Request, const HeaderNames &Names,
+                         const std::string &CallerService,
+                         const std::string &NewId);
+
+/// Returns the parts of the record of a lost run that the request states.
+LostRun describeLostRun(const GatewayRequest &Request,
+                        const HeaderNames &Names);
+
 } // namespace lagoonhitch
 
 #endif // LAGOONHITCH_DAEMON_GATEWAY_REQUEST_H
--- a/daemon/own_response.cpp
+++ b/daemon/own_response.cpp
@@ -11,6 +11,8 @@
 
 constexpr unsigned Unavailable = 503;
 constexpr std::chrono::milliseconds MinRetryAfter{50};
+/// The largest part of Retry-After that is added to it at random.
+constexpr double MaxSpread = 0.5;
 
 } // namespace
 
@@ -22,10 +24,15 @@
   return Response;
 }
 
+Duration latestRetryAfter(Duration Left) {
+  return std::chrono::duration_cast<Duration>(Left / (1 + MaxSpread));
+}
+
 HttpResponse rejectionResponse(const std::string &Reason, Duration RetryAfter,
                                std::uint64_t Draw) {
   constexpr std::uint64_t Steps = 1024;
-  const double Spread = 1 + 0.5 * static_cast<double>(Draw % Steps) / Steps;
+  const double Spread =
+      1 + MaxSpread * static_cast<double>(Draw % Steps) / Steps;
   const std::chrono::duration<double> Pause =
       std::max<Duration>(RetryAfter, MinRetryAfter);
   HttpResponse Response = errorResponse(Unavailable, Reason);
--- a/daemon/own_response.h
+++ b/daemon/own_response.h
@@ -15,6 +15,11 @@
 /// Returns a response with an error message.
 HttpResponse errorResponse(unsigned Status, const std::string &Reason);
 
+/// Returns the longest RetryAfter for rejectionResponse() with which no caller
+/// retries after its deadline.
+/// \param Left the time until the deadline.
+Duration latestRetryAfter(Duration Left);
+
 /// Returns the response to a request that has not run and never will.
 /// \param RetryAfter when the caller may send the request again. Up to half of
 /// it is added, so that callers that are rejected together do not come back
--- a/daemon/ownership_manager.cpp
+++ b/daemon/ownership_manager.cpp
@@ -8,6 +8,7 @@
 #include "store/store.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace lagoonhitch {
@@ -25,6 +26,9 @@
 /// Digests carry rates in hundredths of a request per second.
 constexpr double KeyRateUnit = 0.01;
 
+/// Time between two updates of the hot keys.
+constexpr std::chrono::milliseconds HotKeyInterval{100};
+
 /// Returns the requests per second that a host can handle.
 double capacityOf(const LoadDigest &Digest) {
   constexpr double MillisPerSecond = 1000;
@@ -35,6 +39,13 @@
                                : BySlots;
 }
 
+std::string describe(KeyId Key, const HotKeyReport &Report) {
+  const ReportedHotKey &Hot = Report.Keys_.at(Key);
+  return std::to_string(Key) + ", admits " +
+         std::to_string(std::lround(Hot.Admitted_)) + " of " +
+         std::to_string(std::lround(Hot.Requested_)) + " requests/s";
+}
+
 } // namespace
 
 OwnershipManager::OwnershipManager(const Clock &Time, Store &KeyStore,
@@ -106,6 +117,27 @@
   lagoonhitch::countRequest(KeyRates_, Key, Time_.now());
 }
 
+std::optional<double> OwnershipManager::rateBesideHotKey(KeyId Key) const {
+  if (!isHot(HotKeys_, Key))
+    return std::nullopt;
+  return std::max(requestRate() - rateOf(KeyRates_, Key), 0.0);
+}
+
+/// Updates which keys are hot, and logs those that have begun or ceased to be.
+void OwnershipManager::updateHotKeys(Instant Now) {
+  const FleetMember *Own = findMember(Site_.Fleet_, Config_.Host_);
+  const bool Due = HotKeys_.UpdatedAt_ == Instant::min() ||
+                   Now - HotKeys_.UpdatedAt_ >= HotKeyInterval;
+  if (Own == nullptr || Own->Digest_.Slots_ == 0 || !Due)
+    return;
+  const HotKeyChanges Changes = lagoonhitch::updateHotKeys(
+      HotKeys_, KeyRates_, capacityOf(Own->Digest_), Now);
+  for (const KeyId Key : Changes.Begun_)
+    Callbacks_.LogEvent_(EventId::KeyHot, describe(Key, HotKeys_));
+  for (const KeyId Key : Changes.Ended_)
+    Callbacks_.LogEvent_(EventId::KeyCooled, std::to_string(Key));
+}
+
 bool OwnershipManager::recentlyGainedKeys() const {
   return LastGainAt_ != Instant::min() &&
          Time_.now() - LastGainAt_ < LoadSettleTime;
@@ -164,6 +196,7 @@
   tickContactClock(ContactClock_, Now);
   decayRates(KeyRates_, Now);
   updateGrantMethod();
+  updateHotKeys(Now);
   if (!isSharded(Site_, Config_.Service_))
     return;
   for (const KeyAction &Action : onKeyTick(State_, inputs(), Now)) {
--- a/daemon/ownership_manager.h
+++ b/daemon/ownership_manager.h
@@ -8,6 +8,7 @@
 #include "core/event_catalog.h"
 #include "daemon/site_state.h"
 #include "membership/contact_clock.h"
+#include "membership/hot_key_report.h"
 #include "net/header_names.h"
 #include "ownership/declared_holds.h"
 #include "ownership/key_ownership.h"
@@ -105,6 +106,13 @@
   /// Returns the recent rate of requests with a key, in requests per second.
   double requestRate() const { return KeyRates_.Total_; }
 
+  /// Returns the hot keys of this host for its load digest.
+  std::vector<HotKey> hotKeys() const { return reportedKeys(HotKeys_); }
+
+  /// Returns the recent rate of requests with other keys if a key is hot;
+  /// std::nullopt if it is not.
+  std::optional<double> rateBesideHotKey(KeyId Key) const;
+
   /// Returns whether this host has gained keys so recently that its load does
   /// not reflect them yet.
   bool recentlyGainedKeys() const;
@@ -126,6 +134,7 @@
   bool gainedSince(const std::string &Host, Offset End) const;
   void onTableChanged();
   void updateGrantMethod();
+  void updateHotKeys(Instant Now);
 
   const Clock &Time_;
   Store &KeyStore_;
@@ -137,6 +146,7 @@
   Instant StartedAt_;
   ContactClock ContactClock_;
   KeyRates KeyRates_;
+  HotKeyReport HotKeys_;
   /// The rows of this host in the table at KnownTable_.
   std::vector<KeyRow> OwnRows_;
   Instant LastGainAt_ = Instant::min();
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -6,13 +6,13 @@
 #include "daemon/forward_codec.h"
 #include "daemon/own_response.h"
 #include "daemon/request_description.h"
+#include "daemon/status_query.h"
 #include "daemon/upstream_gateway.h"
 #include "net/http_client.h"
 #include "net/http_exchange.h"
 #include "net/io_loop.h"
 #include "observe/metrics.h"
 
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -33,7 +33,6 @@
 /// How long a host is not selected after its gateway rejected a request as
 /// unavailable.
 constexpr std::chrono::milliseconds AvoidUnavailableFor{250};
-constexpr std::chrono::milliseconds StatusQueryTimeout{400};
 constexpr std::chrono::milliseconds StatusQueryInterval{250};
 /// Time without a response after which the attempt's status is queried over a
 /// new connection.
@@ -47,22 +46,6 @@
           Request.LatestLookup_ == AttemptLookup::Unreachable);
 }
 
-/// Returns the query for the status of the current attempt.
-AttemptStatusQuery statusQueryFor(const EntryRequest &Request, Instant Now) {
-  AttemptStatusQuery Query;
-  Query.Id_ = Request.GatewayRequest_.Id_;
-  Query.Process_ = Request.PeerProcess_;
-  Query.StartWithin_ = toMillis(Request.GatewayRequest_.Deadline_ - Now);
-  return Query;
-}
-
-HttpCallOptions statusQueryOptions() {
-  HttpCallOptions Options;
-  Options.Timeout_ = StatusQueryTimeout;
-  Options.RequireNewConnection_ = true;
-  return Options;
-}
-
 /// Returns whether an attempt has been sent and has not ended.
 bool isAttemptOpen(const EntryRequest &Request) {
   return Request.Attempt_ > 0 && !Request.WaitingForOwner_;
@@ -116,6 +99,10 @@
     return;
   }
   prepare(*Request);
+  if (Request->Routed_.Key_)
+    countKeyRequest(HotKeyAdmission_,
+                    {Request->Routed_.Service_, *Request->Routed_.Key_},
+                    Request->ArrivedAt_);
   depositRetryTokens(RetryBudgets_[Request->GatewayRequest_.Service_],
                      RetryBudgetOptions_);
   Exchange->onAbandoned(
@@ -146,25 +133,9 @@
   Request.Plan_.Deadline_ = Outgoing.Deadline_;
   Request.Plan_.Objective_ = Routed.Objective_;
   Request.Plan_.MaxRuns_ = Routed.MaxAttempts_;
-  std::vector<HttpHeader> &Headers = Outgoing.HttpRequest_.Headers_;
-  std::erase_if(Headers, [this](const HttpHeader &Header) {
-    return (isHopByHop(Header.Name_) &&
-            !absl::EqualsIgnoreCase(Header.Name_, "Host")) ||
-           absl::StartsWithIgnoreCase(Header.Name_, ReservedHeaderPrefix) ||
-           absl::EqualsIgnoreCase(Header.Name_, Names_.CallerService_) ||
-           absl::EqualsIgnoreCase(Header.Name_, Names_.TargetUpstream_);
-  });
-  Headers.push_back({Names_.CallerService_, Config_.Service_});
-  if (Routed.Key_) {
-    eraseHeader(Headers, Names_.Key_);
-    Headers.push_back({Names_.Key_, absl::StrCat(*Routed.Key_)});
-  }
-  // Upstreams echo the request ID, which identifies their response. Add one if
-  // the caller sent none.
-  if (findHeader(Headers, Names_.RequestId_) == nullptr)
-    Headers.push_back(
-        {Names_.RequestId_,
-         absl::StrCat(absl::Hex(Config_.Process_), "-", Request.Number_)});
+  setForwardedHeaders(
+      Outgoing, Names_, Config_.Service_,
+      absl::StrCat(absl::Hex(Config_.Process_), "-", Request.Number_));
 }
 
 std::string RequestRouter::ownerOf(const EntryRequest &Request) const {
@@ -219,7 +190,8 @@
   const std::optional<std::string> Host =
       selectHost(*Request, Request->TriedHosts_);
   if (Host) {
-    sendToHost(Request, *Host);
+    if (!rejectIfKeyIsHot(Request, *Host))
+      sendToHost(Request, *Host);
     return;
   }
   executeStep(Request, onNoHost(Request->Plan_, Now));
@@ -234,6 +206,25 @@
     startAttempt(Request);
 }
 
+/// Rejects a request that has not been sent yet if this daemon has used up its
+/// share of the requests for a hot key.
+bool RequestRouter::rejectIfKeyIsHot(const EntryRequestPtr &Request,
+                                     const std::string &Host) {
+  const FleetMember *Owner = findMember(Site_.Fleet_, Host);
+  const GatewayRequest &Outgoing = Request->GatewayRequest_;
+  if (!Outgoing.Key_ || Owner == nullptr || Request->Attempt_ > 0)
+    return false;
+  const Instant Now = Time_.now();
+  const std::optional<Duration> Wait =
+      takeFromShare(HotKeyAdmission_, {Outgoing.Service_, *Outgoing.Key_},
+                    *Owner, latestRetryAfter(Outgoing.Deadline_ - Now), Now);
+  if (!Wait)
+    return false;
+  DaemonMetrics_.countHotKeyRejection(Outgoing.Service_);
+  reject(Request, "the key has more requests than its owner can run", *Wait);
+  return true;
+}
+
 void RequestRouter::sendToHost(const EntryRequestPtr &Request,
                                const std::string &Host) {
   ++Request->Plan_.SentAttempts_;
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -14,6 +14,7 @@
 #include "net/header_names.h"
 #include "net/http_result.h"
 #include "routing/host_choice.h"
+#include "routing/hot_key_admission.h"
 #include "routing/request_plan.h"
 
 #include <cstdint>
@@ -97,6 +98,8 @@
   std::optional<std::string> selectHost(const EntryRequest &Request,
                                         const std::set<std::string> &Tried);
   bool hasNextHost(const EntryRequest &Request);
+  bool rejectIfKeyIsHot(const EntryRequestPtr &Request,
+                        const std::string &Host);
   void sendToHost(const EntryRequestPtr &Request, const std::string &Host);
   void lookUpAgain(const EntryRequestPtr &Request);
   void sendToPeer(const EntryRequestPtr &Request, const FleetMember &Member);
@@ -138,6 +141,7 @@
   RequestRouterConfig Config_;
   EventCallback LogEvent_;
   HostChoiceOptions HostChoiceOptions_;
+  HotKeyAdmission HotKeyAdmission_;
   std::map<std::string, SharedRetryBudget> RetryBudgets_;
   std::map<std::uint64_t, EntryRequestPtr> OpenRequests_;
   std::uint64_t LastNumber_ = 0;
--- a/daemon/upstream_gateway.cpp
+++ b/daemon/upstream_gateway.cpp
@@ -1,7 +1,9 @@
 #include "daemon/upstream_gateway.h"
 
 #include "daemon/attempt_description.h"
+#include "daemon/stored_answer.h"
 #include "daemon/upstream_notice.h"
+#include "limits/key_share.h"
 #include "net/http_client.h"
 #include "net/io_loop.h"
 
@@ -37,20 +39,6 @@
 
 constexpr unsigned MisdirectedRequest = 421;
 
-AnswerPtr toStoredAnswer(const GatewayResult &Result) {
-  std::shared_ptr<lagoonhitch::Answer> Stored =
-      std::make_shared<lagoonhitch::Answer>();
-  Stored->Outcome_ = Result.Outcome_;
-  Stored->RejectReason_ = Result.RejectReason_;
-  Stored->RetryAfter_ = Result.RetryAfter_;
-  Stored->RejectedByUpstream_ = Result.RejectedByUpstream_;
-  Stored->Status_ = Result.Response_.Status_;
-  for (const HttpHeader &Header : Result.Response_.Headers_)
-    Stored->Headers_.emplace_back(Header.Name_, Header.Value_);
-  Stored->Body_ = Result.Response_.Body_;
-  return Stored;
-}
-
 /// Returns whether the entry daemon is this process.
 bool isFromThisDaemon(const GatewayRequest &Request) {
   return Request.SentAt_ == Instant();
@@ -159,6 +147,8 @@
     awaitKey(Number);
     return;
   }
+  if (rejectIfKeyExceedsShare(Number))
+    return;
   const AdmissionDecision Decision =
       submitRequest(Queue_, Entry.QueuedRequest_, Time_.now());
   switch (Decision.Kind_) {
@@ -175,6 +165,31 @@
   }
 }
 
+/// Rejects a request of a hot key that would take the place of requests of
+/// other keys.
+bool UpstreamGateway::rejectIfKeyExceedsShare(std::uint64_t Number) {
+  const std::optional<KeyId> Key = Requests_.at(Number).Request_.Key_;
+  if (!Key || !KeyHooks_.RateBesideHotKey_)
+    return false;
+  const std::optional<double> Others = KeyHooks_.RateBesideHotKey_(*Key);
+  if (!Others)
+    return false;
+  KeyShare Share;
+  Share.OthersPerSecond_ = *Others;
+  for (const auto &[Other, Entry] : Requests_) {
+    if (Entry.Phase_ == OpenRequest::Phase::AwaitingKey)
+      continue;
+    if (Entry.Request_.Key_ == Key)
+      ++Share.OfKey_;
+    else if (Entry.Phase_ == OpenRequest::Phase::Queued)
+      ++Share.OthersWaiting_;
+  }
+  const std::optional<Duration> Wait = exceedsKeyShare(Queue_, Share);
+  if (Wait)
+    reject(Number, RejectReason::Overloaded, *Wait);
+  return Wait.has_value();
+}
+
 void UpstreamGateway::awaitKey(std::uint64_t Number) {
   OpenRequest &Entry = Requests_.at(Number);
   if (!KeyHooks_.Owns_(*Entry.Request_.Key_)) {
@@ -311,14 +326,7 @@
 }
 
 void UpstreamGateway::recordLostRun(const OpenRequest &Entry) {
-  constexpr std::size_t MaxSummaryLength = 120;
-  LostRun Run;
-  Run.Request_ = fingerprintOf(Entry.Request_, Names_);
-  const HttpRequest &Message = Entry.Request_.HttpRequest_;
-  if (const std::string *Id = findHeader(Message.Headers_, Names_.RequestId_))
-    Run.RequestId_ = *Id;
-  Run.Summary_ = Message.Method_ + " " + Message.Target_;
-  Run.Summary_.resize(std::min(Run.Summary_.size(), MaxSummaryLength));
+  LostRun Run = describeLostRun(Entry.Request_, Names_);
   Run.AnsweredBefore_ = wasAnswered(AnsweredRequests_, Run.Request_);
   Run.SentAt_ = Entry.Since_;
   Run.LostAt_ = Time_.now();
--- a/daemon/upstream_gateway.h
+++ b/daemon/upstream_gateway.h
@@ -40,6 +40,9 @@
   std::function<bool(KeyId)> Owns_;
   /// Counts a request for a key.
   std::function<void(KeyId)> CountRequest_;
+  /// Returns the requests per second for other keys if a key is hot;
+  /// std::nullopt if it is not.
+  std::function<std::optional<double>(KeyId)> RateBesideHotKey_{};
 };
 
 /// Notifications from an UpstreamGateway.
@@ -178,6 +181,7 @@
 
   void admit(std::uint64_t Number);
   void awaitKey(std::uint64_t Number);
+  bool rejectIfKeyExceedsShare(std::uint64_t Number);
   bool rejectIfQuarantined(std::uint64_t Number);
   void start(std::uint64_t Number);
   void dispatchQueued();
--- a/membership/hot_key.h
+++ b/membership/hot_key.h
@@ -14,6 +14,11 @@
 /// Maximum number of hot keys that one daemon reports.
 inline constexpr std::size_t MaxHotKeys = 4;
 
+/// Rate of a hot key that entry daemons send to its owner, relative to the rate
+/// that the owner admits. Above one, so that the owner stays fully used
+/// although the requests arrive at random.
+inline constexpr double HotKeyMargin = 1.1;
+
 /// A key with more requests than its owner can run, as the owner reports it.
 struct HotKey {
   KeyId Key_ = 0;
--- a/observe/metrics.cpp
+++ b/observe/metrics.cpp
@@ -65,6 +65,17 @@
                                         .Help("Shards that this daemon owns")
                                         .Register(Registry_)
                                         .Add({});
+  prometheus::Gauge &HotKeys_ =
+      prometheus::BuildGauge()
+          .Name("lagoonhitch_hot_keys")
+          .Help("Owned keys with more requests than the upstream can run")
+          .Register(Registry_)
+          .Add({});
+  prometheus::Family<prometheus::Counter> &HotKeyRejections_ =
+      prometheus::BuildCounter()
+          .Name("lagoonhitch_hot_key_rejections_total")
+          .Help("Requests for hot keys that were not sent to the owner")
+          .Register(Registry_);
 };
 
 Metrics::Metrics() : Impl_(std::make_unique<Impl>()) {}
@@ -103,6 +114,14 @@
   Impl_->OwnedShards_.Set(static_cast<double>(Count));
 }
 
+void Metrics::setHotKeys(std::size_t Count) {
+  Impl_->HotKeys_.Set(static_cast<double>(Count));
+}
+
+void Metrics::countHotKeyRejection(const std::string &Service) {
+  Impl_->HotKeyRejections_.Add({{"service", Service}}).Increment();
+}
+
 std::string Metrics::text() const {
   return prometheus::TextSerializer().Serialize(Impl_->Registry_.Collect());
 }
--- a/observe/metrics.h
+++ b/observe/metrics.h
@@ -46,6 +46,13 @@
   /// Sets the number of shards that the daemon owns.
   void setOwnedShards(std::size_t Count);
 
+  /// Sets the number of hot keys of this host.
+  void setHotKeys(std::size_t Count);
+
+  /// Counts a request that was rejected at this entry daemon because its key
+  /// has more requests than the owner can run.
+  void countHotKeyRejection(const std::string &Service);
+
   /// Returns all metrics in the Prometheus text format.
   std::string text() const;
 
