Upstreams without a slowdown compete with those that report one

Cause: an upstream that reports no slowdown, such as one whose daemon has just started, was judged by an assumed processing time of 200 ms, and the others by the work of the request. Short requests would never have chosen it, so it might never have reported any.

Change: if the work of the request is known, it replaces the assumed 200 ms. The load counts as before. Classes without samples, and with them sites without any reported slowdown, are judged exactly as before.

ChoosesAnIdleUpstreamWithoutReport covers it.

--- a/routing/host_choice.cpp
+++ b/routing/host_choice.cpp
@@ -142,13 +142,20 @@
   const double Factor =
       1 + (LightLoadWeight * Load + OverloadWeight * Overload) / Slots;
   const Seconds Usual = processingTimeFor(Digest, Options);
+  const Seconds LoadCost = Usual * (Factor - 1) * loadWeight(Choice);
   Seconds Cost = Usual * Factor;
   if (const std::optional<CompletionEstimate> Estimate =
           estimateCompletion(Member, Choice.Request_, Sent, Now))
     Cost = Estimate->Run_ +
-           std::max<Seconds>(Usual * (Factor - 1) * loadWeight(Choice),
+           std::max<Seconds>(LoadCost,
                              Estimate->Wait_ +
                                  Seconds(Estimate->Drain_) * LightLoadWeight);
+  else if (Choice.Request_.Work_ > Duration::zero())
+    // The other upstreams are compared by the work of this request, so one that
+    // reports no slowdown must be too, or it would hardly ever be chosen.
+    Cost = Seconds(Choice.Request_.Work_) *
+               (Usual / Seconds(Options.InitialProcessingTime_)) +
+           LoadCost;
   if (Digest.RateLimit_ > 0)
     Cost += Seconds((Digest.Queued_ + Member.SentSinceLoadUpdate_ + 0.5) /
                     Digest.RateLimit_);
