Upstreams without a slowdown reject no runs as too long

Upstreams that report no slowdown must behave as before except for their estimates, so the rejection of a request whose run is expected to end after its deadline needs a known speed.

--- a/limits/admission_work.cpp
+++ b/limits/admission_work.cpp
@@ -49,7 +49,7 @@
                 Instant Now) {
   const ClassWork *Known = findClassWork(State.Works_, Request.Class_);
   const bool Reliable =
-      Known != nullptr &&
+      isSpeedKnown(State.Speed_) && Known != nullptr &&
       Known->Samples_ >= State.Options_.MinSamplesToReject_ &&
       Now - Known->SampledAt_ <= State.Options_.MaxSampleAgeToReject_;
   return Reliable && timeFor(State, medianOf(Known->Mean_, Known->Spread_),
--- a/limits/admission_work.h
+++ b/limits/admission_work.h
@@ -20,7 +20,8 @@
 Duration meanRemainingWork(const AdmissionQueue &State, Instant Now);
 
 /// Returns whether a request that is started now will probably not be completed
-/// by its deadline, judged by the median of its class.
+/// by its deadline, judged by the median of its class. Always false if the
+/// speed of the upstream is unknown.
 bool isHopeless(const AdmissionQueue &State, const QueuedRequest &Request,
                 Instant Now);
 
--- a/tests/unit/work_test.cpp
+++ b/tests/unit/work_test.cpp
@@ -299,6 +299,12 @@
 BOOST_AUTO_TEST_CASE(RejectsRunsThatCannotMeetTheirDeadline) {
   AdmissionQueue Queue = makeQueue(4);
   Instant Now = runRequests(Queue, 1, milliseconds(300), 60, Start);
+  // Upstreams that report no slowdown are treated as before.
+  AdmissionQueue WithoutSpeed = Queue;
+  BOOST_TEST((submitRequest(WithoutSpeed,
+                            makeRequest(1, 1, Now, milliseconds(200)), Now)
+                  .Kind_ == AdmissionDecision::Kind::Start));
+  observeSlowdown(Queue.Speed_, 100, Now);
   const QueuedRequest Short = makeRequest(1, 1, Now, milliseconds(200));
   const AdmissionDecision Decision = submitRequest(Queue, Short, Now);
   BOOST_TEST((Decision.Kind_ == AdmissionDecision::Kind::Reject));
@@ -316,6 +322,7 @@
 BOOST_AUTO_TEST_CASE(ProbesClassesThatItRejects) {
   AdmissionQueue Queue = makeQueue(4);
   Instant Now = runRequests(Queue, 1, milliseconds(300), 60, Start);
+  observeSlowdown(Queue.Speed_, 100, Now);
   Now += milliseconds(2100);
   BOOST_TEST(
       (submitRequest(Queue, makeRequest(1, 1, Now, milliseconds(200)), Now)
