Copies of a body that is not const share it; unusable host limits

MessageBody's template constructor was a better match than the copy constructor for copies of non-const bodies, and copied the bytes. Its constructors take a string or a literal now.

A body gives way after 1 s without progress instead of 250 ms: on a loop that is late by more than that, all bodies would count as stalled.

--- a/net/memory_budget.h
+++ b/net/memory_budget.h
@@ -25,8 +25,8 @@
   /// it is read.
   std::size_t SmallBytes_ = std::size_t{96} * 1024;
   /// Time without progress after which an incomplete message gives way to
-  /// others. Shorter pauses occur in ordinary uploads on a busy host.
-  Duration StallTime_ = std::chrono::milliseconds(250);
+  /// others. Shorter pauses occur in ordinary uploads while a loop is late.
+  Duration StallTime_ = std::chrono::seconds(1);
 };
 
 /// A message, or a part of it, that counts in a MemoryBudget.
--- a/net/message_body.h
+++ b/net/message_body.h
@@ -12,7 +12,6 @@
 #include <ostream>
 #include <string>
 #include <string_view>
-#include <type_traits>
 #include <utility>
 
 namespace lagoonhitch {
@@ -25,10 +24,9 @@
   MessageBody() = default;
 
   /// Takes over the bytes.
-  template <typename Text, typename = std::enable_if_t<
-                               std::is_convertible_v<Text, std::string>>>
-  MessageBody(Text &&Bytes)
-      : MessageBody(std::string(std::forward<Text>(Bytes)), nullptr) {}
+  MessageBody(std::string Bytes) : MessageBody(std::move(Bytes), nullptr) {}
+
+  MessageBody(const char *Text) : MessageBody(std::string(Text)) {}
 
   /// Takes over the bytes and counts them in a budget while they exist.
   MessageBody(std::string Bytes, std::shared_ptr<MemoryBudget> Budget) {
--- a/settings/host_settings.cpp
+++ b/settings/host_settings.cpp
@@ -14,6 +14,10 @@
 
 using Json = nlohmann::json;
 
+/// Below these values, a limit of the host is taken for a mistake.
+constexpr double MinMegabytes = 64;
+constexpr double MinDescriptors = 1024;
+
 /// Reads the fields of a JSON object and collects their faults.
 class FieldReader {
 public:
@@ -52,15 +56,17 @@
     Target = Field->get<double>();
   }
 
-  /// Reads a number of at least one; a missing or null field keeps its default.
-  void readCount(const char *Name, std::size_t &Target) {
-    constexpr double MaxCount = 1e15;
-    double Value = static_cast<double>(Target);
-    readNumber(Name, Value);
-    if (Value >= 1 && Value <= MaxCount)
+  /// Reads a limit of the host. It keeps its default if the field is not a
+  /// number in the range: a platform that does not know the limit must not keep
+  /// the daemon from starting.
+  void readHostLimit(const char *Name, double Min, std::size_t &Target) {
+    constexpr double Max = 1048576;
+    const Json *Field = find(Name);
+    if (Field == nullptr || !Field->is_number())
+      return;
+    const double Value = Field->get<double>();
+    if (Value >= Min && Value <= Max)
       Target = static_cast<std::size_t>(Value);
-    else
-      addFault(Name, find(Name), "a number of at least one");
   }
 
   /// Reads a field that may be missing.
@@ -125,8 +131,8 @@
   Fields.readString("admin", Settings.AdminAddress_);
   Fields.readString("store", Settings.StoreAddress_);
   Fields.readFlag("first_start", Settings.FirstStart_);
-  Fields.readCount("memory_mb", Settings.MemoryMegabytes_);
-  Fields.readCount("max_fds", Settings.MaxDescriptors_);
+  Fields.readHostLimit("memory_mb", MinMegabytes, Settings.MemoryMegabytes_);
+  Fields.readHostLimit("max_fds", MinDescriptors, Settings.MaxDescriptors_);
   std::vector<SettingsFault> Faults = Fields.takeFaults();
   const Json None = Json::object();
   const Json &Bounds = Source.is_object() && Source.contains("bounds")
