--- a/tests/unit/calls_test.cpp
+++ b/tests/unit/calls_test.cpp
@@ -138,7 +138,7 @@
     Request.Method_ = "GET";
     Request.Target_ = Target;
     Request.Headers_.push_back({platformHeaders().RequestId_, Id});
-    const std::shared_ptr<RecordedExchange> Exchange =
+    std::shared_ptr<RecordedExchange> Exchange =
         std::make_shared<RecordedExchange>();
     Router_.handle(std::move(Request), Exchange, Interface_);
     runFor(milliseconds(30));
