--- a/net/response_reader.cpp
+++ b/net/response_reader.cpp
@@ -112,9 +112,9 @@
     StartParsed_ = StartParsed_ || Parsed > 0;
     ParsedBytes_ += Parsed;
     Buffer_.consume(Parsed);
-    const bool IsInvalid = Parser_->is_header_done() &&
-                           !(hasDefinedStatus(Parser_->get()) &&
-                             hasKnownCodings(Parser_->get()));
+    const bool IsInvalid =
+        Parser_->is_header_done() &&
+        !(hasDefinedStatus(Parser_->get()) && hasKnownCodings(Parser_->get()));
     if (IsInvalid)
       return false;
     if (Parser_->is_done() && isInterim(Parser_->get())) {
