--- a/tests/process/large_body_test.cpp
+++ b/tests/process/large_body_test.cpp
@@ -109,8 +109,10 @@
 BOOST_AUTO_TEST_CASE(SeveralLargestBodiesExceedTheMemoryOfAHost) {
   LargeBodySite Fixture;
   {
+    constexpr std::size_t CallerCount = 3;
     std::vector<std::jthread> Callers;
-    for (int Number = 0; Number < 3; ++Number)
+    Callers.reserve(CallerCount);
+    while (Callers.size() < CallerCount)
       Callers.emplace_back([&Fixture] { Fixture.send(false); });
   }
   Fixture.checkMemory();
--- a/tests/unit/memory_budget_test.cpp
+++ b/tests/unit/memory_budget_test.cpp
@@ -104,9 +104,10 @@
 BOOST_AUTO_TEST_CASE(CompleteBodiesNeverGiveWay) {
   const auto Budget = std::make_shared<MemoryBudget>(options());
   {
-    MessageBody Body(std::string(900, 'a'), Budget);
-    const MessageBody Copy = Body;
-    BOOST_TEST(Copy.text().data() == Body.text().data());
+    const MessageBody Body(std::string(900, 'a'), Budget);
+    const std::vector<MessageBody> Copies(2, Body);
+    for (const MessageBody &Copy : Copies)
+      BOOST_TEST(Copy.text().data() == Body.text().data());
     BOOST_TEST(Budget->bytes() == 900U);
     Upload Next;
     BOOST_TEST(!Budget->tryResize(Next.Entry_, 200, Start + 10 * Stalled));
