--- a/review/rig-2/rig.hpp
+++ b/review/rig-2/rig.hpp
@@ -28,6 +28,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -251,38 +252,63 @@
   using Handler = std::function<bool(const Message &, int Socket)>;
   Server(const std::string &Address, Handler Handle)
       : Address_(Address), Handle_(std::move(Handle)) {
-    Listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    start();
+  }
+  const std::string &address() const { return Address_; }
+
+  void start() {
+    const int Listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int One = 1;
-    setsockopt(Listener_, SOL_SOCKET, SO_REUSEADDR, &One, sizeof One);
-    const sockaddr_in At = addressOf(Address);
-    if (bind(Listener_, reinterpret_cast<const sockaddr *>(&At), sizeof At) != 0 ||
-        listen(Listener_, 512) != 0) {
+    setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &One, sizeof One);
+    const sockaddr_in At = addressOf(Address_);
+    if (bind(Listener, reinterpret_cast<const sockaddr *>(&At), sizeof At) != 0 ||
+        listen(Listener, 512) != 0) {
       perror("listen");
       exit(2);
     }
-    std::thread([this] {
-      for (;;) {
-        const int Socket = accept4(Listener_, nullptr, nullptr, SOCK_CLOEXEC);
-        if (Socket < 0)
-          return;
-        const int On = 1;
-        setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
-        std::thread([this, Socket] {
-          std::string Buffer;
-          Message Request;
-          while (readMessage(Socket, Buffer, Request) == Read::Whole)
-            if (!Handle_(Request, Socket))
-              break;
-          close(Socket);
-        }).detach();
-      }
-    }).detach();
+    Listener_ = Listener;
+    std::thread([this, Listener] { accept(Listener); }).detach();
+  }
+
+  // As if the process were killed: the port is closed, connections end.
+  void stop() {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    shutdown(Listener_, SHUT_RDWR);
+    for (const int Socket : Open_)
+      shutdown(Socket, SHUT_RDWR);
   }
-  const std::string &address() const { return Address_; }
 
 private:
+  void accept(int Listener) {
+    for (;;) {
+      const int Socket = accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
+      if (Socket < 0)
+        break;
+      const int On = 1;
+      setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
+      {
+        const std::lock_guard<std::mutex> Lock(Mutex_);
+        Open_.insert(Socket);
+      }
+      std::thread([this, Socket] { serve(Socket); }).detach();
+    }
+    close(Listener);
+  }
+  void serve(int Socket) {
+    std::string Buffer;
+    Message Request;
+    while (readMessage(Socket, Buffer, Request) == Read::Whole)
+      if (!Handle_(Request, Socket))
+        break;
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    Open_.erase(Socket);
+    close(Socket);
+  }
+
   std::string Address_;
   Handler Handle_;
+  std::mutex Mutex_;
+  std::set<int> Open_;
   int Listener_ = -1;
 };
 
@@ -339,16 +365,58 @@
   void put(const std::string &Topic, const std::string &Key,
            const std::string &Value) {
     const std::lock_guard<std::mutex> Lock(Mutex_);
-    Topics_[Topic].push_back({Key, Value});
+    Topics_[Topic].push_back({Key, Value, now()});
     Changed_.notify_all();
   }
 
+  // States an era in all answers from now on.
+  void stateEra() { Era_ = 1; }
+
+  // A drill: away for some time, then back from a copy that was Age seconds old
+  // when it went away. What the operator wrote since is written again.
+  void drill(double Away, double Age) {
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex_);
+      Down_ = true;
+      ++Generation_;
+      Changed_.notify_all();
+    }
+    const double CopyAt = now() - Age;
+    sleepFor(Away);
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    std::map<std::string, std::string> Operator;
+    for (const Entry &E : Topics_["keyed.op"])
+      Operator[E.Key] = E.Value;
+    for (auto &[Name, Log] : Topics_)
+      while (!Log.empty() && Log.back().At > CopyAt)
+        Log.pop_back();
+    Epochs_.clear();
+    while (!EpochLog_.empty() && EpochLog_.back().At > CopyAt)
+      EpochLog_.pop_back();
+    for (const EpochEntry &E : EpochLog_)
+      Epochs_[E.Key] = E.Epoch;
+    std::map<std::string, std::string> Copy;
+    for (const Entry &E : Topics_["keyed.op"])
+      Copy[E.Key] = E.Value;
+    for (const auto &[Key, Value] : Operator)
+      if (!Copy.count(Key) || Copy[Key] != Value)
+        Topics_["keyed.op"].push_back({Key, Value, now()});
+    ++Era_;
+    Down_ = false;
+  }
+
   // May keep a call from being answered: set to delay or lose answers.
   std::function<bool(const Message &)> Before;
 
 private:
   struct Entry {
     std::string Key, Value;
+    double At;
+  };
+  struct EpochEntry {
+    std::string Key;
+    unsigned long long Epoch;
+    double At;
   };
   static std::string query(const std::string &Target, const std::string &Name) {
     for (size_t At = Target.find('?'); At != std::string::npos;
@@ -366,7 +434,17 @@
   bool handle(const Message &R, int Socket) {
     if (Before && !Before(R))
       return false;
-    return sendAll(Socket, encode(answer(R)));
+    if (Down_) {
+      sleepFor(1.2);
+      return false;
+    }
+    const int Generation = Generation_;
+    Message Answer = answer(R);
+    if (Generation != Generation_)
+      return false;
+    if (Era_ > 0)
+      Answer.Headers.push_back({"Store-Era", std::to_string(Era_)});
+    return sendAll(Socket, encode(Answer));
   }
   Message answer(const Message &R) {
     const std::string Target = R.target();
@@ -382,6 +460,7 @@
         if (Asked < Epoch)
           return response(409, "{\"why\":\"fenced\"}");
         Epoch = Asked;
+        EpochLog_.push_back({Topic + "/" + Producer, Asked, now()});
       }
       const std::string At = query(Target, "at");
       if (!At.empty() && strtoull(At.c_str(), nullptr, 10) != Log.size())
@@ -393,7 +472,7 @@
           Size = Size << 8U | static_cast<unsigned char>(R.Body[P++]);
         const size_t KeySize = static_cast<unsigned char>(R.Body[P]);
         Log.push_back({R.Body.substr(P + 1, KeySize),
-                       R.Body.substr(P + 1 + KeySize, Size - 1 - KeySize)});
+                       R.Body.substr(P + 1 + KeySize, Size - 1 - KeySize), now()});
         P += Size;
       }
       Changed_.notify_all();
@@ -401,9 +480,13 @@
     }
     if (Target.rfind("/log-read", 0) == 0) {
       const size_t From = strtoull(query(Target, "from").c_str(), nullptr, 10);
+      if (From > Log.size())
+        return response(410, "{\"first\":0}");
       const double Wait = atof(query(Target, "wait-ms").c_str()) / 1000;
-      Changed_.wait_for(Lock, std::chrono::duration<double>(Wait),
-                        [&] { return Topics_[Topic].size() > From; });
+      const int Generation = Generation_;
+      Changed_.wait_for(Lock, std::chrono::duration<double>(Wait), [&] {
+        return Topics_[Topic].size() > From || Generation != Generation_;
+      });
       const std::vector<Entry> &Now = Topics_[Topic];
       std::string Body;
       big(Body, Now.size(), 8);
@@ -437,6 +520,10 @@
   std::condition_variable Changed_;
   std::map<std::string, std::vector<Entry>> Topics_;
   std::map<std::string, unsigned long long> Epochs_;
+  std::vector<EpochEntry> EpochLog_;
+  std::atomic<int> Era_{0};
+  std::atomic<int> Generation_{0};
+  std::atomic<bool> Down_{false};
   Server Server_;
 };
 
@@ -461,16 +548,32 @@
 
   // Sends liveness reports to a daemon's control address.
   void beat(const std::string &Control, double Interval = 0.87) {
+    Interval_ = Interval;
     std::thread([this, Control, Interval] {
       for (;;) {
-        if (Beats_) {
+        if (Beats_ && now() >= NextBeatAt_) {
+          NextBeatAt_ = now() + Interval;
           Message Answer;
           call(Control, report(), Answer, 1);
         }
-        sleepFor(Interval);
+        sleepFor(0.01);
       }
     }).detach();
   }
+
+  // Ends and starts again under the same id; its first liveness report comes
+  // one interval after the start.
+  void restart(double Down, const std::function<void()> &Forget) {
+    Beats_ = false;
+    Server_.stop();
+    Forget();
+    sleepFor(Down);
+    Born_ = unixMillis();
+    Sequence_ = 0;
+    NextBeatAt_ = now() + Interval_;
+    Server_.start();
+    Beats_ = true;
+  }
   Message report() {
     Message M;
     M.First = "PUT /instances/" + Id_ + " HTTP/1.1";
@@ -479,7 +582,7 @@
                   "\",\"zone\":\"", Zone_, "\",\"version\":\"v1\",\"slots\":",
                   Slots_, ",\"state\":\"", Draining_ ? "draining" : "ready",
                   "\",\"cold-left-s\":0,\"sequence\":", ++Sequence_,
-                  ",\"born\":", Born_, "}");
+                  ",\"born\":", Born_.load(), "}");
     return M;
   }
 
@@ -509,6 +612,7 @@
 
   Work OnRequest;
   Work OnControl; // grant and release
+  std::function<void(Message &)> HealthHeaders;
   std::atomic<bool> Beats_{true};
   std::atomic<bool> Draining_{false};
 
@@ -518,6 +622,8 @@
     if (Target == "/health") {
       Message M = response(Draining_ ? 503 : 200);
       M.Headers.push_back({"X-Instance-Id", Id_});
+      if (HealthHeaders)
+        HealthHeaders(M);
       return sendAll(Socket, encode(M));
     }
     if ((Target == "/grant" || Target == "/release") && OnControl)
@@ -537,7 +643,9 @@
 
   std::string Id_, Service_, Zone_;
   int Slots_;
-  long long Born_;
+  std::atomic<long long> Born_;
+  std::atomic<double> NextBeatAt_{0};
+  double Interval_ = 0.87;
   std::atomic<int> Sequence_{0};
   std::mutex Mutex_;
   std::vector<Run> Runs_;
@@ -711,7 +819,7 @@
   const bool On = Trouble == nullptr || strcmp(Trouble, "0") != 0;
   note(On ? "with" : "without", " the disruption");
   std::thread([] {
-    sleepFor(110);
+    sleepFor(getenv("LONG") ? 1000 : 110);
     finish(2, "took too long");
   }).detach();
   return On;
