Review case 7: a late report gives a running instance's keys a second holder

Cause: a daemon that was restarted takes a report of an incarnation that ended before the one in the table, and reassigns the keys at once.

--- a/review/rig-2/rig.hpp
+++ b/review/rig-2/rig.hpp
@@ -544,7 +544,12 @@
           return handle(R, S);
         }) {}
   const std::string &address() const { return Server_.address(); }
-  const std::string &id() const { return Id_; }
+  std::string id() {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    return Id_;
+  }
+  // When the next liveness report is due.
+  double nextBeat() const { return NextBeatAt_; }
 
   // Sends liveness reports to a daemon's control address.
   void beat(const std::string &Control, double Interval = 0.87) {
@@ -561,13 +566,18 @@
     }).detach();
   }
 
-  // Ends and starts again under the same id; its first liveness report comes
-  // one interval after the start.
-  void restart(double Down, const std::function<void()> &Forget) {
+  // Ends and starts again, under the same id unless another is given; its first
+  // liveness report comes one interval after the start.
+  void restart(double Down, const std::function<void()> &Forget,
+               const std::string &NewId = "") {
     Beats_ = false;
     Server_.stop();
     Forget();
     sleepFor(Down);
+    if (!NewId.empty()) {
+      const std::lock_guard<std::mutex> Lock(Mutex_);
+      Id_ = NewId;
+    }
     Born_ = unixMillis();
     Sequence_ = 0;
     NextBeatAt_ = now() + Interval_;
@@ -576,7 +586,7 @@
   }
   Message report() {
     Message M;
-    M.First = "PUT /instances/" + Id_ + " HTTP/1.1";
+    M.First = "PUT /instances/" + id() + " HTTP/1.1";
     M.Headers = {{"Host", "control"}, {"Content-Type", "application/json"}};
     M.Body = text("{\"service\":\"", Service_, "\",\"address\":\"", address(),
                   "\",\"zone\":\"", Zone_, "\",\"version\":\"v1\",\"slots\":",
