--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -22,7 +22,7 @@
   };
   S.put("keyed.op", "config",
         manifest(1, {{"prizes"}},
-                 {{"prizes.example", "/claim/", "prizes", "non_idempotent", 3, 1.5, 2, 2}}));
+                 {{"prizes.example", "/claim/", "prizes", "non_idempotent", 6, 1.5, 2, 2}}));
   Daemon D({"m1", "ro-central-a", "prizes", I.address(), S.address(), 160});
   I.beat(D.Control);
   if (!waitFor(10, [&] { return D.ready(); }))
--- a/review/rig-2/rig.hpp
+++ b/review/rig-2/rig.hpp
@@ -566,6 +566,12 @@
     }).detach();
   }
 
+  // Ends for good.
+  void end() {
+    Beats_ = false;
+    Server_.stop();
+  }
+
   // Ends and starts again, under the same id unless another is given; its first
   // liveness report comes one interval after the start.
   void restart(double Down, const std::function<void()> &Forget,
