Keys granted by a killed daemon get no second holder

Cause: a grant names only the upstream's ID, so the new incarnation takes the renewal that was meant for the one before it. The daemon's next process learns that the owner in the table has ended and reassigns its keys at once: planOwnRows() asked for the grants of this process only. EarlierProcessGrantsEnd_ counted for lost upstreams and released keys, not for restarted ones. Done: while a grant of an earlier process may be in effect for a row of the same ID, the keys stay with that upstream, with a higher token; a draining one keeps others waiting until those grants have ended. An upstream with another ID has refused them, so nothing waits there.

--- a/ownership/key_plan.cpp
+++ b/ownership/key_plan.cpp
@@ -75,6 +75,10 @@
              CommonStartWindow.count();
 }
 
+bool isServing(const KeyOwnershipState &State) {
+  return State.Upstream_.State_ == LocalUpstream::State::Serving;
+}
+
 /// Returns whether the restarted upstream keeps the keys of its previous
 /// incarnation. It does if most hosts are down or starting: after a power loss,
 /// the few hosts that are up first would otherwise receive all keys.
@@ -87,8 +91,7 @@
                     });
   const bool MostAreStarting =
       static_cast<std::size_t>(StartingCount) * 2 > Inputs.Peers_.size();
-  return MostAreStarting &&
-         State.Upstream_.State_ == LocalUpstream::State::Serving;
+  return MostAreStarting && isServing(State);
 }
 
 /// Returns whether the running upstream may hold keys of the incarnation before
@@ -100,6 +103,16 @@
           Now < residualGrantsEnd(State, Range));
 }
 
+/// Returns whether the running upstream may hold keys of the incarnation before
+/// it because of a grant by an earlier process of this daemon. Such a grant
+/// names only the upstream's ID.
+bool mayHoldEarlierGrant(const KeyOwnershipState &State, const KeyRow &Row,
+                         Instant Now) {
+  return isUpstreamAlive(State) &&
+         Row.Owner_.Upstream_ == State.Upstream_.Id_ &&
+         Now < earlierGrantsEnd(State, Row.Fence_);
+}
+
 /// Updates rows with earlier epochs of this host, and reassigns those of
 /// upstream incarnations that have ended or are lost. The latter, unless they
 /// count as terminated, only once their grants have expired.
@@ -133,8 +146,12 @@
         isGrantInFlight(State, Row.Range_) || Now < holdsEnd(State, Row.Range_);
     if (Lost && MayHold)
       continue;
-    const bool Keeps = keepsKeysAfterRestart(State, Inputs);
-    if (!Keeps && mayHoldPredecessorsKeys(State, Row.Range_, Now))
+    const bool MayHoldEarlierGrant = mayHoldEarlierGrant(State, Row, Now);
+    // No other host may get such keys yet; where they are, they are served.
+    const bool Keeps = keepsKeysAfterRestart(State, Inputs) ||
+                       (MayHoldEarlierGrant && isServing(State));
+    if (!Keeps && (MayHoldEarlierGrant ||
+                   mayHoldPredecessorsKeys(State, Row.Range_, Now)))
       continue;
     const std::vector<KeyPlacement> Placements =
         Keeps ? std::vector<KeyPlacement>{{Row.Range_, State.Host_}}
--- a/tests/schedule/key_schedule_test.cpp
+++ b/tests/schedule/key_schedule_test.cpp
@@ -67,6 +67,12 @@
   return Text;
 }
 
+/// Returns whether two upstreams have held the same keys at the same time.
+bool hasTwoHolders(const KeySimulation &Simulation) {
+  return describeViolations(Simulation).find("hold the same keys") !=
+         std::string::npos;
+}
+
 } // namespace
 
 RC_BOOST_PROP(SafetyHoldsUnderAnyFaults, ()) {
@@ -374,6 +380,28 @@
   }
 }
 
+/// As above, and the daemon is killed before it knows of the new process. The
+/// next one must not give the keys to others while grants of the one before it
+/// may be in effect.
+BOOST_AUTO_TEST_CASE(KeysGrantedByAKilledDaemonGetNoSecondHolder) {
+  using std::chrono::milliseconds;
+  for (int Seed = 0; Seed < 200; ++Seed) {
+    KeySimulation Simulation(HostCount, static_cast<std::uint64_t>(Seed),
+                             grantMethodUnderTest());
+    Simulation.run(std::chrono::seconds(5), {});
+    const milliseconds KilledAt(100 + 10 * Seed);
+    Simulation.run(
+        std::chrono::seconds(22),
+        {{KeyFaultKind::LateHeartbeats, milliseconds(0),
+          KilledAt + milliseconds(50), 1},
+         {KeyFaultKind::UpstreamRestartsUnderItsId, milliseconds(10),
+          milliseconds(50), 1},
+         {KeyFaultKind::KillDaemon, KilledAt, milliseconds(100), 1}});
+    BOOST_TEST(!hasTwoHolders(Simulation));
+    BOOST_TEST(Simulation.heldKeyCount() == SampledKeyCount);
+  }
+}
+
 /// An upstream that is leaving may close its listening port first, or one with
 /// many connections may refuse more. It still holds its keys.
 BOOST_AUTO_TEST_CASE(RefusingUpstreamHoldsItsKeys) {
--- a/tests/unit/key_holds_test.cpp
+++ b/tests/unit/key_holds_test.cpp
@@ -106,8 +106,51 @@
   bool reassigns(Instant Now) {
     return !tick(Now, KeyAction::Kind::AppendTable).empty();
   }
+
+  /// Starts as the next process of a daemon whose grants may be in effect until
+  /// EarlierGrantsEnd, beside an upstream with the ID that it had.
+  void startAfterAnEarlierProcess(std::int64_t StartMillis) {
+    State_.EarlierProcessGrantsEnd_ = EarlierGrantsEnd;
+    // Keys that are free go to the other host.
+    Inputs_.Peers_.front().Rate_ = 50;
+    setUpstream(LocalUpstream::State::Serving, StartMillis);
+    onTable(State_, table(4, 5), 5, Start);
+    renewLease(Start);
+  }
+
+  /// Lets the store accept the table that is appended now.
+  /// \returns that table.
+  KeyTable appendTable(Instant Now) {
+    const KeyActions Appends = tick(Now, KeyAction::Kind::AppendTable);
+    BOOST_REQUIRE(Appends.size() == 1U);
+    AppendReply Reply;
+    Reply.Kind_ = AppendReply::Kind::Done;
+    Reply.Offset_ = Appends.front().ExpectedEnd_;
+    Reply.End_ = Reply.Offset_ + 1;
+    onTableReply(State_, Appends.front().AppendId_, Reply, Now);
+    return Appends.front().Table_;
+  }
+
+  /// Lets the upstream accept a grant of all keys of the host.
+  void acceptGrant(Instant Now) {
+    const KeyActions Grants = tick(Now, KeyAction::Kind::Grant);
+    BOOST_REQUIRE(Grants.size() == 1U);
+    onGrantReply(State_, Grants.front().Row_, GrantResult::Granted, Now,
+                 Grants.front().Hold_, Now);
+  }
+
+  /// Returns whether the first key is given to the other host.
+  bool givesAway(Instant Now) {
+    for (const KeyAction &Append : tick(Now, KeyAction::Kind::AppendTable))
+      if (findRow(Append.Table_, 0)->Owner_.Host_ != State_.Host_)
+        return true;
+    return false;
+  }
 };
 
+/// When a process started that follows the one in the table by a restart.
+constexpr std::int64_t RestartMillis = 3600000;
+
 } // namespace
 
 /// The process was replaced while a grant was in flight. The upstream may apply
@@ -207,4 +250,38 @@
   BOOST_TEST(Hosts.reassigns(End));
 }
 
+/// An upstream restarts under its ID, its daemon renews the grant there and is
+/// killed before the first heartbeat. The next process keeps the keys there,
+/// with a higher token.
+BOOST_AUTO_TEST_CASE(GrantOfAnEarlierProcessToARestartedUpstreamCounts) {
+  TwoHosts Hosts;
+  Hosts.startAfterAnEarlierProcess(RestartMillis);
+  const KeyRow Kept = *findRow(Hosts.appendTable(Start), 0);
+  BOOST_TEST(Kept.Owner_.Host_ == Hosts.State_.Host_);
+  BOOST_TEST(Kept.Owner_.StartMillis_ == RestartMillis);
+  BOOST_TEST(Kept.Fence_ > 5U);
+  Hosts.acceptGrant(Start);
+  BOOST_TEST(canServeKey(Hosts.State_, 0, Start));
+}
+
+/// As above, but the upstream is draining.
+BOOST_AUTO_TEST_CASE(DrainingUpstreamMayHoldKeysOfAnEarlierProcess) {
+  TwoHosts Hosts;
+  Hosts.startAfterAnEarlierProcess(RestartMillis);
+  Hosts.setUpstream(LocalUpstream::State::Draining, RestartMillis);
+  BOOST_TEST(!Hosts.givesAway(Start));
+  Hosts.renewLease(Start + milliseconds(7900));
+  BOOST_TEST(!Hosts.givesAway(EarlierGrantsEnd - milliseconds(1)));
+  BOOST_TEST(Hosts.givesAway(EarlierGrantsEnd));
+}
+
+/// A grant to the incarnation before it is refused by an upstream with another
+/// ID, so its keys are free as soon as it has ended.
+BOOST_AUTO_TEST_CASE(UpstreamWithANewIdHoldsNothingOfItsPredecessor) {
+  TwoHosts Hosts;
+  Hosts.startAfterAnEarlierProcess(RestartMillis);
+  Hosts.State_.Upstream_.Id_ = "up-a2";
+  BOOST_TEST(Hosts.givesAway(Start));
+}
+
 } // namespace lagoonhitch
