A higher token does not end grants of an earlier process

Keys that stay with their upstream, or that the first table lacks, could get a second holder within 8 s of a daemon's start. Cause: whether an earlier process may have granted a row was decided by the row's fencing token. A row gets a higher one without a change of holder when its upstream restarts and keeps it, or in a later era of the store. Then its keys counted as never granted before, so they were free as soon as they were released, though the upstream could still apply a grant with the earlier token. Done: the keys that an earlier process may have granted are recorded when a table is read, and keep counting whatever token they get. Evidence: on the commit before, HigherTokenDoesNotEndGrantsOfAnEarlierProcess and KeysInALaterTableMayBeGrantedByAnEarlierProcess failed; both pass now.

--- a/ownership/key_holds.cpp
+++ b/ownership/key_holds.cpp
@@ -115,9 +115,28 @@
   return End;
 }
 
-Instant earlierGrantsEnd(const KeyOwnershipState &State, FencingToken Fence) {
-  return Fence <= State.FirstTopicEnd_ ? State.EarlierProcessGrantsEnd_
-                                       : Instant::min();
+void noteEarlierProcessKeys(KeyOwnershipState &State, Instant Now) {
+  if (Now >= State.EarlierProcessGrantsEnd_)
+    return;
+  std::vector<KeyRange> &Known = State.EarlierProcessKeys_;
+  for (const KeyRow &Row : rowsOf(State.Table_, State.Host_)) {
+    const bool MayBeGranted =
+        Row.Owner_.Epoch_ != State.Epoch_ || Row.Fence_ <= State.FirstTopicEnd_;
+    const bool IsKnown =
+        std::find(Known.begin(), Known.end(), Row.Range_) != Known.end();
+    if (MayBeGranted && !IsKnown)
+      Known.push_back(Row.Range_);
+  }
+}
+
+Instant earlierGrantsEnd(const KeyOwnershipState &State,
+                         const KeyRange &Range) {
+  const std::vector<KeyRange> &Keys = State.EarlierProcessKeys_;
+  const bool MayBeGranted =
+      std::any_of(Keys.begin(), Keys.end(), [&Range](const KeyRange &Earlier) {
+        return overlaps(Earlier, Range);
+      });
+  return MayBeGranted ? State.EarlierProcessGrantsEnd_ : Instant::min();
 }
 
 Instant holdsEnd(const KeyOwnershipState &State, const KeyRange &Range) {
--- a/ownership/key_holds.h
+++ b/ownership/key_holds.h
@@ -36,9 +36,15 @@
 Instant residualGrantsEnd(const KeyOwnershipState &State,
                           const KeyRange &Range);
 
+/// Records which keys of the known table an earlier process of this daemon may
+/// have granted: those with other epochs of this host. To be called for each
+/// newer table.
+void noteEarlierProcessKeys(KeyOwnershipState &State, Instant Now);
+
 /// Returns the time from which no grant of an earlier process of this daemon
-/// can be in effect or take effect for a row; Instant::min() if it made none.
-Instant earlierGrantsEnd(const KeyOwnershipState &State, FencingToken Fence);
+/// can be in effect or take effect for some of these keys; Instant::min() if it
+/// made none.
+Instant earlierGrantsEnd(const KeyOwnershipState &State, const KeyRange &Range);
 
 /// Returns the time from which the upstream is guaranteed to hold none of these
 /// keys.
--- a/ownership/key_ownership.cpp
+++ b/ownership/key_ownership.cpp
@@ -123,7 +123,7 @@
     return;
   // Their keys would have no owner until the earlier grants have ended.
   std::erase_if(Own, [&State, Now](const KeyRow &Row) {
-    return Now < earlierGrantsEnd(State, Row.Fence_);
+    return Now < earlierGrantsEnd(State, Row.Range_);
   });
   const std::vector<KeyPlacement> Found =
       findMoves(Own, State.Host_, Inputs, State.Options_);
@@ -210,6 +210,7 @@
   if (!State.EpochAcknowledged_ && !State.RenewalInFlight_)
     State.Epoch_ =
         std::max(State.Epoch_, highestEpoch(State.Table_, State.Host_) + 1);
+  noteEarlierProcessKeys(State, Now);
   syncHolds(State);
 }
 
@@ -340,7 +341,7 @@
     Move.Handover_ = Handover.value_or("");
     // The upstream may apply a grant of an earlier process after the release.
     Move.SafeAt_ = Handover ? std::max(residualGrantsEnd(State, Move.Range_),
-                                       earlierGrantsEnd(State, Move.Fence_))
+                                       earlierGrantsEnd(State, Move.Range_))
                             : holdsEnd(State, Move.Range_);
   }
   static_cast<void>(Now);
--- a/ownership/key_ownership_state.h
+++ b/ownership/key_ownership_state.h
@@ -175,8 +175,11 @@
   /// Until when the upstream may hold keys because of grants by an earlier
   /// process of this daemon.
   Instant EarlierProcessGrantsEnd_ = Instant::min();
-  /// Where the table's topic ended when it was first read. An earlier process
-  /// can only have granted rows with fencing tokens up to this offset.
+  /// The keys that an earlier process may have granted. They stay here when
+  /// they get a higher token: the upstream may apply the earlier grant last.
+  std::vector<KeyRange> EarlierProcessKeys_;
+  /// Where the table's topic ended when it was first read. Rows with fencing
+  /// tokens up to this offset may be known to an earlier process.
   Offset FirstTopicEnd_ = 0;
   /// Earliest time of the next moves for load balance.
   Instant NextRebalanceAt_ = Instant::min();
--- a/ownership/key_plan.cpp
+++ b/ownership/key_plan.cpp
@@ -110,7 +110,7 @@
                          Instant Now) {
   return isUpstreamAlive(State) &&
          Row.Owner_.Upstream_ == State.Upstream_.Id_ &&
-         Now < earlierGrantsEnd(State, Row.Fence_);
+         Now < earlierGrantsEnd(State, Row.Range_);
 }
 
 /// Updates rows with earlier epochs of this host, and reassigns those of
--- a/tests/unit/key_holds_test.cpp
+++ b/tests/unit/key_holds_test.cpp
@@ -96,7 +96,7 @@
 
   /// Drains the upstream and releases its keys.
   void release(Instant Now) {
-    setUpstream(LocalUpstream::State::Draining);
+    setUpstream(LocalUpstream::State::Draining, State_.Upstream_.StartMillis_);
     const KeyActions Releases = tick(Now, KeyAction::Kind::Release);
     BOOST_REQUIRE(Releases.size() == 1U);
     onReleaseReply(State_, Releases.front().Row_, "handover", Now);
@@ -264,6 +264,34 @@
   BOOST_TEST(canServeKey(Hosts.State_, 0, Start));
 }
 
+/// The upstream got the keys again with a higher token, but may apply a grant
+/// with the earlier one after it has released them.
+BOOST_AUTO_TEST_CASE(HigherTokenDoesNotEndGrantsOfAnEarlierProcess) {
+  TwoHosts Hosts;
+  Hosts.startAfterAnEarlierProcess(RestartMillis);
+  Hosts.appendTable(Start);
+  Hosts.acceptGrant(Start);
+  Hosts.release(Start + milliseconds(100));
+  BOOST_TEST(!Hosts.givesAway(Start + milliseconds(200)));
+  Hosts.renewLease(Start + milliseconds(7900));
+  BOOST_TEST(!Hosts.givesAway(EarlierGrantsEnd - milliseconds(1)));
+  BOOST_TEST(Hosts.givesAway(EarlierGrantsEnd));
+}
+
+/// The first table that is read lacks the host's rows.
+BOOST_AUTO_TEST_CASE(KeysInALaterTableMayBeGrantedByAnEarlierProcess) {
+  TwoHosts Hosts;
+  Hosts.State_.EarlierProcessGrantsEnd_ = EarlierGrantsEnd;
+  Hosts.Inputs_.Peers_.front().Rate_ = 50;
+  onTable(Hosts.State_, std::nullopt, 4, Start);
+  Hosts.renewLease(Start);
+  KeyTable Later = Hosts.table(5, 6);
+  Later.Rows_.front().Owner_.Epoch_ = 3;
+  onTable(Hosts.State_, Later, 6, Start);
+  Hosts.setUpstream(LocalUpstream::State::Draining, RestartMillis);
+  BOOST_TEST(!Hosts.givesAway(Start));
+}
+
 /// As above, but the upstream is draining.
 BOOST_AUTO_TEST_CASE(DrainingUpstreamMayHoldKeysOfAnEarlierProcess) {
   TwoHosts Hosts;
