A late heartbeat ends no grants of an earlier process

Cause: a restarted daemon takes a late heartbeat of an ended upstream for that of the running one, and the incarnation in the table for an ended one. It reassigned that one's keys at once, though it runs and holds them by the grants of the process before. Done: a row's incarnation has ended only if the known one started later. Otherwise its keys wait until the next heartbeat, or until the grants of earlier processes have ended: the start in the table may be wrong after a step of a clock.

--- a/ownership/key_plan.cpp
+++ b/ownership/key_plan.cpp
@@ -103,16 +103,34 @@
           Now < residualGrantsEnd(State, Range));
 }
 
-/// Returns whether the running upstream may hold keys of the incarnation before
-/// it because of a grant by an earlier process of this daemon. Such a grant
-/// names only the upstream's ID.
+/// Returns whether the incarnation in a row has ended: the one that is known
+/// has started later. Otherwise the last heartbeat may be a late one, and the
+/// incarnation in the row may be running.
+bool hasOwnerEnded(const KeyOwnershipState &State, const KeyRow &Row) {
+  return Row.Owner_.StartMillis_ < State.Upstream_.StartMillis_;
+}
+
+/// Returns whether the running upstream may hold keys of another incarnation in
+/// the table because of a grant by an earlier process of this daemon. Such a
+/// grant names only the upstream's ID.
 bool mayHoldEarlierGrant(const KeyOwnershipState &State, const KeyRow &Row,
                          Instant Now) {
+  const bool IsAddressed = Row.Owner_.Upstream_ == State.Upstream_.Id_;
   return isUpstreamAlive(State) &&
-         Row.Owner_.Upstream_ == State.Upstream_.Id_ &&
+         (IsAddressed || !hasOwnerEnded(State, Row)) &&
          Now < earlierGrantsEnd(State, Row.Range_);
 }
 
+/// Returns whether the running upstream gets the keys of another incarnation in
+/// the table.
+bool keepsKeys(const KeyOwnershipState &State, const KeyOwnershipInputs &Inputs,
+               const KeyRow &Row, bool MayHoldEarlierGrant) {
+  // No other host may get such keys yet; where they are, they are served.
+  if (MayHoldEarlierGrant)
+    return isServing(State) && hasOwnerEnded(State, Row);
+  return keepsKeysAfterRestart(State, Inputs);
+}
+
 /// Updates rows with earlier epochs of this host, and reassigns those of
 /// upstream incarnations that have ended or are lost. The latter, unless they
 /// count as terminated, only once their grants have expired.
@@ -147,9 +165,7 @@
     if (Lost && MayHold)
       continue;
     const bool MayHoldEarlierGrant = mayHoldEarlierGrant(State, Row, Now);
-    // No other host may get such keys yet; where they are, they are served.
-    const bool Keeps = keepsKeysAfterRestart(State, Inputs) ||
-                       (MayHoldEarlierGrant && isServing(State));
+    const bool Keeps = keepsKeys(State, Inputs, Row, MayHoldEarlierGrant);
     if (!Keeps && (MayHoldEarlierGrant ||
                    mayHoldPredecessorsKeys(State, Row.Range_, Now)))
       continue;
--- a/tests/unit/key_holds_test.cpp
+++ b/tests/unit/key_holds_test.cpp
@@ -312,4 +312,29 @@
   BOOST_TEST(Hosts.givesAway(Start));
 }
 
+/// The first heartbeat that the next process gets is a late one of an upstream
+/// that has ended. The one in the table started later and may hold its keys.
+BOOST_AUTO_TEST_CASE(LateHeartbeatEndsNoGrantsOfAnEarlierProcess) {
+  TwoHosts Hosts;
+  Hosts.startAfterAnEarlierProcess(3);
+  Hosts.State_.Upstream_.Id_ = "up-before";
+  BOOST_TEST(Hosts.tick(Start, KeyAction::Kind::AppendTable).empty());
+  // Few hosts are up, so that keys stay where they are.
+  Hosts.Inputs_.Peers_.back().AcceptsKeys_ = false;
+  Hosts.Inputs_.Peers_.front().StartMillis_ = 3;
+  BOOST_TEST(Hosts.tick(Start, KeyAction::Kind::AppendTable).empty());
+  Hosts.setUpstream(LocalUpstream::State::Serving);
+  BOOST_TEST(!Hosts.givesAway(Start));
+}
+
+/// The start in the table may be wrong, so it does not count for ever.
+BOOST_AUTO_TEST_CASE(KeysOfAnUpstreamThatStartedLaterAreFreeInTheEnd) {
+  TwoHosts Hosts;
+  Hosts.startAfterAnEarlierProcess(3);
+  Hosts.State_.Upstream_.Id_ = "up-before";
+  Hosts.renewLease(Start + milliseconds(7900));
+  BOOST_TEST(!Hosts.reassigns(EarlierGrantsEnd - milliseconds(1)));
+  BOOST_TEST(Hosts.reassigns(EarlierGrantsEnd));
+}
+
 } // namespace lagoonhitch
