Heartbeat replies of an earlier process count after a restart

Cause: with keys in heartbeat replies, a report without a range frees it once no reply of this process can be accepted any more. Replies of the process before were not counted, and the first report to a new process may have been sent before the last of them. Done: such keys are free when the holds of earlier processes have ended.

--- a/ownership/declared_holds.cpp
+++ b/ownership/declared_holds.cpp
@@ -86,10 +86,12 @@
 }
 
 /// Returns when the last declaration of some of these keys can no longer be
-/// accepted.
+/// accepted. Reports of before a reply by an earlier process of this daemon
+/// can't be told from later ones, so its keys may be held until they expire.
 Instant lastAcceptanceEnd(const KeyOwnershipState &State,
                           const KeyRange &Range) {
-  Instant End = residualGrantsEnd(State, Range);
+  Instant End =
+      std::max(residualGrantsEnd(State, Range), earlierGrantsEnd(State, Range));
   for (const auto &[First, Keys] : State.HeldKeys_)
     if (overlaps(Keys.Row_.Range_, Range) && Keys.DeclaredAt_)
       End = std::max(End, acceptanceEnd(State, *Keys.DeclaredAt_));
--- a/tests/unit/declared_holds_test.cpp
+++ b/tests/unit/declared_holds_test.cpp
@@ -27,9 +27,8 @@
   return Row;
 }
 
-/// A host with a lease whose upstream is to hold some rows.
-KeyOwnershipState makeState(const std::vector<KeyRow> &Rows) {
-  KeyOwnershipState State;
+/// Gives a host a lease, and an upstream that is to hold some rows.
+void startWithRows(KeyOwnershipState &State, const std::vector<KeyRow> &Rows) {
   State.Host_ = "h0";
   State.GrantMethod_ = GrantMethod::HeartbeatReplies;
   State.EpochAcknowledged_ = true;
@@ -45,6 +44,12 @@
   Upstream.StartMillis_ = 7;
   Upstream.State_ = LocalUpstream::State::Serving;
   onUpstream(State, Upstream);
+}
+
+/// A host with a lease whose upstream is to hold some rows.
+KeyOwnershipState makeState(const std::vector<KeyRow> &Rows) {
+  KeyOwnershipState State;
+  startWithRows(State, Rows);
   return State;
 }
 
@@ -269,4 +274,18 @@
   }
 }
 
+/// A reply of an earlier process may be accepted after the first report to this
+/// one was sent.
+BOOST_AUTO_TEST_CASE(ReportAfterARestartFreesNoKeysOfAnEarlierReply) {
+  KeyOwnershipState State;
+  const Instant EarlierGrantsEnd = Start + milliseconds(8000);
+  State.EarlierProcessGrantsEnd_ = EarlierGrantsEnd;
+  startWithRows(State, {ownRow({0, 99}, 1)});
+  startMoveOf(State, {0, 99}, 1);
+  BOOST_REQUIRE(declareHolds(State, Start, Start).has_value());
+  onHoldReport(State, reportOf({}));
+  BOOST_REQUIRE(State.Moves_.size() == 1U);
+  BOOST_TEST((State.Moves_.front().SafeAt_ == EarlierGrantsEnd));
+}
+
 } // namespace lagoonhitch
