A peer that reads slowly does not count as gone

Cause: TCP_USER_TIMEOUT (2.5 s) was set on all connections. Linux applies it to data that waits for a closed window too, also if the peer answers each window probe, and drops the connection. The daemon had handed the answer to the kernel by then and noticed nothing. Ruled out: the daemon's own timeouts (the idle timeout is 15 s there and the route's timeout 6 s; the connection ended 2.5 to 2.8 s after the write), the memory budget (30 KB), SIGHUP (the same without it in the socket test), keep-alive (off while data waits). Done: where the kernel reports what is acknowledged, the option is not set. OutputMonitor checks connections from a second after a write until all is acknowledged: a peer is gone if it acknowledges nothing for 2.5 s, counting window probes only once they are due; a closed window is probed each second where the kernel can. Small responses that wait for a slow reader give way under memory pressure like large ones, and have the same time limit without progress.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -5,6 +5,7 @@
 #include "net/beast_convert.h"
 #include "net/connection_pool.h"
 #include "net/io_loop_impl.h"
+#include "net/output_monitor.h"
 #include "net/receiving_limit.h"
 #include "net/response_reader.h"
 #include "net/socket_options.h"
@@ -47,7 +48,8 @@
 
 struct HttpClient::Impl {
   Impl(IoLoop &Loop, const Clock &Time, HttpClientOptions Options)
-      : Context_(Loop.impl().Context_), Time_(Time), Options_(Options),
+      : Context_(Loop.impl().Context_), Outputs_(Loop.impl().Outputs_),
+        Time_(Time), Options_(Options),
         Receiving_(Options.MaxReceivingBytes_, Options.SmallResponseBytes_) {}
 
   ConnectionPool &pool(const std::string &Address) {
@@ -55,6 +57,7 @@
   }
 
   boost::asio::io_context &Context_;
+  std::shared_ptr<OutputMonitor> Outputs_;
   const Clock &Time_;
   HttpClientOptions Options_;
   ConnectionPools Pools_;
@@ -164,6 +167,7 @@
   }
 
   void write() {
+    watchOutput();
     Connection_->Stream_.expires_after(Options_.Timeout_);
     TimeoutAt_ = Client_->Time_.now() + Options_.Timeout_;
     http::async_write(
@@ -187,6 +191,19 @@
     }
   }
 
+  /// Fails the call if the peer no longer acknowledges the request.
+  void watchOutput() {
+    Written_.Socket_ = Connection_->Stream_.socket().native_handle();
+    Written_.OnPeerGone_ = [Weak = weak_from_this()] {
+      const std::shared_ptr<Call> Self = Weak.lock();
+      if (!Self || !Self->Connection_)
+        return;
+      discardOutput(Self->Connection_->Stream_.socket());
+      Self->finishFailed(boost::asio::error::timed_out, 1);
+    };
+    Client_->Outputs_->onWritten(Written_);
+  }
+
   /// A response may have arrived that is not read yet, so the pending read ends
   /// the call if a part of the request was sent.
   void onWriteFailed(error_code Failure, std::size_t Size) {
@@ -364,6 +381,7 @@
     noteFailure(Result.Response_);
     Reusable =
         Reusable && Connection_->FailedRequests_.size() < MaxFailedRequests;
+    Client_->Outputs_->remove(Written_);
     if (Reusable) {
       Connection_->Stream_.expires_never();
       Connection_->IdleSince_ = Client_->Time_.now();
@@ -450,6 +468,7 @@
   void closeConnection() {
     if (!Connection_)
       return;
+    Client_->Outputs_->remove(Written_);
     Connection_->Stream_.close();
     // Aborted operations still refer to the connection.
     ClosedConnection_ = std::move(Connection_);
@@ -473,6 +492,8 @@
   std::optional<Instant> FirstByteAt_;
   std::unique_ptr<ClientConnection> Connection_;
   std::unique_ptr<ClientConnection> ClosedConnection_;
+  /// The request, until its response has arrived.
+  MonitoredOutput Written_;
   /// The value that the echoed header must have; empty if the request has no
   /// such header.
   std::string ExpectedEcho_;
--- a/net/http_server_state.h
+++ b/net/http_server_state.h
@@ -26,6 +26,7 @@
        OverlapRule MayOverlap)
       : Options_(std::move(Options)), Handle_(std::move(Handle)),
         MayOverlap_(std::move(MayOverlap)), Acceptor_(Loop.impl().Context_),
+        Outputs_(Loop.impl().Outputs_),
         Budget_(Options_.Budget_ ? Options_.Budget_
                                  : std::make_shared<MemoryBudget>()) {}
 
@@ -33,6 +34,7 @@
   Handler Handle_;
   OverlapRule MayOverlap_;
   boost::asio::ip::tcp::acceptor Acceptor_;
+  std::shared_ptr<OutputMonitor> Outputs_;
   std::set<HttpSession *> Sessions_;
   std::shared_ptr<MemoryBudget> Budget_;
   RejectionCounts Rejections_{};
--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -1,6 +1,7 @@
 #include "net/http_session.h"
 
 #include "net/beast_convert.h"
+#include "net/socket_options.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -51,11 +52,15 @@
     : Stream_(std::move(Socket)), Server_(std::move(Server)),
       RequestTimer_(Stream_.get_executor()) {
   Server_->Sessions_.insert(this);
+  Written_.Socket_ = Stream_.socket().native_handle();
+  Written_.OnPeerGone_ = [this] { onPeerGone(); };
+  Written_.OnWindowClosed_ = [this] { onWindowClosed(); };
 }
 
 HttpSession::~HttpSession() {
   endInput();
   endOutput();
+  Server_->Outputs_->remove(Written_);
   Server_->Sessions_.erase(this);
 }
 
@@ -166,23 +171,15 @@
   Response_->body() = std::move(Source.Body_);
   Response_->keep_alive(KeepAlive);
   Response_->prepare_payload();
-  if (SendingBytes_ > LargeResponseBytes) {
-    Serializer_.emplace(*Response_);
-    writePart(KeepAlive);
-    return;
-  }
-  Stream_.expires_never();
-  http::async_write(
-      Stream_, *Response_,
-      [Self = shared_from_this(), KeepAlive](error_code Failure, std::size_t) {
-        Self->onWritten(Failure, KeepAlive);
-      });
+  Serializer_.emplace(*Response_);
+  writePart(KeepAlive);
 }
 
-/// Sends what the client takes of a large response. A client that takes nothing
-/// for as long as a connection may be idle is disconnected.
+/// Sends what the client takes of a response. A client that takes nothing for
+/// as long as a connection may be idle is disconnected.
 void HttpSession::writePart(bool KeepAlive) {
   Stream_.expires_after(Server_->Options_.IdleTimeout_);
+  Server_->Outputs_->onWritten(Written_);
   http::async_write_some(
       Stream_, *Serializer_,
       [Self = shared_from_this(), KeepAlive](error_code Failure, std::size_t) {
@@ -195,16 +192,40 @@
       });
 }
 
+/// Ends the connection to a client that no longer acknowledges what was
+/// written.
+void HttpSession::onPeerGone() {
+  discardOutput(Stream_.socket());
+  abandon(ConnectionEnd::Broken);
+}
+
+/// Lets small responses that the client does not read give way to others, too.
+void HttpSession::onWindowClosed() {
+  const std::size_t Bytes = WaitingBytes_ + SendingBytes_;
+  if (Bytes == 0)
+    return;
+  letOutputGiveWay();
+  Server_->Budget_->resize(Output_, Bytes);
+}
+
+/// Lets the responses that are not sent completely give way to other messages.
+void HttpSession::letOutputGiveWay() {
+  if (Output_.GiveWay_)
+    return;
+  Output_.ProgressAt_ = Written_.Progress_.WrittenAt_;
+  Output_.GiveWay_ = [this] {
+    ++Server_->Rejections_[static_cast<std::size_t>(
+        RequestRejection::ResponseNotRead)];
+    abandon();
+  };
+}
+
 /// Counts the responses that are not sent completely.
 void HttpSession::countOutput() {
   const std::size_t Bytes = WaitingBytes_ + SendingBytes_;
   if (Bytes > LargeResponseBytes && !Output_.GiveWay_) {
+    letOutputGiveWay();
     Output_.ProgressAt_ = std::chrono::steady_clock::now();
-    Output_.GiveWay_ = [this] {
-      ++Server_->Rejections_[static_cast<std::size_t>(
-          RequestRejection::ResponseNotRead)];
-      abandon();
-    };
   }
   Server_->Budget_->resize(Output_, Bytes);
   if (!Server_->Budget_->isExceeded())
@@ -256,7 +277,8 @@
   if (!IsNext || Writing_ || Closed_)
     return;
   Writing_ = true;
-  Stream_.expires_never();
+  Stream_.expires_after(Server_->Options_.IdleTimeout_);
+  Server_->Outputs_->onWritten(Written_);
   boost::asio::async_write(
       Stream_,
       boost::asio::buffer(ProgressResponse.data(), ProgressResponse.size()),
@@ -311,6 +333,7 @@
   Closed_ = true;
   endInput();
   endOutput();
+  Server_->Outputs_->remove(Written_);
   Server_->Sessions_.erase(this);
   Idle_ = false;
   Reader_.reset();
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -6,6 +6,7 @@
 
 #include "net/http_server_state.h"
 #include "net/memory_budget.h"
+#include "net/output_monitor.h"
 #include "net/request_reader.h"
 #include "net/request_rejection.h"
 
@@ -112,6 +113,9 @@
   void writeNext();
   void write(HttpResponse Source, bool KeepAlive);
   void writePart(bool KeepAlive);
+  void onPeerGone();
+  void onWindowClosed();
+  void letOutputGiveWay();
   void countOutput();
   void endOutput();
   void onWritten(const boost::beast::error_code &Failure, bool KeepAlive);
@@ -145,6 +149,8 @@
   /// The responses that are not sent completely.
   BudgetEntry Output_;
   std::size_t SendingBytes_ = 0;
+  /// What was written to the connection and may not be delivered.
+  MonitoredOutput Written_;
   /// Requests without a complete response, in the order of their arrival.
   std::deque<PendingExchange> Pending_;
   /// The size of the responses in Pending_ that wait for an earlier one, in
--- a/net/socket_options.cpp
+++ b/net/socket_options.cpp
@@ -1,5 +1,8 @@
 #include "net/socket_options.h"
 
+#include "net/output_progress.h"
+#include "net/transmit_state.h"
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -10,8 +13,9 @@
 constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbeCount = 2;
-/// How long sent data may stay unacknowledged.
-constexpr int UserTimeoutMillis = 2500;
+/// How long sent data may stay unacknowledged if that is not watched.
+constexpr int UserTimeoutMillis =
+    static_cast<int>(MaxAcknowledgementSilence.count());
 
 void setOption(int Socket, int Level, int Name, int Value) {
   // Failures are ignored: the socket works without the option, and calls have
@@ -28,7 +32,15 @@
   setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
   setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
   setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbeCount);
-  setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMillis);
+  // The user timeout also ends connections whose peer is there but reads
+  // nothing, so it is set only where an OutputMonitor can't watch them.
+  if (!reportsTransmitState(Handle))
+    setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMillis);
+}
+
+void discardOutput(boost::asio::ip::tcp::socket &Socket) {
+  boost::system::error_code Ignored;
+  Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
 }
 
 } // namespace lagoonhitch
