A request that is still arriving is not rejected by a status query

Cause: after 500 ms the entry daemon asks for the attempt over a new connection. The gateway knew of no such attempt, as its request was not complete, rejected it for good, and the entry cut the upload and sent it again: a slow reader was taken for a dead connection. Done: a gateway answers that an attempt runs while the body of its request is being received: its header is complete, and bytes have arrived within the last 500 ms or wait in the socket. Without them the attempt is rejected as before, so a connection that has gone silent is found as soon as before, or half a second later in the middle of a body.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/daemon_impl.h"
 #include "daemon/daemon_options.h"
+#include "daemon/forward_codec.h"
 #include "daemon/manifest_caller_interface.h"
 #include "daemon/settings_caller_interface.h"
 #include "membership/poll_schedule.h"
@@ -25,6 +26,9 @@
 /// store.
 constexpr std::chrono::milliseconds MaxDigestAge{1500};
 constexpr std::size_t MaxAuditEntries = 256;
+/// Time without a byte of a forwarded request after which its connection may be
+/// dead.
+constexpr std::chrono::milliseconds MaxUploadSilence{500};
 
 std::unique_ptr<CallerInterface>
 makeCallerInterface(const DaemonSettings &Settings, const SiteState &Site,
@@ -90,7 +94,11 @@
                 Recorder_.recordRequest(Id, Request, Details, Parent);
               }),
       Watcher_(Loop_, Time, Store_, Site_, Settings_.Host_, siteCallbacks()),
-      PeerService_(Time, Gateway_, Store_, Process),
+      PeerService_(Time, Gateway_, Store_, Process,
+                   [this](const RequestId &Id) {
+                     return PeerServer_.isReceiving(forwardHeaderOf(Id),
+                                                    MaxUploadSilence);
+                   }),
       PeerServer_(Loop_, withBudget(peerServerOptions(Settings_.PeersAddress_)),
                   [this](HttpRequest Request,
                          const std::shared_ptr<HttpExchange> &Exchange) {
--- a/daemon/forward_codec.cpp
+++ b/daemon/forward_codec.cpp
@@ -153,6 +153,10 @@
   return Message;
 }
 
+HttpHeader forwardHeaderOf(const RequestId &Id) {
+  return {ForwardHeader, toString(Id) + ";"};
+}
+
 bool isForwardedRequest(const HttpRequest &Message) {
   return findHeader(Message.Headers_, ForwardHeader) != nullptr;
 }
--- a/daemon/forward_codec.h
+++ b/daemon/forward_codec.h
@@ -25,6 +25,10 @@
 /// milliseconds from Now, since the clocks of peers differ.
 HttpRequest encodeForwardedRequest(const GatewayRequest &Request, Instant Now);
 
+/// Returns the header that a forwarded request of an attempt has. Its value has
+/// more behind it.
+HttpHeader forwardHeaderOf(const RequestId &Id);
+
 /// Returns whether a peer's message is a forwarded request.
 bool isForwardedRequest(const HttpRequest &Message);
 
--- a/daemon/peer_service.cpp
+++ b/daemon/peer_service.cpp
@@ -24,8 +24,10 @@
 } // namespace
 
 PeerService::PeerService(const Clock &Time, UpstreamGateway &Gateway,
-                         StoreClient &Store, std::uint64_t Process)
-    : Time_(Time), Gateway_(Gateway), Store_(Store), Process_(Process) {}
+                         StoreClient &Store, std::uint64_t Process,
+                         ArrivalCheck IsArriving)
+    : Time_(Time), Gateway_(Gateway), Store_(Store), Process_(Process),
+      IsArriving_(std::move(IsArriving)) {}
 
 void PeerService::handle(HttpRequest Request,
                          const std::shared_ptr<HttpExchange> &Exchange) {
@@ -82,10 +84,12 @@
   // The entry daemon may name an earlier process although this one has received
   // the attempt. If not, the earlier one may have run it, so this one can't
   // promise that it never runs.
-  const AttemptInfo Info =
-      Query->Process_ == Process_
-          ? Gateway_.lookUpStatus(Query->Id_, Query->StartWithin_)
-          : Gateway_.findStatus(Query->Id_).value_or(AttemptInfo());
+  const std::optional<AttemptInfo> Known = Gateway_.findStatus(Query->Id_);
+  AttemptInfo Info = Known.value_or(AttemptInfo());
+  if (!Known && IsArriving_(Query->Id_))
+    Info.Status_ = AttemptStatus::Running;
+  else if (Query->Process_ == Process_)
+    Info = Gateway_.lookUpStatus(Query->Id_, Query->StartWithin_);
   if (isCancellation(Request))
     Gateway_.cancelAndRespond(Query->Id_, "its entry daemon cancelled it");
   Exchange.respond(encodeStatusReply(Info));
--- a/daemon/peer_service.h
+++ b/daemon/peer_service.h
@@ -5,10 +5,12 @@
 /// Handles requests from other daemons.
 
 #include "core/clock.h"
+#include "core/request_id.h"
 #include "daemon/peer_delay.h"
 #include "net/http_exchange.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace lagoonhitch {
@@ -22,9 +24,12 @@
 public:
   /// \param Gateway the gateway of the local upstream.
   /// \param Store the client that relays calls to the store.
+  /// Returns whether the rest of an attempt's request is being received.
+  using ArrivalCheck = std::function<bool(const RequestId &)>;
+
   /// \param Process the daemon's process ID.
   PeerService(const Clock &Time, UpstreamGateway &Gateway, StoreClient &Store,
-              std::uint64_t Process);
+              std::uint64_t Process, ArrivalCheck IsArriving);
 
   /// Handles a request from a peer. Responds with status 400 to a malformed
   /// forwarded request, 404 to an unknown target, and 503 or 504 if a relayed
@@ -47,6 +52,7 @@
   UpstreamGateway &Gateway_;
   StoreClient &Store_;
   std::uint64_t Process_;
+  ArrivalCheck IsArriving_;
   PeerDelays Delays_;
 };
 
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -151,6 +152,13 @@
 
 std::size_t HttpServer::openExchanges() const { return Impl_->OpenExchanges_; }
 
+bool HttpServer::isReceiving(const HttpHeader &Header,
+                             Duration MaxSilence) const {
+  return std::any_of(
+      Impl_->Sessions_.begin(), Impl_->Sessions_.end(),
+      [&](HttpSession *Open) { return Open->isReceiving(Header, MaxSilence); });
+}
+
 const RejectionCounts &HttpServer::rejections() const {
   return Impl_->Rejections_;
 }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -64,6 +64,11 @@
   /// Returns the number of requests whose response is not sent completely.
   std::size_t openExchanges() const;
 
+  /// Returns whether the body of a request is being received: its header is
+  /// complete, and more has arrived within a time.
+  /// \param Header a header that it has; the value may have more behind it.
+  bool isReceiving(const HttpHeader &Header, Duration MaxSilence) const;
+
   /// Returns how many requests were rejected, and connections closed, for each
   /// reason.
   const RejectionCounts &rejections() const;
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -69,6 +69,10 @@
                                      : std::nullopt;
   }
 
+  /// Returns whether the body of a request with a header is being received, see
+  /// HttpServer::isReceiving().
+  bool isReceiving(const HttpHeader &Header, Duration MaxSilence);
+
   /// Closes the connection. The requests without a response are abandoned.
   void abandon(ConnectionEnd End = ConnectionEnd::Closed);
 
@@ -138,6 +142,8 @@
   boost::asio::steady_timer RequestTimer_;
   bool RequestTimerSet_ = false;
   std::optional<RequestReader> Reader_;
+  /// When bytes of a request were last received.
+  Instant LastInputAt_;
   /// The request that is being read.
   BudgetEntry Input_;
   std::optional<boost::beast::http::response<boost::beast::http::string_body>>
--- a/net/http_session_input.cpp
+++ b/net/http_session_input.cpp
@@ -115,6 +115,8 @@
     return;
   }
   Buffer_.commit(Size);
+  if (Size > 0)
+    LastInputAt_ = std::chrono::steady_clock::now();
   RequestReader::Progress Progress = Reader_->parse(Buffer_);
   if (Progress == RequestReader::Progress::Header) {
     // A body that has arrived needs no reservation.
@@ -155,6 +157,16 @@
       });
 }
 
+/// Bytes that wait in the socket count as well: this loop may be late.
+bool HttpSession::isReceiving(const HttpHeader &Header, Duration MaxSilence) {
+  if (!Reader_ || !Reader_->hasHeader(Header.Name_, Header.Value_))
+    return false;
+  if (std::chrono::steady_clock::now() - LastInputAt_ < MaxSilence)
+    return true;
+  error_code Failure;
+  return Stream_.socket().available(Failure) > 0 && !Failure;
+}
+
 std::size_t HttpSession::nextReadBytes() const {
   if (Reader_->bodyBytes(0) <= LargeBodyBytes)
     return ReadChunkBytes;
--- a/net/request_reader.cpp
+++ b/net/request_reader.cpp
@@ -105,4 +105,15 @@
   return requestFromBeast(Parser_.release(), std::move(Budget));
 }
 
+bool RequestReader::hasHeader(std::string_view Name,
+                              std::string_view ValuePrefix) const {
+  if (!HeaderReported_)
+    return false;
+  const auto Found = Parser_.get().find({Name.data(), Name.size()});
+  if (Found == Parser_.get().end())
+    return false;
+  const auto Value = Found->value();
+  return std::string_view(Value.data(), Value.size()).starts_with(ValuePrefix);
+}
+
 } // namespace lagoonhitch
--- a/net/request_reader.h
+++ b/net/request_reader.h
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <string_view>
 
 namespace lagoonhitch {
 
@@ -53,6 +54,10 @@
   /// Returns how much of the body may still arrive.
   std::size_t bodyBytesLeft() const;
 
+  /// Returns whether the header is complete and has a field whose value starts
+  /// with a text.
+  bool hasHeader(std::string_view Name, std::string_view ValuePrefix) const;
+
   /// Returns why parse() has rejected the request.
   RequestRejection rejection() const { return Rejection_; }
 
--- a/tests/process/large_body_test.cpp
+++ b/tests/process/large_body_test.cpp
@@ -32,22 +32,23 @@
 /// The upstream of this host is of another service than the one that is used.
 constexpr std::uint32_t EntryHost = 0;
 
-/// Sends the body and returns the start of the response; empty if the daemon
-/// has reset the connection.
-std::string send(const std::string &Address, bool InChunks) {
+/// Sends a body and returns the start of the response; empty if the daemon has
+/// reset the connection.
+std::string send(const std::string &Address, bool InChunks,
+                 std::size_t Bytes = BodyBytes) {
   boost::asio::io_context Context;
   tcp::socket Client(Context);
   Client.connect(parseEndpoint(Address));
-  const std::string Framing =
-      InChunks ? "Transfer-Encoding: chunked"
-               : "Content-Length: " + std::to_string(BodyBytes);
+  const std::string Framing = InChunks
+                                  ? "Transfer-Encoding: chunked"
+                                  : "Content-Length: " + std::to_string(Bytes);
   const std::string Head = "POST /pruf/1/approvals HTTP/1.1\r\nHost: site\r\n" +
                            Framing + "\r\n\r\n";
   const std::string Data(PartBytes, 'a');
   const std::string Part = InChunks ? "10000\r\n" + Data + "\r\n" : Data;
   boost::system::error_code Failure;
   boost::asio::write(Client, boost::asio::buffer(Head), Failure);
-  for (std::size_t Sent = 0; Sent < BodyBytes && !Failure; Sent += PartBytes)
+  for (std::size_t Sent = 0; Sent < Bytes && !Failure; Sent += PartBytes)
     boost::asio::write(Client, boost::asio::buffer(Part), Failure);
   if (InChunks && !Failure)
     boost::asio::write(Client, boost::asio::buffer("0\r\n\r\n", 5), Failure);
@@ -58,12 +59,14 @@
 
 /// A site of the smallest hosts that admits the body.
 struct LargeBodySite {
-  LargeBodySite() : Site_(Time_, options()) {
+  explicit LargeBodySite(bool UseRelays = false)
+      : Site_(Time_, options(UseRelays)) {
     BOOST_REQUIRE(Site_.waitUntilServing(std::chrono::seconds(20)));
   }
 
-  static SiteOptions options() {
+  static SiteOptions options(bool UseRelays) {
     SiteOptions Options;
+    Options.UseRelays_ = UseRelays;
     Options.Hosts_ = 4;
     Options.MaxBodyBytes_ = BodyBytes;
     Options.RecordRuns_ = false;
@@ -120,4 +123,19 @@
   Fixture.checkMemory();
 }
 
+/// The status query of the entry daemon found that the request had not arrived,
+/// and rejected it for good while its body was on its way.
+BOOST_AUTO_TEST_CASE(BodyTakesLongerToThePeerThanAStatusQuery) {
+  constexpr std::size_t SlowBodyBytes = std::size_t{4} * 1024 * 1024;
+  // Of 16 KiB, so that the body takes over a second.
+  constexpr std::chrono::milliseconds ChunkDelay{5};
+  LargeBodySite Fixture(true);
+  for (std::uint32_t Host = 0; Host < Fixture.Site_.hosts(); ++Host)
+    Fixture.Site_.relay(Host).setDelay(ChunkDelay);
+  const Instant Start = Fixture.Time_.now();
+  BOOST_TEST(send(Fixture.Site_.callersAddress(EntryHost), false,
+                  SlowBodyBytes) == "HTTP/1.1 200");
+  BOOST_TEST((Fixture.Time_.now() - Start > std::chrono::milliseconds(1000)));
+}
+
 } // namespace lagoonhitch
--- a/tests/unit/peer_service_test.cpp
+++ b/tests/unit/peer_service_test.cpp
@@ -64,7 +64,8 @@
                  {[] {},
                   [this](const GatewayRequest &) { return QuarantineLeft_; },
                   [](const StatedRateLimit &) {}, [] {}, [] {}}),
-        Peers_(Time_, Gateway_, Store_, Process) {
+        Peers_(Time_, Gateway_, Store_, Process,
+               [this](const RequestId &) { return IsArriving_; }) {
     Gateway_.resetForIncarnation("u", 1);
     Gateway_.setAccepting(true);
   }
@@ -156,6 +157,8 @@
   std::vector<std::shared_ptr<HttpExchange>> Running_;
   /// How long all requests are quarantined.
   std::optional<Duration> QuarantineLeft_;
+  /// Whether requests that were not received yet are being received.
+  bool IsArriving_ = false;
   HttpServer Upstream_;
   HttpClient Client_;
   StoreClient Store_;
@@ -202,6 +205,18 @@
   BOOST_TEST(Fixture.Running_.size() == 1U);
 }
 
+/// The body of a request takes long, because this host reads slowly or the link
+/// is narrow. The request was rejected for good and sent again and again.
+BOOST_AUTO_TEST_CASE(AttemptThatIsBeingReceivedIsNotRejected) {
+  PeerServiceFixture Fixture;
+  Fixture.IsArriving_ = true;
+  for (const std::uint64_t Named : {Process, EarlierProcess})
+    BOOST_TEST((Fixture.queryStatus(Named).Kind_ ==
+                AttemptStatusReply::Kind::Running));
+  Fixture.forward(false);
+  BOOST_TEST(Fixture.Running_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(RejectsAttemptsThatItHasNotReceived) {
   PeerServiceFixture Fixture;
   const AttemptStatusReply Reply = Fixture.queryStatus(Process);
