The last response on a connection outlasts later input

Seen by callers: none reported; found while looking for more places that take a slow reader for a gone one. Cause: behind the last response, input was discarded for 500 ms, or not at all if the next request had arrived with the one before. Then the connection was closed, and a request that arrived after that reset it with what was not delivered yet. Evidence: LateRequestBehindTheLastResponseResetsNothing failed before (4035 of 30000 bytes, connection reset) and passes.

--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -302,7 +302,9 @@
 /// still arrive, they are discarded for a while: closing a connection with
 /// unread data resets it, and the client could lose the response.
 void HttpSession::closeAfterResponse() {
-  if (!Pipelined_ && !Reading_ && !InputLeft_) {
+  const bool MayHaveInput =
+      Pipelined_ || Reading_ || InputLeft_ || Buffer_.size() > 0;
+  if (!MayHaveInput) {
     abandon();
     return;
   }
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -131,6 +131,8 @@
   void readArrived();
   void closeAfterResponse();
   void startDiscarding();
+  void awaitDelivery();
+  bool isOutputDelivered();
   void discardInput();
   bool isClientGone();
   void close();
@@ -184,6 +186,8 @@
   /// Whether the last response is sent and further input is discarded.
   bool Discarding_ = false;
   std::size_t DiscardedBytes_ = 0;
+  /// When the connection is closed, whatever is not delivered.
+  Instant DiscardEnd_;
   bool Closed_ = false;
 };
 
--- a/tests/unit/slow_reader_test.cpp
+++ b/tests/unit/slow_reader_test.cpp
@@ -218,6 +218,8 @@
 }
 
 constexpr std::size_t SmallBodyBytes = 30000;
+constexpr const char *TwoRequests =
+    "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n";
 constexpr std::size_t LargeBodyBytes = 6000000;
 
 } // namespace
@@ -252,6 +254,22 @@
   BOOST_TEST(Caller.bodyBytes() == SmallBodyBytes);
 }
 
+/// The connection closes after the response. A request that arrives behind it
+/// after that reset the connection, and the rest of the response was lost.
+BOOST_AUTO_TEST_CASE(LateRequestBehindTheLastResponseResetsNothing) {
+  ServerFixture Fixture(SmallBodyBytes);
+  Fixture.Server_->disableKeepAlive();
+  SlowPeer Caller;
+  Caller.connect(Fixture.Server_->address());
+  Caller.send(TwoRequests);
+  Fixture.runFor(milliseconds(1500));
+  Caller.send(TwoRequests);
+  Fixture.runFor(milliseconds(100));
+  readBody(Fixture, Caller, SmallBodyBytes);
+  BOOST_TEST(!Caller.Broken_);
+  BOOST_TEST(Caller.bodyBytes() == SmallBodyBytes);
+}
+
 /// A caller that vanishes before its answer is noticed within seconds.
 BOOST_AUTO_TEST_CASE(CallerThatIsGoneIsNoticed) {
   ServerFixture Fixture(SmallBodyBytes);
