--- a/tests/unit/slow_reader_test.cpp
+++ b/tests/unit/slow_reader_test.cpp
@@ -40,6 +40,8 @@
 /// Time without an acknowledgement after which a peer counts as gone, and what
 /// a busy machine may add.
 constexpr milliseconds GoneAfter{2500};
+/// The same on a connection without data on its way.
+constexpr milliseconds GoneAfterKeepAlive{3000};
 constexpr milliseconds Lateness{700};
 constexpr milliseconds Step{20};
 
@@ -198,13 +200,15 @@
   std::optional<HttpResult> Result_;
 };
 
-/// Lets a caller read until it has a body of a size, or its connection breaks.
-void readBody(LoopFixture &Fixture, SlowPeer &Caller, std::size_t BodyBytes) {
+/// Lets a caller read, and checks that it gets a body of a size.
+void expectBody(LoopFixture &Fixture, SlowPeer &Caller, std::size_t BodyBytes) {
   const auto HasAll = [&Caller, BodyBytes] {
     Caller.read();
     return Caller.Broken_ || Caller.bodyBytes() >= BodyBytes;
   };
   Fixture.runUntil(HasAll, milliseconds(10000));
+  BOOST_TEST(!Caller.Broken_);
+  BOOST_TEST(Caller.bodyBytes() == BodyBytes);
 }
 
 /// Waits until a server has closed all connections. Returns the time.
@@ -234,9 +238,7 @@
   SlowPeer Caller;
   Fixture.request(Caller);
   Fixture.runFor(Pause);
-  readBody(Fixture, Caller, BodyBytes);
-  BOOST_TEST(!Caller.Broken_);
-  BOOST_TEST(Caller.bodyBytes() == BodyBytes);
+  expectBody(Fixture, Caller, BodyBytes);
 }
 
 /// A stop closes the connection once the kernel has the answer.
@@ -249,9 +251,7 @@
   BOOST_TEST(Fixture.Server_->openExchanges() == 0U);
   Fixture.Server_.reset();
   Fixture.runFor(Pause);
-  readBody(Fixture, Caller, SmallBodyBytes);
-  BOOST_TEST(!Caller.Broken_);
-  BOOST_TEST(Caller.bodyBytes() == SmallBodyBytes);
+  expectBody(Fixture, Caller, SmallBodyBytes);
 }
 
 /// The connection closes after the response. A request that arrives behind it
@@ -265,9 +265,7 @@
   Fixture.runFor(milliseconds(1500));
   Caller.send(TwoRequests);
   Fixture.runFor(milliseconds(100));
-  readBody(Fixture, Caller, SmallBodyBytes);
-  BOOST_TEST(!Caller.Broken_);
-  BOOST_TEST(Caller.bodyBytes() == SmallBodyBytes);
+  expectBody(Fixture, Caller, SmallBodyBytes);
 }
 
 /// A caller that vanishes before its answer is noticed within seconds.
@@ -324,8 +322,7 @@
   BOOST_TEST(Fixture.Budget_->bytes() > 0U);
   BOOST_TEST(Fixture.Budget_->bytes() <= Options.MaxBytes_);
   BOOST_TEST(Next.bodyBytes() == 0U);
-  readBody(Fixture, Next, ResponseBytes);
-  BOOST_TEST(Next.bodyBytes() == ResponseBytes);
+  expectBody(Fixture, Next, ResponseBytes);
 }
 
 /// A peer or an upstream that does not read a request for a while.
@@ -347,6 +344,19 @@
   BOOST_TEST((Fixture.Result_->Status_ == HttpCallStatus::Completed));
 }
 
+/// The peer has the request, so that nothing is to be acknowledged.
+BOOST_AUTO_TEST_CASE(PeerThatIsGoneBeforeItsResponseIsNoticed) {
+  ClientFixture Fixture;
+  Fixture.send(0);
+  dropInput(Fixture.Peer_);
+  const milliseconds Taken = Fixture.runUntil(
+      [&] { return Fixture.Result_.has_value(); }, milliseconds(10000));
+  BOOST_TEST_MESSAGE("noticed after " << Taken.count() << " ms");
+  BOOST_REQUIRE(Fixture.Result_.has_value());
+  BOOST_TEST((Fixture.Result_->Status_ == HttpCallStatus::ConnectionLost));
+  BOOST_TEST((Taken <= GoneAfterKeepAlive + Lateness));
+}
+
 BOOST_AUTO_TEST_CASE(PeerThatIsGoneIsNoticed) {
   ClientFixture Fixture;
   Fixture.send(SmallBodyBytes);
