--- a/tests/unit/relayed_read_test.cpp
+++ b/tests/unit/relayed_read_test.cpp
@@ -81,7 +81,8 @@
             {[] {},
              [](const GatewayRequest &) { return std::optional<Duration>(); },
              [](const StatedRateLimit &) {}, [] {}, [] {}}),
-        Peers_(Time_, Gateway_, RelayStore_, 1),
+        Peers_(Time_, Gateway_, RelayStore_, 1,
+               [](const RequestId &) { return false; }),
         Relay_(Loop_, serverOptions(),
                [this](HttpRequest Request,
                       const std::shared_ptr<HttpExchange> &Exchange) {
