--- a/review/rig-3/servers.hpp
+++ b/review/rig-3/servers.hpp
@@ -58,17 +58,19 @@
     std::thread([this] { accept(); }).detach();
   }
   const std::string &address() const { return Address_; }
+  /// Ends all connections and refuses new ones.
+  void end() {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    Down_ = true;
+    ::shutdown(Listening_, SHUT_RDWR);
+    ::close(Listening_);
+    for (const int Socket : Open_)
+      ::shutdown(Socket, SHUT_RDWR);
+  }
   /// Ends all connections and refuses new ones for some time, as at the end
   /// and start of a process.
   void restart(double Down) {
-    {
-      const std::lock_guard<std::mutex> Lock(Mutex_);
-      Down_ = true;
-      ::shutdown(Listening_, SHUT_RDWR);
-      ::close(Listening_);
-      for (const int Socket : Open_)
-        ::shutdown(Socket, SHUT_RDWR);
-    }
+    end();
     sleepFor(Down);
     const std::size_t Colon = Address_.find(':');
     listen(Address_.substr(0, Colon), std::stoi(Address_.substr(Colon + 1)));
@@ -362,6 +364,8 @@
   int From_, To_;
   std::uint64_t Fence_;
   double Begin_, End_;
+  /// When it would have run out.
+  double Expires_;
 };
 
 struct Run {
@@ -396,8 +400,12 @@
 
   std::atomic<int> ServiceMillis_{5};
   std::atomic<bool> Draining_{false};
+  /// When draining was acknowledged first, 0 if it wasn't.
+  std::atomic<double> DrainAckedAt_{0};
   /// Whether grants are logged.
   std::atomic<bool> LogsGrants_{true};
+  /// Called with each call before it is handled.
+  std::function<void(const Request &, int)> Before_;
   /// May replace the answer to a call; the argument has the sound answer.
   std::function<std::string(const Request &, int, const std::string &)> Spoil_;
 
@@ -408,8 +416,14 @@
           sleepFor(0.01);
           continue;
         }
-        call(Daemon, "PUT", "/instances/" + Id_,
-             {"Content-Type: application/json"}, report(), 1.0);
+        const bool Draining = Draining_;
+        const Answer Got =
+            call(Daemon, "PUT", "/instances/" + Id_,
+                 {"Content-Type: application/json"}, report(), 1.0);
+        if (Draining && Got.Status_ == 200 && DrainAckedAt_ == 0) {
+          DrainAckedAt_ = now();
+          Log_.line(lifeName() + " has the ack of its draining");
+        }
         const double Next = now() + 0.87;
         const int Life = Life_;
         while (now() < Next && Life == Life_)
@@ -422,7 +436,8 @@
   /// nothing of before.
   /// \param Down time from the crash until it takes connections again.
   /// \param ReportDelay time from then to its first liveness report.
-  void restart(double Down, double ReportDelay) {
+  /// \param ClockOffsetMillis by how much the machine's clock is ahead then.
+  void restart(double Down, double ReportDelay, int ClockOffsetMillis = 0) {
     {
       const std::lock_guard<std::mutex> Lock(Mutex_);
       cut(0, 65535, now());
@@ -433,10 +448,21 @@
       ReportsFrom_ = now() + Down + ReportDelay;
     }
     Server_.restart(Down);
-    Log_.line(lifeName() + " takes connections");
     Born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                 std::chrono::system_clock::now().time_since_epoch())
-                .count();
+                .count() +
+            ClockOffsetMillis;
+    Log_.line(lifeName() + " takes connections, born " +
+              std::to_string(Born_.load()));
+  }
+
+  /// Sends its last call and exits.
+  void leave(const std::string &Daemon) {
+    Log_.line(lifeName() + " sends DELETE and exits");
+    ReportsFrom_ = now() + 1000;
+    call(Daemon, "DELETE", "/instances/" + Id_, {}, "", 1.0);
+    Gone_ = true;
+    Server_.end();
   }
 
   std::string report() {
@@ -449,6 +475,8 @@
 
 private:
   std::string handle(const Request &Read, int Socket) {
+    if (Before_)
+      Before_(Read, Socket);
     const std::string Sound = soundAnswer(Read);
     return Spoil_ ? Spoil_(Read, Socket, Sound) : Sound;
   }
@@ -487,7 +515,8 @@
     cut(From, To, Now);
     for (int Key = From; Key <= To; ++Key)
       Highest_[static_cast<std::size_t>(Key)] = Fence;
-    Current_.push_back({lifeName(), From, To, Fence, Now, Now + Length});
+    Current_.push_back({lifeName(), From, To, Fence, Now, Now + Length,
+                        Now + Length});
     if (LogsGrants_)
       Log_.line(lifeName() + " is granted " + std::to_string(From) + "-" +
                 std::to_string(To) + " fence " + std::to_string(Fence) +
@@ -568,6 +597,11 @@
     }
     sleepFor(ServiceMillis_ / 1000.0);
     Each.End_ = now();
+    if (Gone_) {
+      Log_.line(lifeName() + " has exited while it ran " + Each.Id_ +
+                ", which came at " + std::to_string(Each.Begin_));
+      return "";
+    }
     {
       const std::lock_guard<std::mutex> Lock(Mutex_);
       if (Sharded_)
@@ -595,6 +629,7 @@
   Seen &All_;
   Record &Log_;
   std::atomic<long long> Born_;
+  std::atomic<bool> Gone_{false};
   std::atomic<int> Life_{1};
   std::atomic<double> ReportsFrom_{0};
   std::atomic<int> Sequence_{0};
@@ -644,6 +679,39 @@
   return Found;
 }
 
+/// Returns how many times an instance was given a key on which another was still
+/// at work, before that one's hold would have run out.
+inline int grantsDuringWork(Seen &All, Record &Log) {
+  const std::lock_guard<std::mutex> Lock(All.Mutex_);
+  int Found = 0;
+  for (const Run &Work : All.Runs_) {
+    double Expires = 0;
+    for (const Hold &Each : All.Holds_)
+      if (Each.Instance_ == Work.Instance_ && Each.Fence_ == Work.Fence_ &&
+          Work.Key_ >= Each.From_ && Work.Key_ <= Each.To_ &&
+          Each.Begin_ <= Work.Begin_)
+        Expires = std::max(Expires, Each.Expires_);
+    for (const Hold &Each : All.Holds_) {
+      const bool During = Each.Instance_ != Work.Instance_ &&
+                          Each.Fence_ > Work.Fence_ &&
+                          Work.Key_ >= Each.From_ && Work.Key_ <= Each.To_ &&
+                          Each.Begin_ > Work.Begin_ &&
+                          Each.Begin_ < Work.End_ && Each.Begin_ < Expires;
+      if (!During)
+        continue;
+      ++Found;
+      Log.line(Each.Instance_ + " is given key " + std::to_string(Work.Key_) +
+               " (number " + std::to_string(Each.Fence_) + ") at " +
+               std::to_string(Each.Begin_) + ", while " + Work.Instance_ +
+               " (number " + std::to_string(Work.Fence_) + ") works on " +
+               Work.Id_ + " from " + std::to_string(Work.Begin_) + " to " +
+               std::to_string(Work.End_) + "; its hold would have run out at " +
+               std::to_string(Expires));
+    }
+  }
+  return Found;
+}
+
 /// Returns the longest time for which two instances held the same key, and
 /// describes it.
 inline double longestSharedHold(Seen &All, std::string &Text) {
