--- a/review/rig-3/live_site.hpp
+++ b/review/rig-3/live_site.hpp
@@ -9,6 +9,9 @@
 
 namespace rig {
 
+/// As on the machines of the small sites.
+constexpr std::size_t MaxDescriptors = 4100;
+
 struct LiveHost {
   std::string Name_, Service_, Zone_, Ip_;
   std::string Callers_, Ready_, Announce_, Peers_, Admin_;
@@ -49,15 +52,15 @@
           << R"(","announce":")" << Added->Announce_ << R"(","peers":")"
           << Added->Peers_ << R"(","admin":")" << Added->Admin_
           << R"(","store":")" << Store_.address()
-          << R"(","memory_mb":260,"max_fds":4100,)"
-          << R"("first_start":true,"bounds":{"drain_s":2,"evacuate_s":5,)"
+          << R"(","memory_mb":260,"max_fds":)" << MaxDescriptors
+          << R"(,"first_start":true,"bounds":{"drain_s":2,"evacuate_s":5,)"
           << R"("stop_s":6,"max_hold_s":10,"retry_ratio":0.2,)"
           << R"("retry_slack":62,"retry_window_s":10}})" << "\n";
       Added->Daemon_ = std::make_unique<Process>(
           std::vector<std::string>{environment("DAEMON", ""),
                                    "--platform=" +
                                        file(Added->Name_ + ".json")},
-          file(Added->Name_ + ".log"));
+          file(Added->Name_ + ".log"), MaxDescriptors);
       Hosts_.push_back(std::move(Added));
       ++Number;
     }
--- a/review/rig-3/run_case.sh
+++ b/review/rig-3/run_case.sh
@@ -4,9 +4,8 @@
 set -u
 root=$(cd "$(dirname "$0")/../.." && pwd)
 DAEMON=$root/target/daemon/lagoonhitchd
-STANDIN=$root/build-review-3/project/tests/standin/standin
-export DAEMON STANDIN
-for program in "$DAEMON" "$STANDIN" "$root/build-review-3/$2"; do
+export DAEMON
+for program in "$DAEMON" "$root/build-review-3/$2"; do
   if [ ! -x "$program" ]; then
     echo "missing: $(basename "$program"); see build-3.sh" >&2
     exit 2
