Review case 11: lost work at the exit, and the OWNER case taken out

Cause: the check of the OWNER case was stricter than the rule, which speaks of other instances, while the case has two lives of one. The DRAIN case lost no work and had one of two instances crash, more than the share of the site.

--- a/review/rig-3/older_birth.cc
+++ b/review/rig-3/older_birth.cc
@@ -10,18 +10,23 @@
 constexpr double DrainSeconds = 2.0;
 /// "a little longer (at times many seconds)".
 constexpr double LongerSeconds = 6.0;
+constexpr int WorkMillis = 1000;
 constexpr int StepMillis = 2000;
 
 int run(const std::string &RecordFile) {
   rig::Record &Log = *new rig::Record(RecordFile);
-  const double CallGap = std::stod(rig::environment("CALL_GAP", "1"));
+  // Few requests come until the third life runs.
+  std::atomic<bool> Busy{false};
   const double Down = std::stod(rig::environment("DOWN", "0.1"));
   const bool Trouble = rig::environment("TROUBLE", "1") != "0";
   // Never destroyed: threads of the stand-ins use it until the end.
   rig::LiveSite &Site = *new rig::LiveSite({{"katalog", "kv-a"},
                                             {"pruf", "kv-a"},
-                                            {"katalog", "kv-b"},
-                                            {"pruf", "kv-b"}},
+                                            {"pruf", "kv-a"},
+                                            {"pruf", "kv-b"},
+                                            {"pruf", "kv-b"},
+                                            {"pruf", "kv-c"},
+                                            {"pruf", "kv-c"}},
                                            Log);
   if (!Site.waitUntilServing(20))
     throw rig::CannotRun("the site doesn't serve");
@@ -30,25 +35,27 @@
   std::vector<std::thread> Callers;
   std::mutex Mutex;
   std::map<int, int> Statuses;
-  for (std::size_t Index = 0; Index < Site.hosts(); ++Index)
+  for (std::size_t Index = 0; Index < 3 * Site.hosts(); ++Index)
     Callers.emplace_back([&, Index] {
       for (int Number = 0; !Done; ++Number) {
+        while (Index >= Site.hosts() && !Busy && !Done)
+          rig::sleepFor(0.01);
         const rig::Answer Got = rig::call(
-            Site.host(Index).Callers_, "POST", "/pruf/" + std::to_string(Number),
+            Site.host(Index % Site.hosts()).Callers_, "POST", "/pruf/" + std::to_string(Number),
             {"Host: shop.example",
              "X-Request-Id: plain-" + std::to_string(Index) + "-" +
                  std::to_string(Number),
-             "X-Deadline-Ms: 1000"},
-            "x", 1.0);
+             "X-Deadline-Ms: 2800"},
+            "x", 2.9);
         {
           const std::lock_guard<std::mutex> Lock(Mutex);
           ++Statuses[Got.Status_];
         }
-        rig::sleepFor(CallGap);
+        rig::sleepFor(Busy ? 0.3 : 1.0);
       }
     });
-  for (const std::size_t Index : {std::size_t{1}, std::size_t{3}})
-    Site.host(Index).Instance_->ServiceMillis_ = 400;
+  for (std::size_t Index = 1; Index < Site.hosts(); ++Index)
+    Site.host(Index).Instance_->ServiceMillis_ = WorkMillis;
   rig::Instance &Each = *Site.host(1).Instance_;
   rig::sleepFor(4);
   // The clock is ahead when the second life starts, and right again when it
@@ -57,7 +64,9 @@
   rig::sleepFor(1);
   Each.restart(Down, 0);
   // The machine is in touch again well before the instance drains.
-  rig::sleepFor(8);
+  rig::sleepFor(6);
+  Busy = true;
+  rig::sleepFor(2);
   Each.Draining_ = true;
   Log.line(Each.id() + " reports that it drains");
   const double GiveUpAt = rig::now() + 5;
@@ -65,7 +74,7 @@
     rig::sleepFor(0.01);
   rig::sleepFor(DrainSeconds + LongerSeconds);
   Each.leave(Site.host(1).Announce_);
-  rig::sleepFor(2);
+  rig::sleepFor(3);
   Done = true;
   for (std::thread &Caller : Callers)
     Caller.join();
@@ -73,6 +82,7 @@
   const double AckedAt = Each.DrainAckedAt_;
   int Late = 0;
   int All = 0;
+  int Cut = 0;
   {
     const std::lock_guard<std::mutex> Lock(Site.seen().Mutex_);
     for (const rig::Run &Run : Site.seen().Runs_) {
@@ -82,6 +92,7 @@
       if (AckedAt == 0 || Run.Begin_ < AckedAt + DrainSeconds)
         continue;
       ++Late;
+      Cut += Run.Cut_ ? 1 : 0;
       Log.line("request " + Run.Id_ + " reaches " + Run.Instance_ + " " +
                std::to_string(Run.Begin_ - AckedAt) + " s after the ack");
     }
@@ -90,7 +101,8 @@
   for (const auto &[Status, Count] : Statuses)
     Text += " " + std::to_string(Status) + " x " + std::to_string(Count);
   Log.line(Text + "; requests at the third life " + std::to_string(All) +
-           ", later than drain-s after its ack " + std::to_string(Late));
+           ", later than drain-s after its ack " + std::to_string(Late) +
+           ", of these unfinished at its exit " + std::to_string(Cut));
   if (AckedAt == 0)
     throw rig::CannotRun("the draining wasn't acknowledged");
   Log.line(Late > 0 ? "DRAIN: broken" : "DRAIN: held");
--- a/review/rig-3/servers.hpp
+++ b/review/rig-3/servers.hpp
@@ -3,7 +3,7 @@
 
 /// \file
 /// Stand-ins that run in threads of a case: an HTTP server, an instance that
-/// holds keys, and the platform's store with its drill.
+/// holds keys, and the platform's store.
 
 #include "rig.hpp"
 
@@ -77,15 +77,6 @@
     const std::lock_guard<std::mutex> Lock(Mutex_);
     Down_ = false;
   }
-  /// While away, all connections are reset.
-  void setAway(bool Away) {
-    const std::lock_guard<std::mutex> Lock(Mutex_);
-    Away_ = Away;
-    if (Away)
-      for (const int Socket : Open_)
-        ::shutdown(Socket, SHUT_RDWR);
-  }
-
 private:
   void listen(const std::string &Ip, int Port) {
     const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -114,10 +105,6 @@
         continue;
       }
       const std::lock_guard<std::mutex> Lock(Mutex_);
-      if (Away_) {
-        ::close(Socket);
-        continue;
-      }
       Open_.insert(Socket);
       std::thread([this, Socket] { serve(Socket); }).detach();
     }
@@ -175,7 +162,6 @@
   std::atomic<bool> Down_{false};
   std::string Address_;
   std::mutex Mutex_;
-  bool Away_ = false;
   std::set<int> Open_;
 };
 
@@ -230,33 +216,6 @@
     Changed_.notify_all();
   }
 
-  /// The store is away, and comes back from a copy of some age. Returns the
-  /// lost records that the operator has to write again.
-  std::vector<std::pair<std::string, std::string>> drill(double Age,
-                                                         double Away) {
-    Server_.setAway(true);
-    std::vector<std::pair<std::string, std::string>> Lost;
-    {
-      const std::lock_guard<std::mutex> Lock(Mutex_);
-      const double Copied = now() - Age;
-      for (auto &[Topic, Records] : Topics_)
-        while (!Records.empty() && Records.back().At_ > Copied) {
-          if (Topic == "keyed.op")
-            Lost.insert(Lost.begin(),
-                        {Records.back().Key_, Records.back().Value_});
-          Records.pop_back();
-        }
-      for (auto &[Producer, Epochs] : Epochs_)
-        while (!Epochs.empty() && Epochs.back().first > Copied)
-          Epochs.pop_back();
-      ++Era_;
-      Changed_.notify_all();
-    }
-    sleepFor(Away);
-    Server_.setAway(false);
-    return Lost;
-  }
-
 private:
   struct Entry {
     double At_;
@@ -373,6 +332,8 @@
   int Key_;
   std::uint64_t Fence_;
   double Begin_, End_;
+  /// Whether the instance has exited meanwhile.
+  bool Cut_ = false;
 };
 
 /// What the instances of a case have seen.
@@ -600,6 +561,9 @@
     if (Gone_) {
       Log_.line(lifeName() + " has exited while it ran " + Each.Id_ +
                 ", which came at " + std::to_string(Each.Begin_));
+      Each.Cut_ = true;
+      const std::lock_guard<std::mutex> Lock(All_.Mutex_);
+      All_.Runs_.push_back(Each);
       return "";
     }
     {
@@ -642,100 +606,6 @@
   HttpServer Server_;
 };
 
-/// Returns how many times a holder took keys with a generation number that was
-/// not above that with which another holder had one of them before.
-inline int staleGrants(Seen &All, Record &Log) {
-  const std::lock_guard<std::mutex> Lock(All.Mutex_);
-  int Found = 0;
-  std::set<std::string> Reported;
-  for (const Hold &Later : All.Holds_)
-    for (const Hold &Earlier : All.Holds_) {
-      const bool Stale = Earlier.Instance_ != Later.Instance_ &&
-                         Earlier.Begin_ < Later.Begin_ &&
-                         Earlier.Fence_ >= Later.Fence_ &&
-                         Earlier.From_ <= Later.To_ &&
-                         Later.From_ <= Earlier.To_;
-      if (!Stale)
-        continue;
-      std::set<std::string> Ids;
-      for (const Run &Each : All.Runs_)
-        if (Each.Instance_ == Later.Instance_ && Each.Fence_ == Later.Fence_ &&
-            Each.Key_ >= Later.From_ && Each.Key_ <= Later.To_)
-          Ids.insert(Each.Id_);
-      const std::string Text =
-          Later.Instance_ + " takes keys " +
-          std::to_string(std::max(Earlier.From_, Later.From_)) + "-" +
-          std::to_string(std::min(Earlier.To_, Later.To_)) + " with number " +
-          std::to_string(Later.Fence_) + ", with which " + Earlier.Instance_ +
-          " had them (number " + std::to_string(Earlier.Fence_) + "); " +
-          std::to_string(Ids.size()) + " requests run there";
-      if (!Reported.insert(Later.Instance_ + std::to_string(Later.Fence_) +
-                           Earlier.Instance_)
-               .second)
-        continue;
-      ++Found;
-      Log.line(Text);
-    }
-  return Found;
-}
-
-/// Returns how many times an instance was given a key on which another was still
-/// at work, before that one's hold would have run out.
-inline int grantsDuringWork(Seen &All, Record &Log) {
-  const std::lock_guard<std::mutex> Lock(All.Mutex_);
-  int Found = 0;
-  for (const Run &Work : All.Runs_) {
-    double Expires = 0;
-    for (const Hold &Each : All.Holds_)
-      if (Each.Instance_ == Work.Instance_ && Each.Fence_ == Work.Fence_ &&
-          Work.Key_ >= Each.From_ && Work.Key_ <= Each.To_ &&
-          Each.Begin_ <= Work.Begin_)
-        Expires = std::max(Expires, Each.Expires_);
-    for (const Hold &Each : All.Holds_) {
-      const bool During = Each.Instance_ != Work.Instance_ &&
-                          Each.Fence_ > Work.Fence_ &&
-                          Work.Key_ >= Each.From_ && Work.Key_ <= Each.To_ &&
-                          Each.Begin_ > Work.Begin_ &&
-                          Each.Begin_ < Work.End_ && Each.Begin_ < Expires;
-      if (!During)
-        continue;
-      ++Found;
-      Log.line(Each.Instance_ + " is given key " + std::to_string(Work.Key_) +
-               " (number " + std::to_string(Each.Fence_) + ") at " +
-               std::to_string(Each.Begin_) + ", while " + Work.Instance_ +
-               " (number " + std::to_string(Work.Fence_) + ") works on " +
-               Work.Id_ + " from " + std::to_string(Work.Begin_) + " to " +
-               std::to_string(Work.End_) + "; its hold would have run out at " +
-               std::to_string(Expires));
-    }
-  }
-  return Found;
-}
-
-/// Returns the longest time for which two instances held the same key, and
-/// describes it.
-inline double longestSharedHold(Seen &All, std::string &Text) {
-  const std::lock_guard<std::mutex> Lock(All.Mutex_);
-  double Longest = 0;
-  for (const Hold &A : All.Holds_)
-    for (const Hold &B : All.Holds_) {
-      if (A.Instance_ >= B.Instance_ || A.To_ < B.From_ || B.To_ < A.From_)
-        continue;
-      const double Shared =
-          std::min(A.End_, B.End_) - std::max(A.Begin_, B.Begin_);
-      if (Shared <= Longest)
-        continue;
-      Longest = Shared;
-      Text = A.Instance_ + " fence " + std::to_string(A.Fence_) + " and " +
-             B.Instance_ + " fence " + std::to_string(B.Fence_) +
-             " both hold keys " + std::to_string(std::max(A.From_, B.From_)) +
-             "-" + std::to_string(std::min(A.To_, B.To_)) + " from " +
-             std::to_string(std::max(A.Begin_, B.Begin_)) + " for " +
-             std::to_string(Shared) + " s";
-    }
-  return Longest;
-}
-
 } // namespace rig
 
 #endif
