Log connections that the daemon cuts, and why a caller's connection ended

Event 703 said "the caller left" also if the daemon itself had ended the connection: the client acknowledged nothing, did not read, or a write took too long. A response that was not written, a connection that was closed while its idle timeout ran late, or as one of too many, left no line at all.

--- a/core/event_catalog.cpp
+++ b/core/event_catalog.cpp
@@ -49,6 +49,7 @@
     {EventId::RunCut, EventLevel::Warn, "run-cut"},
     {EventId::CallerLeft, EventLevel::Info, "caller-left"},
     {EventId::RunLostByCall, EventLevel::Warn, "run-lost-by-call"},
+    {EventId::ConnectionCut, EventLevel::Warn, "connection-cut"},
 };
 
 } // namespace
--- a/core/event_catalog.h
+++ b/core/event_catalog.h
@@ -57,6 +57,7 @@
   RunCut = 702,
   CallerLeft = 703,
   RunLostByCall = 704,
+  ConnectionCut = 705,
 };
 
 /// One entry of the catalogue.
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "daemon/connection_description.h"
 #include "daemon/daemon_impl.h"
 #include "daemon/daemon_options.h"
 #include "daemon/forward_codec.h"
@@ -152,6 +153,7 @@
                 [this](EventId Id, const std::string &Subject) {
                   Recorder_.record(Id, Subject);
                 }) {
+  reportCuts();
   logStart();
   if (!Settings_.Services_.empty())
     Watcher_.applyManifest(manifestFromSettings(Settings_));
@@ -208,6 +210,17 @@
   return Servers;
 }
 
+/// Logs the connections of callers and other daemons that this daemon cuts.
+void Daemon::Impl::reportCuts() {
+  std::vector<HttpServer *> Servers = callerServers();
+  Servers.push_back(&PeerServer_);
+  for (HttpServer *Server : Servers)
+    Server->setOnCut(
+        [this, Address = Server->address()](const ConnectionCut &Cut) {
+          Recorder_.record(EventId::ConnectionCut, describeCut(Address, Cut));
+        });
+}
+
 /// Returns all servers whose messages count in the memory budget.
 std::vector<HttpServer *> Daemon::Impl::budgetedServers() {
   std::vector<HttpServer *> Servers = callerServers();
--- a/daemon/daemon_impl.h
+++ b/daemon/daemon_impl.h
@@ -52,6 +52,7 @@
   std::unique_ptr<HttpServer> openReadyServer();
   std::unique_ptr<HttpServer> openInternalServer();
   std::vector<HttpServer *> callerServers();
+  void reportCuts();
   std::vector<HttpServer *> budgetedServers();
   HttpServerOptions withBudget(HttpServerOptions Options) const;
   void reportMemory();
--- a/daemon/peer_service.cpp
+++ b/daemon/peer_service.cpp
@@ -57,7 +57,7 @@
   Forwarded->Deadline_ -= ExcessDelay;
   Forwarded->ObjectiveAt_ -= ExcessDelay;
   Exchange->onAbandoned([this, Id = Forwarded->Id_](ConnectionEnd End) {
-    if (End == ConnectionEnd::Broken)
+    if (isBroken(End))
       Gateway_.onConnectionBroken(Id);
     else
       Gateway_.cancel(Id, "its entry daemon closed the connection");
--- a/daemon/request_router.cpp
+++ b/daemon/request_router.cpp
@@ -1,6 +1,7 @@
 #include "daemon/request_router.h"
 
 #include "daemon/attempt_description.h"
+#include "daemon/connection_description.h"
 #include "daemon/crash_record.h"
 #include "daemon/entry_request.h"
 #include "daemon/forward_codec.h"
@@ -100,7 +101,7 @@
   depositRetryTokens(RetryBudgets_[Request->GatewayRequest_.Service_],
                      RetryBudgetOptions_);
   Exchange->onAbandoned(
-      [this, Request](ConnectionEnd) { onAbandoned(Request); });
+      [this, Request](ConnectionEnd End) { onAbandoned(Request, End); });
   Request->DeadlineTimer_ =
       Loop_.after(Request->GatewayRequest_.Deadline_ - Time_.now(),
                   [this, WeakRequest = std::weak_ptr<EntryRequest>(Request)] {
@@ -491,7 +492,8 @@
   }
 }
 
-void RequestRouter::onAbandoned(const EntryRequestPtr &Request) {
+void RequestRouter::onAbandoned(const EntryRequestPtr &Request,
+                                ConnectionEnd End) {
   if (Request->Done_)
     return;
   Request->Done_ = true;
@@ -499,10 +501,10 @@
   Request->DeadlineTimer_.reset();
   leaveParent(*Request, Outcome::Unknown);
   if (isAttemptOpen(*Request))
-    logEvent(
-        EventId::CallerLeft, *Request,
-        absl::StrCat(describeAttempt(*Request, "the caller left", Time_.now()),
-                     Request->LastRun_));
+    logEvent(EventId::CallerLeft, *Request,
+             absl::StrCat(
+                 describeAttempt(*Request, describeCallerEnd(End), Time_.now()),
+                 Request->LastRun_));
   if (Request->Host_ == Config_.Host_)
     Gateway_.cancel(Request->GatewayRequest_.Id_, "its caller left");
   cancelAttempt(*Request);
--- a/daemon/request_router.h
+++ b/daemon/request_router.h
@@ -12,6 +12,7 @@
 #include "daemon/shared_host_selector.h"
 #include "daemon/site_state.h"
 #include "limits/shared_retry_budget.h"
+#include "net/connection_end.h"
 #include "net/header_names.h"
 #include "net/http_result.h"
 #include "routing/request_plan.h"
@@ -122,7 +123,7 @@
   void endAttempt(EntryRequest &Request);
   bool giveUpAttempt(EntryRequest &Request);
   void onDeadlineExpired(const EntryRequestPtr &Request);
-  void onAbandoned(const EntryRequestPtr &Request);
+  void onAbandoned(const EntryRequestPtr &Request, ConnectionEnd End);
   void cancelAttempt(EntryRequest &Request);
   void logEvent(EventId Event, const EntryRequest &Request,
                 const std::string &Details);
--- a/daemon/site_watcher.cpp
+++ b/daemon/site_watcher.cpp
@@ -1,6 +1,7 @@
 #include "daemon/site_watcher.h"
 
 #include "daemon/crash_record.h"
+#include "manifest/manifest_difference.h"
 #include "membership/poll_schedule.h"
 #include "net/io_loop.h"
 #include "ownership/table_change.h"
@@ -32,6 +33,19 @@
       toMillis(Read.SinceHint_).count(), " ms before");
 }
 
+/// Describes a manifest by its version, and by the limits that differ from
+/// those of the one before.
+std::string describeManifest(const Manifest *Before, const Manifest &Applied) {
+  std::string Text = std::to_string(Applied.Version_);
+  if (Before == nullptr)
+    return Text;
+  for (const ManifestDifference &Limit :
+       compareLimits(Before->Limits_, Applied.Limits_))
+    absl::StrAppend(&Text, "; ", Limit.Place_, " from ", Limit.Before_, " to ",
+                    Limit.After_);
+  return Text;
+}
+
 } // namespace
 
 std::string tableTopic(const std::string &Service) {
@@ -207,7 +221,7 @@
   if (!Newer)
     return;
   Callbacks_.LogEvent_(EventId::ConfigApplied,
-                       std::to_string(Decoded.Version_));
+                       describeManifest(Site_.Manifest_.get(), Decoded));
   Site_.Manifest_ = std::make_shared<const Manifest>(std::move(Decoded));
   followTables();
   Callbacks_.OnManifest_();
--- a/manifest/manifest_difference.cpp
+++ b/manifest/manifest_difference.cpp
@@ -1,5 +1,7 @@
 #include "manifest/manifest_difference.h"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <utility>
@@ -105,8 +107,16 @@
   std::vector<ManifestDifference> Found;
   compareEntries(servicesOf(Before), servicesOf(After), Found);
   compareEntries(routesOf(Before), routesOf(After), Found);
-  compareFields("limits", fieldsOf(Before.Limits_), fieldsOf(After.Limits_),
-                Found);
+  std::vector<ManifestDifference> Limits =
+      compareLimits(Before.Limits_, After.Limits_);
+  std::move(Limits.begin(), Limits.end(), std::back_inserter(Found));
+  return Found;
+}
+
+std::vector<ManifestDifference> compareLimits(const CallerLimits &Before,
+                                              const CallerLimits &After) {
+  std::vector<ManifestDifference> Found;
+  compareFields("limits", fieldsOf(Before), fieldsOf(After), Found);
   return Found;
 }
 
--- a/manifest/manifest_difference.h
+++ b/manifest/manifest_difference.h
@@ -27,6 +27,10 @@
 std::vector<ManifestDifference> compareManifests(const Manifest &Before,
                                                  const Manifest &After);
 
+/// Returns which limits on callers differ.
+std::vector<ManifestDifference> compareLimits(const CallerLimits &Before,
+                                              const CallerLimits &After);
+
 /// Finds why a manifest would not take effect, or would lose requests, if it
 /// were published while another one is in force.
 std::vector<ManifestFinding> checkSuccession(const Manifest &InForce,
--- a/net/http_exchange.h
+++ b/net/http_exchange.h
@@ -4,21 +4,13 @@
 /// \file
 /// One HTTP request and its response, on the server's side.
 
+#include "net/connection_end.h"
 #include "net/http_message.h"
 
 #include <functional>
 
 namespace lagoonhitch {
 
-/// How a client's connection ended.
-enum class ConnectionEnd {
-  /// The client closed it.
-  Closed,
-  /// It was reset or timed out. The client may not want that, and may wait for
-  /// the result of its request.
-  Broken,
-};
-
 /// Lets a handler respond to a request, immediately or later.
 class HttpExchange {
 public:
@@ -33,7 +25,7 @@
   /// must support HTTP/1.1.
   virtual void reportProgress() {}
 
-  /// Receives how the connection of a request ended.
+  /// Receives why the connection of a request ended.
   using AbandonCallback = std::function<void(ConnectionEnd)>;
 
   /// Sets a callback that is called at most once, if the client's connection
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -31,7 +31,7 @@
       Found = Open;
   if (Found == nullptr)
     return false;
-  Found->abandon();
+  Found->abandon(ConnectionEnd::TooManyConnections);
   return true;
 }
 
@@ -132,6 +132,10 @@
   Impl_->Options_.Address_ = Address;
 }
 
+void HttpServer::setOnCut(CutCallback Callback) {
+  Impl_->OnCut_ = std::move(Callback);
+}
+
 void HttpServer::checkClients(bool Enabled) { Impl_->ChecksClients_ = Enabled; }
 
 void HttpServer::disableKeepAlive() { Impl_->KeepAliveDisabled_ = true; }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -4,6 +4,7 @@
 /// \file
 /// An HTTP/1.1 server on an IoLoop.
 
+#include "net/connection_cut.h"
 #include "net/http_exchange.h"
 #include "net/http_server_options.h"
 #include "net/request_rejection.h"
@@ -30,6 +31,9 @@
   /// this holds for them as well.
   using OverlapRule = std::function<bool(const HttpRequest &)>;
 
+  /// Is called when a connection was cut.
+  using CutCallback = std::function<void(const ConnectionCut &)>;
+
   /// Opens the listening socket. Throws Error if the address can't be bound.
   /// \param MayOverlap if empty, the requests of a connection are handled one
   /// after the other.
@@ -45,6 +49,10 @@
   /// Replaces the limits and timeouts. The address and the budget are ignored.
   void setLimits(const HttpServerOptions &Limits);
 
+  /// Sets the callback for connections that the server decides to close
+  /// although a request has no complete response.
+  void setOnCut(CutCallback Callback);
+
   /// Sets whether a request is dropped if its client has closed the connection
   /// before the request is handled. It costs a system call for each request,
   /// and is of use while requests wait long to be read.
--- a/net/http_server_state.h
+++ b/net/http_server_state.h
@@ -39,6 +39,7 @@
   std::shared_ptr<MemoryBudget> Budget_;
   RejectionCounts Rejections_{};
   std::size_t OpenExchanges_ = 0;
+  CutCallback OnCut_;
   bool KeepAliveDisabled_ = false;
   /// Whether requests of clients that have left are dropped.
   bool ChecksClients_ = false;
--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -21,8 +21,16 @@
 
 /// Size from which a response is sent in parts, whose progress is observed.
 constexpr std::size_t LargeResponseBytes = std::size_t{64} * 1024;
+/// Lag of an idle timeout from which a request may have arrived after it.
+constexpr std::chrono::milliseconds LateTimeout{100};
 constexpr std::string_view ProgressResponse = "HTTP/1.1 102 Processing\r\n\r\n";
 
+ConnectionEnd endOfWrite(const error_code &Failure) {
+  return Failure == boost::beast::error::timeout
+             ? ConnectionEnd::ResponseNotRead
+             : ConnectionEnd::Broken;
+}
+
 /// Connects a handler to one request of a session, so that a late response is
 /// never sent for another request.
 class SessionExchange : public HttpExchange {
@@ -196,7 +204,7 @@
 /// written.
 void HttpSession::onPeerGone() {
   discardOutput(Stream_.socket());
-  abandon(ConnectionEnd::Broken);
+  abandon(ConnectionEnd::PeerGone);
 }
 
 /// Lets small responses that the client does not read give way to others, too.
@@ -216,7 +224,7 @@
   Output_.GiveWay_ = [this] {
     ++Server_->Rejections_[static_cast<std::size_t>(
         RequestRejection::ResponseNotRead)];
-    abandon();
+    abandon(ConnectionEnd::ResponseNotRead);
   };
 }
 
@@ -248,16 +256,16 @@
   SendingBytes_ = 0;
   if (Closed_)
     return;
+  if (Failure) {
+    abandon(endOfWrite(Failure));
+    return;
+  }
   if (WaitingBytes_ == 0)
     endOutput();
   else
     countOutput();
   Pending_.pop_front();
   --Server_->OpenExchanges_;
-  if (Failure) {
-    abandon();
-    return;
-  }
   if (!KeepAlive) {
     closeAfterResponse();
     return;
@@ -292,7 +300,7 @@
   if (Closed_)
     return;
   if (Failure) {
-    abandon();
+    abandon(endOfWrite(Failure));
     return;
   }
   writeNext();
@@ -305,7 +313,7 @@
   const bool MayHaveInput =
       Pipelined_ || Reading_ || InputLeft_ || Buffer_.size() > 0;
   if (!MayHaveInput) {
-    abandon();
+    abandon(ConnectionEnd::Completed);
     return;
   }
   Discarding_ = true;
@@ -322,6 +330,7 @@
   if (Closed_)
     return;
   const std::shared_ptr<HttpSession> Self = shared_from_this();
+  reportCut(End);
   close();
   std::deque<PendingExchange> Abandoned = std::move(Pending_);
   Pending_.clear();
@@ -331,6 +340,34 @@
       Entry.OnAbandoned_(End);
 }
 
+/// Reports if the server has decided to close the connection although a request
+/// on it has no complete response.
+void HttpSession::reportCut(ConnectionEnd End) {
+  const bool Decided = End != ConnectionEnd::Closed &&
+                       End != ConnectionEnd::Broken &&
+                       End != ConnectionEnd::Completed;
+  if (!Decided || !Server_->OnCut_)
+    return;
+  ConnectionCut Cut;
+  Cut.Cause_ = End;
+  for (const PendingExchange &Entry : Pending_)
+    ++(Entry.Response_ ? Cut.UnsentResponses_ : Cut.OpenRequests_);
+  if (WaitingRequest_)
+    ++Cut.OpenRequests_;
+  error_code Failure;
+  const std::size_t Unread = Stream_.socket().available(Failure);
+  Cut.UnhandledBytes_ = Buffer_.size() + (Failure ? 0 : Unread);
+  const Instant Now = std::chrono::steady_clock::now();
+  if (IdleSince_ != Instant())
+    Cut.SinceIdle_ = Now - IdleSince_;
+  const bool ClosedLate =
+      End == ConnectionEnd::IdleTimeout &&
+      Cut.SinceIdle_ > Server_->Options_.IdleTimeout_ + LateTimeout;
+  if (Cut.OpenRequests_ + Cut.UnsentResponses_ + Cut.UnhandledBytes_ > 0 ||
+      ClosedLate)
+    Server_->OnCut_(Cut);
+}
+
 void HttpSession::close() {
   Closed_ = true;
   endInput();
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -74,7 +74,7 @@
   bool isReceiving(const HttpHeader &Header, Duration MaxSilence);
 
   /// Closes the connection. The requests without a response are abandoned.
-  void abandon(ConnectionEnd End = ConnectionEnd::Closed);
+  void abandon(ConnectionEnd End);
 
 private:
   /// A request that was passed to the handler and is not answered completely.
@@ -135,6 +135,7 @@
   bool isOutputDelivered();
   void discardInput();
   bool isClientGone();
+  void reportCut(ConnectionEnd End);
   void close();
 
   boost::beast::tcp_stream Stream_;
--- a/net/http_session_input.cpp
+++ b/net/http_session_input.cpp
@@ -96,7 +96,8 @@
   const bool DataPending =
       IdleReadCancelled_ && Stream_.socket().available(Failure) > 0;
   if (!DataPending || Failure) {
-    abandon(endOf(Cause));
+    const bool TimedOut = Cause == boost::beast::error::timeout;
+    abandon(TimedOut ? ConnectionEnd::IdleTimeout : endOf(Cause));
     return;
   }
   IdleReadCancelled_ = false;
@@ -238,7 +239,7 @@
   LastRequestRead_ = !KeepAlive;
   Pipelined_ = Pipelined_ || !Pending_.empty();
   if (Server_->ChecksClients_ && isClientGone()) {
-    abandon();
+    abandon(ConnectionEnd::Closed);
     return;
   }
   startWaitingRequest();
@@ -303,7 +304,7 @@
     watchForInput();
     return;
   case InputState::Ended:
-    abandon();
+    abandon(ConnectionEnd::Closed);
     return;
   case InputState::Broken:
     abandon(ConnectionEnd::Broken);
@@ -350,7 +351,7 @@
       return;
     const bool Late = std::chrono::steady_clock::now() >= Self->DiscardEnd_;
     if (Late || Self->isOutputDelivered())
-      Self->abandon();
+      Self->abandon(ConnectionEnd::Completed);
     else
       Self->awaitDelivery();
   });
@@ -376,7 +377,7 @@
         Self->Reading_ = false;
         Self->DiscardedBytes_ += Size;
         if (Failure)
-          Self->abandon();
+          Self->abandon(ConnectionEnd::Completed);
         else
           Self->discardInput();
       });
--- a/tests/unit/server_memory_test.cpp
+++ b/tests/unit/server_memory_test.cpp
@@ -247,6 +247,9 @@
   constexpr std::size_t ResponseBytes = 16 * Kilobyte * Kilobyte;
   ServerFixture Fixture;
   Client Slow(Fixture.Server_.address());
+  std::vector<ConnectionCut> Cuts;
+  Fixture.Server_.setOnCut(
+      [&Cuts](const ConnectionCut &Cut) { Cuts.push_back(Cut); });
   Slow.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
   Fixture.runFor(milliseconds(20));
   BOOST_REQUIRE(Fixture.Requests_.size() == 1U);
@@ -256,6 +259,9 @@
   BOOST_TEST(Fixture.Budget_->bytes() == 0U);
   BOOST_TEST(Fixture.Server_.openConnections() == 0U);
   BOOST_TEST(Fixture.rejections(RequestRejection::ResponseNotRead) == 1U);
+  BOOST_REQUIRE(Cuts.size() == 1U);
+  BOOST_TEST(Cuts[0].UnsentResponses_ == 1U);
+  BOOST_TEST((Cuts[0].Cause_ == ConnectionEnd::ResponseNotRead));
 }
 
 /// Idle connections of callers used up the descriptors.
