A request that has arrived outlasts the idle timeout of its connection

Callers saw their connection closed without a response to a request that they had sent in time: neither an answer nor a rejection. While a daemon stands still or is late past the idle timeout of a connection, a request arrives on it. In its next turn, Beast's timer of the stream closes the socket, and the read that has just taken the request reports a timeout instead (27 bytes read, in 50 cases of 50). closeUnlessDataPending() found nothing pending in a closed socket. A connection above the limit closed the one that had waited longest without a look either.

The idle timeout is a timer of the session now. When it expires, completed reads are handled first; if the connection is still idle and nothing has arrived, it is closed. A connection above the limit has the longest idle one without input closed by cancelling its read, which a read that has completed survives. The cause TooManyConnections and the report of late timeouts are not needed any more: such a connection has no unread request.

--- a/net/connection_end.cpp
+++ b/net/connection_end.cpp
@@ -18,8 +18,6 @@
     return "has a client that does not read its responses";
   case ConnectionEnd::IdleTimeout:
     return "was idle for too long";
-  case ConnectionEnd::TooManyConnections:
-    return "was one of too many";
   case ConnectionEnd::Completed:
     return "had its last response";
   }
--- a/net/connection_end.h
+++ b/net/connection_end.h
@@ -18,8 +18,6 @@
   ResponseNotRead,
   /// It was idle for too long.
   IdleTimeout,
-  /// The server had too many connections.
-  TooManyConnections,
   /// The server closed it after its last response, or to drain.
   Completed,
 };
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -20,19 +20,37 @@
 
 /// Maximum number of connections that are accepted in one turn of the loop.
 constexpr std::size_t MaxAcceptedPerTurn = 128;
-
-/// Closes the connection that has been idle for the longest time. Returns
-/// whether there was one.
-bool closeLongestIdle(HttpServer::Impl &Server) {
+/// Maximum number of idle connections that are checked for a request before a
+/// new connection is refused.
+constexpr std::size_t MaxCheckedForInput = 16;
+
+/// Returns the connection that has been idle for the longest time; nullptr if
+/// none is idle.
+HttpSession *longestIdle(const HttpServer::Impl &Server,
+                         const std::set<HttpSession *> &Except) {
   HttpSession *Found = nullptr;
   for (HttpSession *Open : Server.Sessions_)
-    if (Open->idleSince() &&
+    if (Open->idleSince() && !Except.contains(Open) &&
         (Found == nullptr || *Open->idleSince() < *Found->idleSince()))
       Found = Open;
-  if (Found == nullptr)
-    return false;
-  Found->abandon(ConnectionEnd::TooManyConnections);
-  return true;
+  return Found;
+}
+
+/// Closes the connection that has been idle for the longest time and on which
+/// no request has arrived. Returns whether there was one.
+bool closeLongestIdle(HttpServer::Impl &Server) {
+  std::set<HttpSession *> WithInput;
+  while (WithInput.size() < MaxCheckedForInput) {
+    HttpSession *Found = longestIdle(Server, WithInput);
+    if (Found == nullptr)
+      return false;
+    if (!Found->hasInput()) {
+      Found->closeUnlessInputArrives();
+      return true;
+    }
+    WithInput.insert(Found);
+  }
+  return false;
 }
 
 /// Returns whether the client is still there.
--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -21,8 +21,6 @@
 
 /// Size from which a response is sent in parts, whose progress is observed.
 constexpr std::size_t LargeResponseBytes = std::size_t{64} * 1024;
-/// Lag of an idle timeout from which a request may have arrived after it.
-constexpr std::chrono::milliseconds LateTimeout{100};
 constexpr std::string_view ProgressResponse = "HTTP/1.1 102 Processing\r\n\r\n";
 
 ConnectionEnd endOfWrite(const error_code &Failure) {
@@ -58,7 +56,7 @@
 HttpSession::HttpSession(tcp::socket Socket,
                          std::shared_ptr<HttpServer::Impl> Server)
     : Stream_(std::move(Socket)), Server_(std::move(Server)),
-      RequestTimer_(Stream_.get_executor()) {
+      ReadTimer_(Stream_.get_executor()) {
   Server_->Sessions_.insert(this);
   Written_.Socket_ = Stream_.socket().native_handle();
   Written_.OnPeerGone_ = [this] { onPeerGone(); };
@@ -108,7 +106,12 @@
 
 void HttpSession::closeIfIdle() {
   const bool AwaitsFirstRequest = LastNumber_ == 0;
-  if (!Idle_ || !Pending_.empty() || AwaitsFirstRequest)
+  if (!AwaitsFirstRequest)
+    closeUnlessInputArrives();
+}
+
+void HttpSession::closeUnlessInputArrives() {
+  if (!Idle_ || !Pending_.empty())
     return;
   IdleReadCancelled_ = true;
   Stream_.cancel();
@@ -357,14 +360,9 @@
   error_code Failure;
   const std::size_t Unread = Stream_.socket().available(Failure);
   Cut.UnhandledBytes_ = Buffer_.size() + (Failure ? 0 : Unread);
-  const Instant Now = std::chrono::steady_clock::now();
   if (IdleSince_ != Instant())
-    Cut.SinceIdle_ = Now - IdleSince_;
-  const bool ClosedLate =
-      End == ConnectionEnd::IdleTimeout &&
-      Cut.SinceIdle_ > Server_->Options_.IdleTimeout_ + LateTimeout;
-  if (Cut.OpenRequests_ + Cut.UnsentResponses_ + Cut.UnhandledBytes_ > 0 ||
-      ClosedLate)
+    Cut.SinceIdle_ = std::chrono::steady_clock::now() - IdleSince_;
+  if (Cut.OpenRequests_ + Cut.UnsentResponses_ + Cut.UnhandledBytes_ > 0)
     Server_->OnCut_(Cut);
 }
 
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -62,11 +62,17 @@
   /// about to send its first one, so that stays open, too.
   void closeIfIdle();
 
+  /// As closeIfIdle(), but also if the client has not sent a request yet.
+  void closeUnlessInputArrives();
+
+  /// Returns whether something has arrived that was not read yet.
+  bool hasInput();
+
   /// Returns since when the connection has waited for a request; std::nullopt
-  /// if it does not wait for one.
+  /// if it does not wait for one, or is being closed.
   std::optional<Instant> idleSince() const {
-    return Idle_ && Pending_.empty() ? std::optional<Instant>(IdleSince_)
-                                     : std::nullopt;
+    const bool Waits = Idle_ && Pending_.empty() && !IdleReadCancelled_;
+    return Waits ? std::optional<Instant>(IdleSince_) : std::nullopt;
   }
 
   /// Returns whether the body of a request with a header is being received, see
@@ -99,6 +105,8 @@
   PendingExchange *findPending(std::uint64_t Number);
   bool canRead() const;
   void readNext();
+  void setIdleTimer();
+  void onIdleTimeout();
   void closeUnlessDataPending(const boost::beast::error_code &Cause);
   void onInput(const boost::beast::error_code &Failure, std::size_t Size);
   void readOn();
@@ -141,8 +149,9 @@
   boost::beast::tcp_stream Stream_;
   std::shared_ptr<HttpServer::Impl> Server_;
   boost::beast::flat_buffer Buffer_;
-  /// Ends the reading of an incomplete request.
-  boost::asio::steady_timer RequestTimer_;
+  /// Ends the wait for a request, the reading of an incomplete one, or the
+  /// discarding of input.
+  boost::asio::steady_timer ReadTimer_;
   bool RequestTimerSet_ = false;
   std::optional<RequestReader> Reader_;
   /// When bytes of a request were last received.
@@ -174,7 +183,7 @@
   /// Whether no byte of a request has been received since the last one.
   bool Idle_ = false;
   Instant IdleSince_;
-  /// Whether closeIfIdle() cancelled the pending read.
+  /// Whether the pending read was cancelled to close the connection.
   bool IdleReadCancelled_ = false;
   /// Whether the client has sent a request before the one before it was
   /// answered.
--- a/net/http_session_input.cpp
+++ b/net/http_session_input.cpp
@@ -66,6 +66,7 @@
     return;
   Reading_ = true;
   const HttpServerOptions &Options = Server_->Options_;
+  Stream_.expires_never();
   Reader_.emplace(
       RequestLimits{Options.MaxHeaderBytes_, Options.MaxBodyBytes_});
   if (Buffer_.size() > 0) {
@@ -76,8 +77,8 @@
   }
   Idle_ = true;
   IdleSince_ = std::chrono::steady_clock::now();
-  Stream_.expires_after(Pending_.empty() ? Options.IdleTimeout_
-                                         : Options.RequestTimeout_);
+  if (Pending_.empty())
+    setIdleTimer();
   Stream_.async_read_some(
       Buffer_.prepare(ReadChunkBytes),
       [Self = shared_from_this()](error_code Failure, std::size_t Size) {
@@ -91,13 +92,32 @@
       });
 }
 
+/// A timeout of the stream would close the connection together with a request
+/// that has arrived or was even read in the same turn of the loop.
+void HttpSession::setIdleTimer() {
+  ReadTimer_.expires_after(Server_->Options_.IdleTimeout_);
+  ReadTimer_.async_wait([Weak = weak_from_this()](error_code Failure) {
+    const std::shared_ptr<HttpSession> Self = Weak.lock();
+    if (Failure || !Self)
+      return;
+    // The handlers of completed reads run first.
+    boost::asio::post(Self->Stream_.get_executor(),
+                      [Self] { Self->onIdleTimeout(); });
+  });
+}
+
+void HttpSession::onIdleTimeout() {
+  const bool Expired = ReadTimer_.expiry() <= std::chrono::steady_clock::now();
+  if (Idle_ && Pending_.empty() && Expired && !hasInput())
+    abandon(ConnectionEnd::IdleTimeout);
+}
+
 void HttpSession::closeUnlessDataPending(const error_code &Cause) {
   error_code Failure;
   const bool DataPending =
       IdleReadCancelled_ && Stream_.socket().available(Failure) > 0;
   if (!DataPending || Failure) {
-    const bool TimedOut = Cause == boost::beast::error::timeout;
-    abandon(TimedOut ? ConnectionEnd::IdleTimeout : endOf(Cause));
+    abandon(endOf(Cause));
     return;
   }
   IdleReadCancelled_ = false;
@@ -180,8 +200,8 @@
 /// The timeout of the stream would close it, and no response could be sent.
 void HttpSession::setRequestTimer() {
   RequestTimerSet_ = true;
-  RequestTimer_.expires_after(Server_->Options_.RequestTimeout_);
-  RequestTimer_.async_wait([Weak = weak_from_this()](error_code Failure) {
+  ReadTimer_.expires_after(Server_->Options_.RequestTimeout_);
+  ReadTimer_.async_wait([Weak = weak_from_this()](error_code Failure) {
     const std::shared_ptr<HttpSession> Self = Weak.lock();
     // A cancelled timer that has expired calls back without an error.
     if (!Failure && Self && Self->isRequestLate())
@@ -191,7 +211,7 @@
 
 bool HttpSession::isRequestLate() const {
   return RequestTimerSet_ && !Closed_ && !LastRequestRead_ &&
-         RequestTimer_.expiry() <= std::chrono::steady_clock::now();
+         ReadTimer_.expiry() <= std::chrono::steady_clock::now();
 }
 
 /// Counts what the incomplete request needs for the next read. Returns whether
@@ -212,7 +232,7 @@
 void HttpSession::endInput() {
   if (RequestTimerSet_) {
     RequestTimerSet_ = false;
-    RequestTimer_.cancel();
+    ReadTimer_.cancel();
   }
   if (Input_.Bytes_ == 0 && !Input_.GiveWay_)
     return;
@@ -327,6 +347,8 @@
                                                  : InputState::Broken;
 }
 
+bool HttpSession::hasInput() { return peekInput() == InputState::Data; }
+
 bool HttpSession::isClientGone() {
   const InputState Input = peekInput();
   return Input == InputState::Ended || Input == InputState::Broken;
@@ -345,8 +367,8 @@
 /// written: input that arrives at a closed connection resets it.
 void HttpSession::awaitDelivery() {
   RequestTimerSet_ = true;
-  RequestTimer_.expires_after(DiscardTime);
-  RequestTimer_.async_wait([Self = shared_from_this()](error_code Failure) {
+  ReadTimer_.expires_after(DiscardTime);
+  ReadTimer_.async_wait([Self = shared_from_this()](error_code Failure) {
     if (Failure || Self->Closed_)
       return;
     const bool Late = std::chrono::steady_clock::now() >= Self->DiscardEnd_;
