A request that has arrived is not rejected as late

A request of which a part was read is rejected with 408 when the time for sending it is over. While the loop stands still past that time, the rest of the request arrives, and the timer's handler rejects it unread: callers that were in time got 408, for a delay of the daemon.

When the time is over, what has arrived by then is read first; only if the request is still incomplete, it is rejected. A client that goes on sending gains at most the bytes that the kernel holds for it.

Same class as the idle timeout: a timer that is handled late decides over input that was in time.

--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -357,9 +357,7 @@
     ++(Entry.Response_ ? Cut.UnsentResponses_ : Cut.OpenRequests_);
   if (WaitingRequest_)
     ++Cut.OpenRequests_;
-  error_code Failure;
-  const std::size_t Unread = Stream_.socket().available(Failure);
-  Cut.UnhandledBytes_ = Buffer_.size() + (Failure ? 0 : Unread);
+  Cut.UnhandledBytes_ = Buffer_.size() + unreadBytes();
   if (IdleSince_ != Instant())
     Cut.SinceIdle_ = std::chrono::steady_clock::now() - IdleSince_;
   if (Cut.OpenRequests_ + Cut.UnsentResponses_ + Cut.UnhandledBytes_ > 0)
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -113,6 +113,8 @@
   std::size_t nextReadBytes() const;
   void setRequestTimer();
   bool isRequestLate() const;
+  void onRequestTimeout();
+  std::size_t unreadBytes();
   bool reserveInput();
   void endInput();
   void onRequest();
@@ -153,6 +155,9 @@
   /// discarding of input.
   boost::asio::steady_timer ReadTimer_;
   bool RequestTimerSet_ = false;
+  /// Once the time for a request is over: how much of it had arrived by then
+  /// and is still to be read, in bytes.
+  std::optional<std::size_t> ArrivedInTime_;
   std::optional<RequestReader> Reader_;
   /// When bytes of a request were last received.
   Instant LastInputAt_;
--- a/net/http_session_input.cpp
+++ b/net/http_session_input.cpp
@@ -113,10 +113,8 @@
 }
 
 void HttpSession::closeUnlessDataPending(const error_code &Cause) {
-  error_code Failure;
-  const bool DataPending =
-      IdleReadCancelled_ && Stream_.socket().available(Failure) > 0;
-  if (!DataPending || Failure) {
+  const bool DataPending = IdleReadCancelled_ && unreadBytes() > 0;
+  if (!DataPending) {
     abandon(endOf(Cause));
     return;
   }
@@ -141,6 +139,8 @@
   Buffer_.commit(Size);
   if (Size > 0)
     LastInputAt_ = std::chrono::steady_clock::now();
+  if (ArrivedInTime_)
+    *ArrivedInTime_ -= std::min(*ArrivedInTime_, Size);
   RequestReader::Progress Progress = Reader_->parse(Buffer_);
   if (Progress == RequestReader::Progress::Header) {
     // A body that has arrived needs no reservation.
@@ -168,6 +168,10 @@
 void HttpSession::readOn() {
   if (!RequestTimerSet_)
     setRequestTimer();
+  if (ArrivedInTime_ && *ArrivedInTime_ == 0) {
+    rejectRequest(RequestRejection::Late);
+    return;
+  }
   if (!reserveInput()) {
     rejectRequest(RequestRejection::NoMemory);
     return;
@@ -187,8 +191,7 @@
     return false;
   if (std::chrono::steady_clock::now() - LastInputAt_ < MaxSilence)
     return true;
-  error_code Failure;
-  return Stream_.socket().available(Failure) > 0 && !Failure;
+  return unreadBytes() > 0;
 }
 
 std::size_t HttpSession::nextReadBytes() const {
@@ -203,12 +206,31 @@
   ReadTimer_.expires_after(Server_->Options_.RequestTimeout_);
   ReadTimer_.async_wait([Weak = weak_from_this()](error_code Failure) {
     const std::shared_ptr<HttpSession> Self = Weak.lock();
-    // A cancelled timer that has expired calls back without an error.
-    if (!Failure && Self && Self->isRequestLate())
-      Self->rejectRequest(RequestRejection::Late);
+    if (Failure || !Self)
+      return;
+    // The handlers of completed reads run first.
+    boost::asio::post(Self->Stream_.get_executor(),
+                      [Self] { Self->onRequestTimeout(); });
   });
 }
 
+/// This loop may be late, so what has arrived by now is read first.
+void HttpSession::onRequestTimeout() {
+  if (!isRequestLate() || ArrivedInTime_)
+    return;
+  const std::size_t Arrived = unreadBytes();
+  if (Arrived == 0)
+    rejectRequest(RequestRejection::Late);
+  else
+    ArrivedInTime_ = Arrived;
+}
+
+std::size_t HttpSession::unreadBytes() {
+  error_code Failure;
+  const std::size_t Bytes = Stream_.socket().available(Failure);
+  return Failure ? 0 : Bytes;
+}
+
 bool HttpSession::isRequestLate() const {
   return RequestTimerSet_ && !Closed_ && !LastRequestRead_ &&
          ReadTimer_.expiry() <= std::chrono::steady_clock::now();
@@ -230,6 +252,7 @@
 
 /// Ends the reservation and the timeout of the request that was being read.
 void HttpSession::endInput() {
+  ArrivedInTime_.reset();
   if (RequestTimerSet_) {
     RequestTimerSet_ = false;
     ReadTimer_.cancel();
--- a/tests/unit/server_memory_test.cpp
+++ b/tests/unit/server_memory_test.cpp
@@ -16,6 +16,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using boost::asio::ip::tcp;
@@ -242,6 +243,19 @@
   BOOST_TEST(Fixture.Budget_->bytes() == 0U);
 }
 
+/// A request that was received in time was rejected as late because the loop
+/// had not read it.
+BOOST_AUTO_TEST_CASE(RequestThatHasArrivedIsRejectedAsLate) {
+  ServerFixture Fixture;
+  Client &Caller = Fixture.connect();
+  const std::string Body(100 * Kilobyte, 'a');
+  Fixture.sendAll(Caller, headOf(Body.size()) + "a");
+  Caller.send(Body.substr(1));
+  std::this_thread::sleep_for(milliseconds(400));
+  Fixture.runFor(milliseconds(50));
+  BOOST_TEST(Fixture.Requests_.size() == 1U);
+}
+
 /// Responses that nobody reads used up the memory.
 BOOST_AUTO_TEST_CASE(UnreadResponsesStayInMemory) {
   constexpr std::size_t ResponseBytes = 16 * Kilobyte * Kilobyte;
