--- a/net/http_session_input.cpp
+++ b/net/http_session_input.cpp
@@ -3,8 +3,6 @@
 
 #include "net/http_session.h"
 
-#include "net/transmit_state.h"
-
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -30,11 +28,6 @@
 /// Size of waiting responses, in bytes, from which no further request of the
 /// connection is read.
 constexpr std::size_t MaxWaitingBytes = std::size_t{256} * 1024;
-/// How long the input behind the last request is discarded, or longer if the
-/// response is not delivered then.
-constexpr std::chrono::milliseconds DiscardTime{500};
-/// How much of it is read.
-constexpr std::size_t MaxDiscardedBytes = std::size_t{4} * 1024 * 1024;
 
 ConnectionEnd endOf(const error_code &Failure) {
   const bool Closed = Failure == boost::asio::error::eof ||
@@ -377,55 +370,4 @@
   return Input == InputState::Ended || Input == InputState::Broken;
 }
 
-void HttpSession::startDiscarding() {
-  Buffer_ = boost::beast::flat_buffer();
-  Stream_.expires_never();
-  DiscardEnd_ =
-      std::chrono::steady_clock::now() + Server_->Options_.IdleTimeout_;
-  awaitDelivery();
-  discardInput();
-}
-
-/// Closes the connection after a while, but not before the client has what was
-/// written: input that arrives at a closed connection resets it.
-void HttpSession::awaitDelivery() {
-  RequestTimerSet_ = true;
-  ReadTimer_.expires_after(DiscardTime);
-  ReadTimer_.async_wait([Self = shared_from_this()](error_code Failure) {
-    if (Failure || Self->Closed_)
-      return;
-    const bool Late = std::chrono::steady_clock::now() >= Self->DiscardEnd_;
-    if (Late || Self->isOutputDelivered())
-      Self->abandon(ConnectionEnd::Completed);
-    else
-      Self->awaitDelivery();
-  });
-}
-
-/// Returns whether the client has acknowledged all that was written, as far as
-/// the kernel reports it.
-bool HttpSession::isOutputDelivered() {
-  const std::optional<TransmitState> State =
-      readTransmitState(Stream_.socket().native_handle());
-  return !State || (!State->Unacknowledged_ && !State->Unsent_);
-}
-
-/// A client that sends without end is not read any more, but has time to read
-/// the response.
-void HttpSession::discardInput() {
-  if (DiscardedBytes_ > MaxDiscardedBytes)
-    return;
-  Reading_ = true;
-  Stream_.async_read_some(
-      Buffer_.prepare(ReadChunkBytes),
-      [Self = shared_from_this()](error_code Failure, std::size_t Size) {
-        Self->Reading_ = false;
-        Self->DiscardedBytes_ += Size;
-        if (Failure)
-          Self->abandon(ConnectionEnd::Completed);
-        else
-          Self->discardInput();
-      });
-}
-
 } // namespace lagoonhitch
