Read in the turn in which input is noticed

Sessions wait until their socket is readable and read in the same turn; until then the socket shows exactly what has arrived. An idle connection without input is closed at once, also as the longest idle one and to drain. A request that is late because the loop is gets as much more time as the loop was late: what did not fit into the socket could not be sent before.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -45,7 +45,7 @@
     if (Found == nullptr)
       return false;
     if (!Found->hasInput()) {
-      Found->closeUnlessInputArrives();
+      Found->abandon(ConnectionEnd::Completed);
       return true;
     }
     WithInput.insert(Found);
--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -106,15 +106,8 @@
 
 void HttpSession::closeIfIdle() {
   const bool AwaitsFirstRequest = LastNumber_ == 0;
-  if (!AwaitsFirstRequest)
-    closeUnlessInputArrives();
-}
-
-void HttpSession::closeUnlessInputArrives() {
-  if (!Idle_ || !Pending_.empty())
-    return;
-  IdleReadCancelled_ = true;
-  Stream_.cancel();
+  if (idleSince() && !AwaitsFirstRequest && !hasInput())
+    abandon(ConnectionEnd::Completed);
 }
 
 /// Returns whether the waiting request can't be handled yet.
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -62,17 +62,14 @@
   /// about to send its first one, so that stays open, too.
   void closeIfIdle();
 
-  /// As closeIfIdle(), but also if the client has not sent a request yet.
-  void closeUnlessInputArrives();
-
   /// Returns whether something has arrived that was not read yet.
   bool hasInput();
 
   /// Returns since when the connection has waited for a request; std::nullopt
-  /// if it does not wait for one, or is being closed.
+  /// if it does not wait for one.
   std::optional<Instant> idleSince() const {
-    const bool Waits = Idle_ && Pending_.empty() && !IdleReadCancelled_;
-    return Waits ? std::optional<Instant>(IdleSince_) : std::nullopt;
+    return Idle_ && Pending_.empty() ? std::optional<Instant>(IdleSince_)
+                                     : std::nullopt;
   }
 
   /// Returns whether the body of a request with a header is being received, see
@@ -107,11 +104,12 @@
   void readNext();
   void setIdleTimer();
   void onIdleTimeout();
-  void closeUnlessDataPending(const boost::beast::error_code &Cause);
+  void awaitInput();
+  void readInput(boost::beast::error_code Failure);
   void onInput(const boost::beast::error_code &Failure, std::size_t Size);
   void readOn();
   std::size_t nextReadBytes() const;
-  void setRequestTimer();
+  void setRequestTimer(Duration MaxTime);
   bool isRequestLate() const;
   void onRequestTimeout();
   std::size_t unreadBytes();
@@ -188,8 +186,6 @@
   /// Whether no byte of a request has been received since the last one.
   bool Idle_ = false;
   Instant IdleSince_;
-  /// Whether the pending read was cancelled to close the connection.
-  bool IdleReadCancelled_ = false;
   /// Whether the client has sent a request before the one before it was
   /// answered.
   bool Pipelined_ = false;
--- a/net/http_session_input.cpp
+++ b/net/http_session_input.cpp
@@ -59,7 +59,6 @@
     return;
   Reading_ = true;
   const HttpServerOptions &Options = Server_->Options_;
-  Stream_.expires_never();
   Reader_.emplace(
       RequestLimits{Options.MaxHeaderBytes_, Options.MaxBodyBytes_});
   if (Buffer_.size() > 0) {
@@ -72,30 +71,40 @@
   IdleSince_ = std::chrono::steady_clock::now();
   if (Pending_.empty())
     setIdleTimer();
-  Stream_.async_read_some(
-      Buffer_.prepare(ReadChunkBytes),
-      [Self = shared_from_this()](error_code Failure, std::size_t Size) {
-        Self->Idle_ = false;
-        if (Failure && !Self->Discarding_) {
-          Self->Reading_ = false;
-          Self->closeUnlessDataPending(Failure);
-          return;
-        }
-        Self->onInput(Failure, Size);
-      });
+  awaitInput();
+}
+
+/// Waits until something arrives, and reads it in the same turn: until then,
+/// the socket shows whether something has arrived. A pending read would take it
+/// before its handler runs.
+void HttpSession::awaitInput() {
+  Reading_ = true;
+  Stream_.socket().async_wait(tcp::socket::wait_read,
+                              [Self = shared_from_this()](error_code Failure) {
+                                Self->readInput(Failure);
+                              });
+}
+
+void HttpSession::readInput(error_code Failure) {
+  std::size_t Size = 0;
+  const bool MayRead = !Failure && !Closed_ && !LastRequestRead_;
+  if (MayRead)
+    Size =
+        Stream_.socket().read_some(Buffer_.prepare(nextReadBytes()), Failure);
+  if (Failure == boost::asio::error::would_block) {
+    awaitInput();
+    return;
+  }
+  Idle_ = false;
+  onInput(Failure, Size);
 }
 
-/// A timeout of the stream would close the connection together with a request
-/// that has arrived or was even read in the same turn of the loop.
 void HttpSession::setIdleTimer() {
   ReadTimer_.expires_after(Server_->Options_.IdleTimeout_);
   ReadTimer_.async_wait([Weak = weak_from_this()](error_code Failure) {
     const std::shared_ptr<HttpSession> Self = Weak.lock();
-    if (Failure || !Self)
-      return;
-    // The handlers of completed reads run first.
-    boost::asio::post(Self->Stream_.get_executor(),
-                      [Self] { Self->onIdleTimeout(); });
+    if (!Failure && Self)
+      Self->onIdleTimeout();
   });
 }
 
@@ -105,16 +114,6 @@
     abandon(ConnectionEnd::IdleTimeout);
 }
 
-void HttpSession::closeUnlessDataPending(const error_code &Cause) {
-  const bool DataPending = IdleReadCancelled_ && unreadBytes() > 0;
-  if (!DataPending) {
-    abandon(endOf(Cause));
-    return;
-  }
-  IdleReadCancelled_ = false;
-  readNext();
-}
-
 /// Handles what was read of a request.
 void HttpSession::onInput(const error_code &Failure, std::size_t Size) {
   Reading_ = false;
@@ -160,8 +159,8 @@
 /// Reads more of an incomplete request.
 void HttpSession::readOn() {
   if (!RequestTimerSet_)
-    setRequestTimer();
-  if (ArrivedInTime_ && *ArrivedInTime_ == 0) {
+    setRequestTimer(Server_->Options_.RequestTimeout_);
+  if (ArrivedInTime_ && *ArrivedInTime_ == 0 && isRequestLate()) {
     rejectRequest(RequestRejection::Late);
     return;
   }
@@ -169,13 +168,7 @@
     rejectRequest(RequestRejection::NoMemory);
     return;
   }
-  Reading_ = true;
-  Stream_.expires_never();
-  Stream_.async_read_some(
-      Buffer_.prepare(nextReadBytes()),
-      [Self = shared_from_this()](error_code Failure, std::size_t Size) {
-        Self->onInput(Failure, Size);
-      });
+  awaitInput();
 }
 
 /// Bytes that wait in the socket count as well: this loop may be late.
@@ -194,28 +187,34 @@
 }
 
 /// The timeout of the stream would close it, and no response could be sent.
-void HttpSession::setRequestTimer() {
+void HttpSession::setRequestTimer(Duration MaxTime) {
   RequestTimerSet_ = true;
-  ReadTimer_.expires_after(Server_->Options_.RequestTimeout_);
+  ReadTimer_.expires_after(MaxTime);
   ReadTimer_.async_wait([Weak = weak_from_this()](error_code Failure) {
     const std::shared_ptr<HttpSession> Self = Weak.lock();
-    if (Failure || !Self)
-      return;
-    // The handlers of completed reads run first.
-    boost::asio::post(Self->Stream_.get_executor(),
-                      [Self] { Self->onRequestTimeout(); });
+    // A cancelled timer that has expired calls back without an error.
+    if (!Failure && Self && Self->isRequestLate())
+      Self->onRequestTimeout();
   });
 }
 
-/// This loop may be late, so what has arrived by now is read first.
+bool HttpSession::isRequestLate() const {
+  return RequestTimerSet_ && !Closed_ && !LastRequestRead_ &&
+         ReadTimer_.expiry() <= std::chrono::steady_clock::now();
+}
+
+/// If this loop is late, what has arrived is read first, and the client has as
+/// much more time for what did not fit into the socket.
 void HttpSession::onRequestTimeout() {
-  if (!isRequestLate() || ArrivedInTime_)
-    return;
-  const std::size_t Arrived = unreadBytes();
-  if (Arrived == 0)
+  if (!ArrivedInTime_) {
+    ArrivedInTime_ = unreadBytes();
+    const Duration Lag = std::chrono::steady_clock::now() - ReadTimer_.expiry();
+    if (*ArrivedInTime_ > 0)
+      setRequestTimer(
+          std::min<Duration>(Lag, Server_->Options_.RequestTimeout_));
+  }
+  if (*ArrivedInTime_ == 0)
     rejectRequest(RequestRejection::Late);
-  else
-    ArrivedInTime_ = Arrived;
 }
 
 std::size_t HttpSession::unreadBytes() {
@@ -224,11 +223,6 @@
   return Failure ? 0 : Bytes;
 }
 
-bool HttpSession::isRequestLate() const {
-  return RequestTimerSet_ && !Closed_ && !LastRequestRead_ &&
-         ReadTimer_.expiry() <= std::chrono::steady_clock::now();
-}
-
 /// Counts what the incomplete request needs for the next read. Returns whether
 /// it fits into the memory.
 bool HttpSession::reserveInput() {
--- a/tests/unit/idle_connection_test.cpp
+++ b/tests/unit/idle_connection_test.cpp
@@ -77,6 +77,13 @@
     boost::asio::write(Client, boost::asio::buffer(Text));
   }
 
+  /// Sends a request unless the server has closed the connection.
+  static void trySendRequest(tcp::socket &Client) {
+    const std::string Text = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    boost::system::error_code Ignored;
+    Client.write_some(boost::asio::buffer(Text), Ignored);
+  }
+
   void runFor(milliseconds Span) {
     const std::shared_ptr<void> End =
         Loop_.after(Span, [this] { Loop_.stop(); });
@@ -156,4 +163,38 @@
   BOOST_TEST(Test.responses() == Max);
 }
 
+// Connections whose requests arrived while they were being closed stayed open
+// above the limit.
+BOOST_AUTO_TEST_CASE(ConnectionsExceedTheLimitWhileClientsSend) {
+  constexpr std::size_t Max = 20;
+  constexpr int Rounds = 20;
+  IdleConnections Test(Max, Max);
+  for (int Round = 0; Round < Rounds; ++Round) {
+    for (std::size_t Added = 0; Added < 2 * Max; ++Added)
+      Test.Clients_.push_back(Test.connect());
+    std::thread Sender([&Test] {
+      for (tcp::socket &Client : Test.Clients_)
+        IdleConnections::trySendRequest(Client);
+    });
+    Test.runFor(milliseconds(10));
+    Sender.join();
+    BOOST_TEST(Test.Server_.openConnections() <= Max);
+  }
+}
+
+// The connections that wait to be accepted need the places of idle ones.
+BOOST_AUTO_TEST_CASE(DrainAtTheLimitRefusesWaitingConnections) {
+  constexpr std::size_t Max = 3;
+  IdleConnections Test(Max, Max);
+  std::vector<tcp::socket> Waiting;
+  for (std::size_t Added = 0; Added < Max; ++Added) {
+    Waiting.push_back(Test.connect());
+    IdleConnections::sendRequest(Waiting.back());
+  }
+  Test.Server_.drain();
+  Test.runFor(TurnTime);
+  for (tcp::socket &Client : Waiting)
+    BOOST_TEST(IdleConnections::hasResponse(Client));
+}
+
 } // namespace lagoonhitch
--- a/tests/unit/server_memory_test.cpp
+++ b/tests/unit/server_memory_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -245,10 +246,13 @@
 
 /// A request that was received in time was rejected as late because the loop
 /// had not read it.
-BOOST_AUTO_TEST_CASE(RequestThatHasArrivedIsRejectedAsLate) {
+BOOST_DATA_TEST_CASE(RequestThatHasArrivedIsRejectedAsLate,
+                     boost::unit_test::data::make({4, 10, 20, 36, 44, 60, 70,
+                                                   100, 130, 150, 200, 300}),
+                     BodyKilobytes) {
   ServerFixture Fixture;
   Client &Caller = Fixture.connect();
-  const std::string Body(100 * Kilobyte, 'a');
+  const std::string Body(BodyKilobytes * Kilobyte, 'a');
   Fixture.sendAll(Caller, headOf(Body.size()) + "a");
   Caller.send(Body.substr(1));
   std::this_thread::sleep_for(milliseconds(400));
