A request whose handler fails gets a response

The session answers it with 500 and an unknown outcome before the error goes on to the loop's handler.

--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -29,6 +29,15 @@
              : ConnectionEnd::Broken;
 }
 
+/// Returns the response to a request whose handler failed. It may have run.
+HttpResponse failedHandlerResponse() {
+  constexpr unsigned InternalServerError = 500;
+  HttpResponse Response;
+  Response.Status_ = InternalServerError;
+  Response.Headers_.push_back({"Lagoonhitch-Outcome", "unknown"});
+  return Response;
+}
+
 /// Connects a handler to one request of a session, so that a late response is
 /// never sent for another request.
 class SessionExchange : public HttpExchange {
@@ -148,8 +157,14 @@
   const bool Overlappable =
       Server_->MayOverlap_ && Server_->MayOverlap_(Request);
   const std::uint64_t Number = addPending(Overlappable);
-  Server_->Handle_(std::move(Request), std::make_shared<SessionExchange>(
-                                           shared_from_this(), Number));
+  const std::shared_ptr<HttpExchange> Exchange =
+      std::make_shared<SessionExchange>(shared_from_this(), Number);
+  try {
+    Server_->Handle_(std::move(Request), Exchange);
+  } catch (...) {
+    Exchange->respond(failedHandlerResponse());
+    throw;
+  }
 }
 
 void HttpSession::writeNext() {
--- a/tests/unit/server_test.cpp
+++ b/tests/unit/server_test.cpp
@@ -13,6 +13,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <cstddef>
+#include <exception>
+#include <memory>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -235,4 +238,38 @@
   BOOST_TEST(Sent < MaxAcceptedBytes);
 }
 
+// The connection was closed, or stayed open, without a response.
+BOOST_AUTO_TEST_CASE(FailedHandlerLeavesItsRequestWithoutResponse) {
+  std::shared_ptr<HttpExchange> Kept;
+  for (const bool KeepsExchange : {false, true}) {
+    int Failures = 0;
+    IoLoop Loop([&Failures](const std::exception &) { ++Failures; });
+    HttpServer Server(Loop, ServerFixture::options(),
+                      [&](const HttpRequest &,
+                          const std::shared_ptr<HttpExchange> &Exchange) {
+                        if (KeepsExchange)
+                          Kept = Exchange;
+                        throw std::runtime_error("a fault");
+                      });
+    boost::asio::io_context Context;
+    tcp::socket Client(Context);
+    Client.connect(parseEndpoint(Server.address()));
+    Client.non_blocking(true);
+    const std::string Text = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    boost::asio::write(Client, boost::asio::buffer(Text));
+    const std::shared_ptr<void> End =
+        Loop.after(milliseconds(50), [&Loop] { Loop.stop(); });
+    Loop.run();
+    std::string Received(4096, '\0');
+    boost::system::error_code Failure;
+    Received.resize(Client.read_some(boost::asio::buffer(Received), Failure));
+    BOOST_TEST(Failures == 1);
+    BOOST_TEST(Received.starts_with("HTTP/1.1 500"));
+    BOOST_TEST(Received.find("Lagoonhitch-Outcome: unknown") !=
+               std::string::npos);
+    BOOST_TEST(Server.openExchanges() == 0U);
+    Kept.reset();
+  }
+}
+
 } // namespace lagoonhitch
