Test sites can publish manifests

The soak and the process tests could change a site's settings only by a restart of its daemons: no manifest was ever published on a test site. Site::makeManifest() has the site's services and limits and another idle timeout for callers.

--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -1,8 +1,11 @@
 #include "tests/process/site.h"
 
 #include "net/blocking_http.h"
+#include "platform/platform_codec.h"
 #include "tests/process/free_address.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -316,6 +319,25 @@
       .Response_.Status_;
 }
 
+std::string Site::makeManifest(std::chrono::milliseconds IdleTimeout) {
+  const char *Grants = Options_.UseHeartbeatReplies_ ? "heartbeat" : "direct";
+  const double IdleSeconds = std::chrono::duration<double>(IdleTimeout).count();
+  const Json Manifest = {
+      {"version", absl::StrCat(absl::Hex(++ManifestVersion_, absl::kZeroPad8))},
+      {"services",
+       {{{"name", ServiceNames[0]}, {"sharded", true}, {"grants", Grants}},
+        {{"name", ServiceNames[1]}}}},
+      {"virtual-hosts", Json::array()},
+      {"limits",
+       {{"max-body-bytes", Options_.MaxBodyBytes_},
+        {"idle-timeout-s", IdleSeconds}}}};
+  return Manifest.dump();
+}
+
+bool Site::publishManifest(const std::string &Text) const {
+  return appendToStore(OperatorTopic, ManifestKey, Text) == 200;
+}
+
 void Site::setStoreMode(const Json &Mode) const {
   postMode(StoreAddress_, Mode);
 }
--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -124,6 +124,14 @@
   unsigned appendToStore(const std::string &Topic, const std::string &Key,
                          const std::string &Value) const;
 
+  /// Returns the next version of the manifest, which has the site's services
+  /// and limits, except for the idle timeout of callers' connections.
+  std::string makeManifest(std::chrono::milliseconds IdleTimeout);
+
+  /// Appends a manifest to the store. Returns whether the store has confirmed
+  /// it. Can be called from any thread.
+  bool publishManifest(const std::string &Text) const;
+
   /// Sets the fault modes of the store.
   void setStoreMode(const nlohmann::json &Mode) const;
 
@@ -170,6 +178,8 @@
   std::string StoreAddress_;
   std::unique_ptr<ChildProcess> Store_;
   std::vector<Host> Hosts_;
+  /// That of the settings is 1.
+  std::uint64_t ManifestVersion_ = 1;
 };
 
 } // namespace lagoonhitch
