--- a/tests/process/load_generator.cpp
+++ b/tests/process/load_generator.cpp
@@ -94,6 +94,7 @@
   Answered.Expected_ = Request.Target_ + Request.Body_.text();
   HttpCallOptions Options;
   Options.Timeout_ = CallTimeout;
+  Options.MaxIdleTime_ = Options_.MaxIdleTime_;
   ++InFlight_;
   const std::string &Address =
       Options_.Addresses_[Number % Options_.Addresses_.size()];
--- a/tests/process/load_generator.h
+++ b/tests/process/load_generator.h
@@ -37,6 +37,8 @@
   std::size_t MinBodyBytes_ = 0;
   /// Time between a response and the worker's next request.
   std::chrono::milliseconds ThinkTime_{2};
+  /// Maximum idle time of a connection to reuse; zero for the client's limit.
+  Duration MaxIdleTime_{};
 };
 
 /// Sends GET and POST requests to both services of a Site, on its own thread.
