Soak: manifests with short idle timeouts beside pauses of daemons

Three rounds of four publish 2 to 6 manifests now, 20 to 800 ms apart, with idle timeouts of 400 to 2000 ms, also while other faults last. Daemons are suspended beside them for longer than the timeout, except in rounds of planned operations. Callers that keep connections idle must get a complete response to each request, unless the connection ended within 0.2 s of it or the daemon was killed. Limits of the load generator's idle connections follow the shortest timeout of the plan.

--- a/tests/soak/fault.h
+++ b/tests/soak/fault.h
@@ -29,6 +29,7 @@
     IgnoreConnections,
     SlowRuns,
     StateLimit,
+    PublishManifest,
     StoreDown,
     StoreRejects,
     StoreSlow,
@@ -36,13 +37,16 @@
     StoreAppliesLate,
   };
   Kind Kind_ = Kind::StopDaemon;
-  /// Index of the affected host; ignored for faults of the store.
+  /// Index of the affected host; ignored for faults of the store and
+  /// for manifests.
   std::uint32_t Host_ = 0;
   /// Start, relative to the start of the round.
   std::chrono::milliseconds Start_{0};
   std::chrono::milliseconds Duration_{0};
   /// Time that the upstream takes for a request; for SlowRuns only.
   std::chrono::milliseconds RunTime_{0};
+  /// Idle timeout of callers' connections; for PublishManifest only.
+  std::chrono::milliseconds IdleTimeout_{0};
 };
 
 /// Returns the name of a kind of fault for output.
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 
 /// What a fault affects.
-enum class Target { Daemon, Upstream, Connections, Store };
+enum class Target { Daemon, Upstream, Connections, Store, Manifest };
 
 struct FaultKindInfo {
   const char *Name_;
@@ -67,6 +67,8 @@
      milliseconds(5000)},
     {"state limit", Fault::Kind::StateLimit, Target::Upstream,
      milliseconds(2000), milliseconds(7000)},
+    {"publish manifest", Fault::Kind::PublishManifest, Target::Manifest,
+     milliseconds(0), milliseconds(0)},
 };
 
 const FaultKindInfo &infoOf(Fault::Kind Kind) {
@@ -185,6 +187,49 @@
   }
 }
 
+/// Adds a daemon that stands still from about the publication of a manifest
+/// until connections to it have been idle for longer than the manifest allows.
+void addPauseBeside(FaultPlan &Plan, SeededRandom &Random, std::uint32_t Hosts,
+                    const Fault &Manifest) {
+  constexpr milliseconds MaxLead{400};
+  // Connections that have waited since before a manifest keep their timeout.
+  constexpr milliseconds MaxLag{4000};
+  constexpr milliseconds MinExcess{100};
+  constexpr milliseconds MaxExcess{2000};
+  Fault Pause;
+  Pause.Kind_ = Fault::Kind::SuspendDaemon;
+  Pause.Host_ = static_cast<std::uint32_t>(Random.below(Hosts));
+  Pause.Start_ = std::max(
+      milliseconds(0), Manifest.Start_ - MaxLead +
+                           Random.between(milliseconds(0), MaxLead + MaxLag));
+  Pause.Duration_ =
+      Manifest.IdleTimeout_ + Random.between(MinExcess, MaxExcess);
+  addFault(Plan, Pause);
+}
+
+/// Adds manifests in quick succession, each with another short idle timeout.
+void addManifests(FaultPlan &Plan, SeededRandom &Random, std::uint32_t Hosts,
+                  milliseconds MaxStart) {
+  constexpr std::uint64_t MinCount = 2;
+  constexpr std::uint64_t MaxCount = 6;
+  constexpr milliseconds MinInterval{20};
+  constexpr milliseconds MaxInterval{800};
+  constexpr milliseconds MinIdleTimeout{400};
+  constexpr milliseconds MaxIdleTimeout{2000};
+  const std::uint64_t Count = MinCount + Random.below(MaxCount - MinCount + 1);
+  Fault Manifest;
+  Manifest.Kind_ = Fault::Kind::PublishManifest;
+  Manifest.Start_ = Random.between(milliseconds(0), MaxStart);
+  for (std::uint64_t Index = 0; Index < Count; ++Index) {
+    Manifest.IdleTimeout_ = Random.between(MinIdleTimeout, MaxIdleTimeout);
+    Plan.Faults_.push_back(Manifest);
+    // A planned operation must not suspend a daemon.
+    if (Random.below(2) == 0 && !Plan.PlannedOnly_)
+      addPauseBeside(Plan, Random, Hosts, Manifest);
+    Manifest.Start_ += Random.between(MinInterval, MaxInterval);
+  }
+}
+
 /// Returns whether a service keeps an upstream that works if a host's daemon
 /// stops: hosts with numbers of the same parity serve the same service.
 bool leavesWorkingHost(const FaultPlan &Plan, std::uint32_t Stopped,
@@ -212,6 +257,16 @@
   }
 }
 
+/// Returns the parameters of a fault in parentheses; empty if it has none.
+std::string describeParameters(const Fault &Planned) {
+  if (Planned.Kind_ == Fault::Kind::SlowRuns)
+    return " (" + std::to_string(Planned.RunTime_.count()) + " ms a request)";
+  if (Planned.Kind_ == Fault::Kind::PublishManifest)
+    return " (idle timeout of " + std::to_string(Planned.IdleTimeout_.count()) +
+           " ms)";
+  return "";
+}
+
 } // namespace
 
 const char *faultName(Fault::Kind Kind) { return infoOf(Kind).Name_; }
@@ -248,6 +303,13 @@
   SeededRandom StopRandom((Seed * RoundSeedStep + Round) ^ StopSeedMask);
   if (Plan.PlannedOnly_ && StopRandom.below(2) == 0)
     addStops(Plan, StopRandom, Hosts, MaxStart);
+  constexpr std::uint64_t ManifestSeedMask = 0x9696969696969696ULL;
+  SeededRandom ManifestRandom((Seed * RoundSeedStep + Round) ^
+                              ManifestSeedMask);
+  // One round in four keeps the idle timeout of the settings.
+  constexpr std::uint64_t RoundsPerRoundWithout = 4;
+  if (ManifestRandom.below(RoundsPerRoundWithout) != 0)
+    addManifests(Plan, ManifestRandom, Hosts, MaxStart);
   std::sort(Plan.Faults_.begin(), Plan.Faults_.end(),
             [](const Fault &Left, const Fault &Right) {
               return Left.Start_ < Right.Start_;
@@ -255,6 +317,15 @@
   return Plan;
 }
 
+std::optional<milliseconds> shortestIdleTimeout(const FaultPlan &Plan) {
+  std::optional<milliseconds> Shortest;
+  for (const Fault &Planned : Plan.Faults_)
+    if (Planned.Kind_ == Fault::Kind::PublishManifest)
+      Shortest = std::min(Shortest.value_or(Planned.IdleTimeout_),
+                          Planned.IdleTimeout_);
+  return Shortest;
+}
+
 std::string describe(const FaultPlan &Plan) {
   std::string Text;
   for (const Fault &Planned : Plan.Faults_)
@@ -262,11 +333,7 @@
             " ms: " + faultName(Planned.Kind_) + " on host " +
             std::to_string(Planned.Host_) + " for " +
             std::to_string(Planned.Duration_.count()) + " ms" +
-            (Planned.Kind_ == Fault::Kind::SlowRuns
-                 ? " (" + std::to_string(Planned.RunTime_.count()) +
-                       " ms a request)"
-                 : "") +
-            "\n";
+            describeParameters(Planned) + "\n";
   return Text;
 }
 
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,8 @@
 /// The faults of one round.
 struct FaultPlan {
   /// Whether the round has planned operations only, and possibly slow runs,
-  /// stated limits, and connections that are refused, break or go silent.
+  /// stated limits, manifests, and connections that are refused, break or go
+  /// silent.
   bool PlannedOnly_ = false;
   /// Sorted by start time.
   std::vector<Fault> Faults_;
@@ -31,6 +33,11 @@
 FaultPlan generateFaultPlan(std::uint64_t Seed, std::uint32_t Round,
                             std::uint32_t Hosts);
 
+/// Returns the shortest idle timeout of the manifests in a plan; std::nullopt
+/// if it has none.
+std::optional<std::chrono::milliseconds>
+shortestIdleTimeout(const FaultPlan &Plan);
+
 /// Returns one line of text for each fault.
 std::string describe(const FaultPlan &Plan);
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -56,7 +56,11 @@
     SoakRound Current(Time, TestSite, Plan, Round * MaxCallsPerRound + 1,
                       RecordedHistory);
     const Violations RoundViolations = Current.run();
-    std::cout << Current.callCount() << " calls, ";
+    const KeptConnections &Kept = Current.keptConnections();
+    std::cout << Current.callCount() << " calls, " << Kept.responses()
+              << " on kept connections (" << Kept.closedWhileIdle()
+              << " closed while idle, " << Kept.lost().size()
+              << " requests without a response), ";
     printViolations(RoundViolations);
     Passed = Passed && RoundViolations.empty();
   }
--- a/tests/soak/soak_round.cpp
+++ b/tests/soak/soak_round.cpp
@@ -1,11 +1,14 @@
 #include "tests/soak/soak_round.h"
 
+#include "manifest/manifest.h"
 #include "tests/process/run_files.h"
 
 #include <algorithm>
 #include <csignal>
 #include <map>
+#include <stdexcept>
 #include <thread>
+#include <utility>
 
 namespace lagoonhitch {
 
@@ -30,6 +33,13 @@
 constexpr milliseconds LimitNotice{500};
 /// Time that an upstream takes for a request without SlowRuns.
 constexpr microseconds NormalRunTime{SiteOptions().ServiceTimeMicros_};
+/// Time in which a manifest can be published, longer than faults of the store.
+constexpr seconds PublishLimit{20};
+/// Pause after a failed attempt to publish a manifest.
+constexpr milliseconds PublishRetryDelay{100};
+/// Time from a request to the close of its connection up to which the daemon
+/// may have closed it before the request arrived.
+constexpr milliseconds CloseNotice{200};
 
 std::int64_t millisBetween(Instant From, Instant To) {
   return std::chrono::duration_cast<milliseconds>(To - From).count();
@@ -45,7 +55,14 @@
   for (std::uint32_t Host = 0; Host < Site_.hosts(); ++Host)
     Options.Addresses_.push_back(Site_.callersAddress(Host));
   Options.FirstCall_ = FirstCall;
+  // Callers do not send over a connection that may be closed at the same time.
+  if (const std::optional<milliseconds> Shortest = shortestIdleTimeout(Plan_))
+    Options.MaxIdleTime_ = *Shortest * MaxIdlePercent / 100;
   Load_ = std::make_unique<LoadGenerator>(Time_, Options);
+  KeptConnectionsOptions KeptOptions;
+  KeptOptions.Addresses_ = Options.Addresses_;
+  KeptOptions.FirstCall_ = FirstCall;
+  Kept_ = std::make_unique<KeptConnections>(Time_, KeptOptions);
 }
 
 std::vector<SoakRound::FaultEvent> SoakRound::faultEvents() const {
@@ -80,8 +97,13 @@
     else
       endFault(Next.Fault_);
   }
+  if (Publishing_.valid())
+    startPublishing(CallerLimits().IdleTimeout_);
   std::this_thread::sleep_for(RecoveryLimit + RecoveredPhase);
   Load_->finish();
+  Kept_->finish();
+  if (Publishing_.valid())
+    Publishing_.get();
   History_.Answers_.insert(History_.Answers_.end(), Load_->answers().begin(),
                            Load_->answers().end());
   History_.Runs_.clear();
@@ -92,6 +114,7 @@
                      HistoryViolations.end());
   checkPlannedStops();
   checkStatedLimits();
+  checkKeptConnections();
   checkRecovery();
   if (Plan_.PlannedOnly_) {
     checkPlannedOperations();
@@ -123,8 +146,7 @@
     Site_.setUpstreamMode(Current.Host_, {{"draining", true}});
     return;
   case Fault::Kind::KillDaemon:
-    Site_.daemon(Current.Host_).signal(SIGKILL);
-    Site_.daemon(Current.Host_).wait();
+    killDaemon(Current.Host_);
     Site_.relay(Current.Host_).refuseConnections();
     Killed_.insert(Current.Host_);
     return;
@@ -158,6 +180,9 @@
   case Fault::Kind::StateLimit:
     stateLimit(Current.Host_);
     return;
+  case Fault::Kind::PublishManifest:
+    startPublishing(Current.IdleTimeout_);
+    return;
   case Fault::Kind::KillUpstream:
     // restartUpstream() kills it at the end of the fault.
     return;
@@ -206,6 +231,7 @@
   case Fault::Kind::DropTraffic:
   case Fault::Kind::DropResponses:
   case Fault::Kind::ResetConnections:
+  case Fault::Kind::PublishManifest:
     return;
   default:
     endStoreFaults();
@@ -256,6 +282,34 @@
                       {"act_late_ms", 0}});
 }
 
+void SoakRound::startPublishing(milliseconds IdleTimeout) {
+  Kept_->setIdleTimeout(IdleTimeout);
+  Publishing_ =
+      std::async(std::launch::async,
+                 [this, Before = std::move(Publishing_),
+                  Manifest = Site_.makeManifest(IdleTimeout)]() mutable {
+                   if (Before.valid())
+                     Before.get();
+                   publish(Manifest);
+                 });
+}
+
+/// Tries again while the store does not confirm the manifest.
+void SoakRound::publish(const std::string &Manifest) const {
+  const Instant End = Time_.now() + PublishLimit;
+  while (!Site_.publishManifest(Manifest)) {
+    if (Time_.now() > End)
+      throw std::runtime_error("a manifest was not published in time");
+    std::this_thread::sleep_for(PublishRetryDelay);
+  }
+}
+
+void SoakRound::killDaemon(std::uint32_t Host) {
+  Kills_.emplace(Site_.callersAddress(Host), Time_.now());
+  Site_.daemon(Host).signal(SIGKILL);
+  Site_.daemon(Host).wait();
+}
+
 void SoakRound::startStop(std::uint32_t Host) {
   PlannedStop Stopped;
   Stopped.Host_ = Host;
@@ -292,8 +346,7 @@
   const std::string Name = "stop of host " + std::to_string(Host);
   if (!Stopped.ExitCode_) {
     Violations_.push_back(Name + " took longer than its limit");
-    Site_.daemon(Host).signal(SIGKILL);
-    Site_.daemon(Host).wait();
+    killDaemon(Host);
     return;
   }
   if (*Stopped.ExitCode_ != 0)
@@ -376,6 +429,32 @@
   }
 }
 
+bool SoakRound::wasKilled(const KeptConnections::Lost &Request) const {
+  const auto [First, Last] = Kills_.equal_range(Request.Address_);
+  return std::any_of(First, Last, [&Request](const auto &Kill) {
+    return Request.SentAt_ <= Kill.second && Kill.second <= Request.EndedAt_;
+  });
+}
+
+/// Checks that a daemon responds to each request that has arrived, however long
+/// the connection was idle before.
+void SoakRound::checkKeptConnections() {
+  for (const KeptConnections::Lost &Request : Kept_->lost()) {
+    const bool MayCross = !Request.PartOfResponse_ &&
+                          Request.EndedAt_ - Request.SentAt_ <= CloseNotice;
+    if (MayCross || wasKilled(Request))
+      continue;
+    Violations_.push_back(
+        "a request on a kept connection got no complete response: " +
+        Request.Call_ + " via " + Request.Address_ + ", idle for " +
+        std::to_string(toMillis(Request.Idle_).count()) + " ms, sent at " +
+        std::to_string(millisBetween(StartedAt_, Request.SentAt_)) +
+        " ms, ended after " +
+        std::to_string(millisBetween(Request.SentAt_, Request.EndedAt_)) +
+        " ms: " + Request.Cause_);
+  }
+}
+
 void SoakRound::checkRecovery() {
   const std::vector<LoadGenerator::Call> &Calls = Load_->calls();
   const Instant From = Calls.back().AnsweredAt_ - RecoveredPhase;
--- a/tests/soak/soak_round.h
+++ b/tests/soak/soak_round.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 #include "tests/history/checker.h"
+#include "tests/process/kept_connections.h"
 #include "tests/process/load_generator.h"
 #include "tests/process/site.h"
 #include "tests/soak/fault_plan.h"
@@ -39,6 +40,9 @@
   /// Returns the number of finished calls; after run() only.
   std::size_t callCount() const { return Load_->calls().size(); }
 
+  /// Returns the callers with long idle times; after run() only.
+  const KeptConnections &keptConnections() const { return *Kept_; }
+
 private:
   /// A planned stop of a daemon.
   struct PlannedStop {
@@ -68,6 +72,11 @@
   void endStoreFaults();
   void stateLimit(std::uint32_t Host);
   void endStatedLimit(std::uint32_t Host);
+  /// Publishes a manifest on a thread, after those before it, so that other
+  /// faults can start and end meanwhile.
+  void startPublishing(std::chrono::milliseconds IdleTimeout);
+  void publish(const std::string &Manifest) const;
+  void killDaemon(std::uint32_t Host);
   /// Sends SIGTERM. The daemon's exit is awaited on a thread, so that other
   /// faults can start and end meanwhile.
   void startStop(std::uint32_t Host);
@@ -86,12 +95,17 @@
   void checkPlannedOperations();
   void checkSingleRuns();
   void checkStatedLimits();
+  void checkKeptConnections();
+  bool wasKilled(const KeptConnections::Lost &Request) const;
 
   const Clock &Time_;
   Site &Site_;
   FaultPlan Plan_;
   History &History_;
   std::unique_ptr<LoadGenerator> Load_;
+  std::unique_ptr<KeptConnections> Kept_;
+  /// The last publication of a manifest; not valid if there was none.
+  std::future<void> Publishing_;
   Instant StartedAt_;
   /// When runs were slow or new connections refused; empty if never.
   Instant DelaysFrom_ = Instant::max();
@@ -100,6 +114,8 @@
   std::map<std::uint32_t, std::future<PlannedStop>> StopsInProgress_;
   /// Hosts whose daemon was killed and is not started yet.
   std::set<std::uint32_t> Killed_;
+  /// When daemons were killed, by their `ip:port` for callers.
+  std::multimap<std::string, Instant> Kills_;
   std::vector<PlannedStop> Stops_;
   std::vector<StatedLimit> Limits_;
   Violations Violations_;
