--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -13,6 +13,7 @@
 #include <iterator>
 #include <stdexcept>
 #include <thread>
+#include <utility>
 
 namespace lagoonhitch {
 
@@ -54,13 +55,15 @@
 } // namespace
 
 Site::Site(const Clock &Time, SiteOptions Options)
-    : Time_(Time), Options_(Options) {
+    : Time_(Time), Options_(std::move(Options)) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "lagoonhitch-XXXXXX").string();
   if (mkdtemp(Template.data()) == nullptr)
     throw std::runtime_error("cannot create a temporary directory");
   Folder_ = Template;
   startStore();
+  if (!Options_.Manifest_.is_null())
+    publishManifest(Options_.Manifest_);
   Json Settings = baseSettings();
   Settings["limits"]["body_bytes"] = Options_.MaxBodyBytes_;
   if (Options_.UseHeartbeatReplies_)
@@ -139,7 +142,6 @@
 
 void Site::startDaemon(std::uint32_t Index) {
   Host &Started = Hosts_[Index];
-  const std::string Settings = Started.Name_ + ".json";
   const std::string Any = "127.0.0.1:0";
   // A restarted daemon keeps the addresses that other processes use.
   const auto Address = [](const std::string &Known) {
@@ -158,14 +160,11 @@
       Started.Relay_ = std::make_unique<TcpRelay>();
     HostFile["peers_public"] = Started.Relay_->address();
   }
-  writeFile(Settings, {{"host", HostFile}});
   const std::string Output = Started.Name_ + ".out";
   keepOutput(Started.Name_);
   Started.Daemon_ = std::make_unique<ChildProcess>(
-      std::vector<std::string>{LAGOONHITCHD, "--settings=" + file("base.json"),
-                               "--overlay=" + file("overlay.json"),
-                               "--host=" + file(Settings)},
-      file(Output), file(Started.Name_ + ".err"));
+      writeSettings(Started, std::move(HostFile)), file(Output),
+      file(Started.Name_ + ".err"));
   const Json Details = Json::parse(waitForLine(Started.Name_)).at("details");
   Started.CallersAddress_ = Details.at("callers").get<std::string>();
   Started.AdminAddress_ = Details.at("admin").get<std::string>();
@@ -174,6 +173,22 @@
     Started.Relay_->setTarget(Details.at("peers").get<std::string>());
 }
 
+std::vector<std::string> Site::writeSettings(const Host &Started,
+                                             Json HostFile) const {
+  const std::string Settings = Started.Name_ + ".json";
+  if (Options_.Manifest_.is_null()) {
+    writeFile(Settings, {{"host", HostFile}});
+    return {LAGOONHITCHD, "--settings=" + file("base.json"),
+            "--overlay=" + file("overlay.json"), "--host=" + file(Settings)};
+  }
+  HostFile["host"] = Started.Name_;
+  HostFile["store"] = StoreAddress_;
+  HostFile["ready"] = "127.0.0.1:0";
+  HostFile["first_start"] = Started.CallersAddress_.empty();
+  writeFile(Settings, HostFile);
+  return {LAGOONHITCHD, "--platform=" + file(Settings)};
+}
+
 void Site::startUpstream(std::uint32_t Index) {
   Host &Started = Hosts_[Index];
   ++Started.Incarnation_;
--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -32,6 +32,9 @@
   bool RecordRuns_ = true;
   /// Maximum size of a caller's request body, in bytes.
   std::size_t MaxBodyBytes_ = std::size_t{1024} * 1024;
+  /// The manifest that daemons read from the store instead of settings files;
+  /// null for none. It must have both services.
+  nlohmann::json Manifest_ = nullptr;
 };
 
 /// Runs the processes of a site, with their files in a temporary directory. The
@@ -166,6 +169,9 @@
   std::string waitForLine(const std::string &Process) const;
   void startStore();
   void startDaemon(std::uint32_t Index);
+  /// Writes the settings of a host's daemon. Returns the daemon's arguments.
+  std::vector<std::string> writeSettings(const Host &Started,
+                                         nlohmann::json HostFile) const;
   void startUpstream(std::uint32_t Index);
   bool isServingAllKeys(std::uint32_t Index) const;
   void postMode(const std::string &Address, const nlohmann::json &Mode) const;
--- a/tests/soak/soak_round.cpp
+++ b/tests/soak/soak_round.cpp
@@ -32,7 +32,7 @@
 /// Time in which a stated limit becomes known.
 constexpr milliseconds LimitNotice{500};
 /// Time that an upstream takes for a request without SlowRuns.
-constexpr microseconds NormalRunTime{SiteOptions().ServiceTimeMicros_};
+const microseconds NormalRunTime{SiteOptions().ServiceTimeMicros_};
 /// Time in which a manifest can be published, longer than faults of the store.
 constexpr seconds PublishLimit{20};
 /// Pause after a failed attempt to publish a manifest.
