Limits of a request are those at its first byte

Callers got 431 or 413 for requests that the manifest in force allows, if their connection had been idle since before the change. A connection took the limits of headers and bodies when it became idle, for the next request on it. For the same reason, requests above lower limits were still accepted.

The limits are taken when the first bytes of a request are handled.

--- a/net/http_session.h
+++ b/net/http_session.h
@@ -106,6 +106,7 @@
   void onIdleTimeout();
   void awaitInput();
   void readInput(boost::beast::error_code Failure);
+  void startReader();
   void onInput(const boost::beast::error_code &Failure, std::size_t Size);
   void readOn();
   std::size_t nextReadBytes() const;
@@ -156,6 +157,7 @@
   /// Once the time for a request is over: how much of it had arrived by then
   /// and is still to be read, in bytes.
   std::optional<std::size_t> ArrivedInTime_;
+  /// The request of which at least one byte was read.
   std::optional<RequestReader> Reader_;
   /// When bytes of a request were last received.
   Instant LastInputAt_;
--- a/net/http_session_input.cpp
+++ b/net/http_session_input.cpp
@@ -58,9 +58,6 @@
   if (!canRead())
     return;
   Reading_ = true;
-  const HttpServerOptions &Options = Server_->Options_;
-  Reader_.emplace(
-      RequestLimits{Options.MaxHeaderBytes_, Options.MaxBodyBytes_});
   if (Buffer_.size() > 0) {
     boost::asio::post(Stream_.get_executor(), [Self = shared_from_this()] {
       Self->onInput(error_code(), 0);
@@ -114,6 +111,14 @@
     abandon(ConnectionEnd::IdleTimeout);
 }
 
+/// The limits are those at the first byte of the request: they may have changed
+/// since the connection became idle.
+void HttpSession::startReader() {
+  const HttpServerOptions &Options = Server_->Options_;
+  Reader_.emplace(
+      RequestLimits{Options.MaxHeaderBytes_, Options.MaxBodyBytes_});
+}
+
 /// Handles what was read of a request.
 void HttpSession::onInput(const error_code &Failure, std::size_t Size) {
   Reading_ = false;
@@ -133,6 +138,8 @@
     LastInputAt_ = std::chrono::steady_clock::now();
   if (ArrivedInTime_)
     *ArrivedInTime_ -= std::min(*ArrivedInTime_, Size);
+  if (!Reader_)
+    startReader();
   RequestReader::Progress Progress = Reader_->parse(Buffer_);
   if (Progress == RequestReader::Progress::Header) {
     // A body that has arrived needs no reservation.
@@ -181,7 +188,7 @@
 }
 
 std::size_t HttpSession::nextReadBytes() const {
-  if (Reader_->bodyBytes(0) <= LargeBodyBytes)
+  if (!Reader_ || Reader_->bodyBytes(0) <= LargeBodyBytes)
     return ReadChunkBytes;
   return std::clamp(Reader_->bodyBytesLeft(), ReadChunkBytes, MaxReadBytes);
 }
@@ -277,7 +284,7 @@
 
 void HttpSession::onReadFailed(const error_code &Failure) {
   const bool Incomplete =
-      Failure == boost::asio::error::eof && Reader_->onEndOfStream();
+      Failure == boost::asio::error::eof && Reader_ && Reader_->onEndOfStream();
   if (Incomplete)
     rejectRequest(RequestRejection::Malformed);
   else
--- a/tests/process/manifest_change_test.cpp
+++ b/tests/process/manifest_change_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Tests that a change of the manifest costs callers no response: requests that
-/// run or arrive beside it get a complete one.
+/// run or arrive beside it get a complete one, and connections that were idle
+/// before it follow the new limits.
 
 #define BOOST_TEST_MODULE manifest_change
 #include "net/address.h"
@@ -359,6 +360,24 @@
   Site.checkAllAnswered();
 }
 
+/// Callers got 413 or 431 for requests that the manifest allows.
+BOOST_AUTO_TEST_CASE(HigherLimitsDoNotApplyToIdleConnections) {
+  constexpr std::size_t MoreBytes = 4000;
+  Json First = firstManifest();
+  First["limits"]["max-header-bytes"] = 1024;
+  First["limits"]["max-body-bytes"] = 1024;
+  ChangingSite Site(First);
+  Site.connect();
+  Site.Manifest_["limits"] = firstManifest()["limits"];
+  Site.apply("11");
+  for (std::size_t Index = 0; Index < ConnectionCount; ++Index) {
+    Connection &Caller = *Site.Connections_[Index];
+    Caller.send("/reads/r", Index % 2 == 0 ? MoreBytes : 0,
+                Index % 2 == 0 ? 0 : MoreBytes);
+  }
+  Site.checkAllRan();
+}
+
 /// The older manifest lacks the routes of the requests.
 BOOST_AUTO_TEST_CASE(RepeatedOrOlderManifestCutsRequests) {
   ChangingSite Site;
--- a/tests/unit/idle_connection_test.cpp
+++ b/tests/unit/idle_connection_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Tests that an HTTP server does not close a connection that has waited for
-/// long if a request has arrived on it.
+/// long if a request has arrived on it, and that its new limits apply to such
+/// a connection.
 
 #define BOOST_TEST_MODULE idle_connection
 #include "net/address.h"
@@ -72,8 +73,13 @@
       sendRequest(Client);
   }
 
-  static void sendRequest(tcp::socket &Client) {
-    const std::string Text = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  static void sendRequest(tcp::socket &Client, std::size_t HeaderBytes = 0,
+                          std::size_t BodyBytes = 0) {
+    const std::string Text =
+        "POST / HTTP/1.1\r\nHost: h\r\nFiller: " +
+        std::string(HeaderBytes, 'a') +
+        "\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n" +
+        std::string(BodyBytes, 'b');
     boost::asio::write(Client, boost::asio::buffer(Text));
   }
 
@@ -99,10 +105,21 @@
   }
 
   static bool hasResponse(tcp::socket &Client) {
+    return readResponse(Client).starts_with("HTTP/1.1 200");
+  }
+
+  static std::string readResponse(tcp::socket &Client) {
     std::string Text(4096, '\0');
     boost::system::error_code Failure;
     Text.resize(Client.read_some(boost::asio::buffer(Text), Failure));
-    return Text.starts_with("HTTP/1.1 200");
+    return Text;
+  }
+
+  void setLimits(std::size_t MaxHeaderBytes, std::size_t MaxBodyBytes) {
+    HttpServerOptions Limits = options(HttpServerOptions().MaxConnections_);
+    Limits.MaxHeaderBytes_ = MaxHeaderBytes;
+    Limits.MaxBodyBytes_ = MaxBodyBytes;
+    Server_.setLimits(Limits);
   }
 
   IoLoop Loop_;
@@ -197,4 +214,37 @@
     BOOST_TEST(IdleConnections::hasResponse(Client));
 }
 
+// The limits were those when a connection became idle.
+BOOST_AUTO_TEST_CASE(HigherLimitsDoNotApplyToIdleConnections) {
+  constexpr std::size_t OldLimit = 1024;
+  constexpr std::size_t NewLimit = 8192;
+  constexpr std::size_t Bytes = 4096;
+  IdleConnections Test(0);
+  Test.setLimits(OldLimit, OldLimit);
+  Test.Clients_.push_back(Test.connect());
+  Test.Clients_.push_back(Test.connect());
+  Test.sendRequests();
+  Test.runFor(TurnTime);
+  BOOST_REQUIRE_EQUAL(Test.responses(), 2U);
+  Test.setLimits(NewLimit, NewLimit);
+  IdleConnections::sendRequest(Test.Clients_[0], Bytes, 0);
+  IdleConnections::sendRequest(Test.Clients_[1], 0, Bytes);
+  Test.runFor(TurnTime);
+  BOOST_TEST(Test.responses() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(LowerLimitsDoNotApplyToIdleConnections) {
+  constexpr std::size_t NewLimit = 1024;
+  constexpr std::size_t Bytes = 4096;
+  IdleConnections Test(2);
+  Test.setLimits(NewLimit, NewLimit);
+  IdleConnections::sendRequest(Test.Clients_[0], Bytes, 0);
+  IdleConnections::sendRequest(Test.Clients_[1], 0, Bytes);
+  Test.runFor(TurnTime);
+  BOOST_TEST(IdleConnections::readResponse(Test.Clients_[0])
+                 .starts_with("HTTP/1.1 431"));
+  BOOST_TEST(IdleConnections::readResponse(Test.Clients_[1])
+                 .starts_with("HTTP/1.1 413"));
+}
+
 } // namespace lagoonhitch
