A higher idle timeout applies to idle connections

A connection that was idle when a manifest raised the idle timeout was closed after the old one: a caller that relies on the new one sends to a closed connection. When the timeout has expired, the one in force decides now.

--- a/net/http_session_input.cpp
+++ b/net/http_session_input.cpp
@@ -97,7 +97,7 @@
 }
 
 void HttpSession::setIdleTimer() {
-  ReadTimer_.expires_after(Server_->Options_.IdleTimeout_);
+  ReadTimer_.expires_at(IdleSince_ + Server_->Options_.IdleTimeout_);
   ReadTimer_.async_wait([Weak = weak_from_this()](error_code Failure) {
     const std::shared_ptr<HttpSession> Self = Weak.lock();
     if (!Failure && Self)
@@ -106,8 +106,14 @@
 }
 
 void HttpSession::onIdleTimeout() {
-  const bool Expired = ReadTimer_.expiry() <= std::chrono::steady_clock::now();
-  if (Idle_ && Pending_.empty() && Expired && !hasInput())
+  const Instant Now = std::chrono::steady_clock::now();
+  const bool Expired = ReadTimer_.expiry() <= Now;
+  if (!Idle_ || !Pending_.empty() || !Expired || hasInput())
+    return;
+  // The timeout may have been raised since then.
+  if (IdleSince_ + Server_->Options_.IdleTimeout_ > Now)
+    setIdleTimer();
+  else
     abandon(ConnectionEnd::IdleTimeout);
 }
 
--- a/tests/process/manifest_change_test.cpp
+++ b/tests/process/manifest_change_test.cpp
@@ -360,6 +360,17 @@
   Site.checkAllAnswered();
 }
 
+BOOST_AUTO_TEST_CASE(HigherIdleTimeoutDoesNotApplyToIdleConnections) {
+  ChangingSite Site;
+  Site.connect();
+  Site.idleFor(seconds(2));
+  Site.Manifest_["limits"]["idle-timeout-s"] = 10;
+  Site.apply("11");
+  Site.idleFor(IdleTimeout + milliseconds(500));
+  Site.sendAll();
+  Site.checkAllAnswered();
+}
+
 /// Callers got 413 or 431 for requests that the manifest allows.
 BOOST_AUTO_TEST_CASE(HigherLimitsDoNotApplyToIdleConnections) {
   constexpr std::size_t MoreBytes = 4000;
