--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -63,7 +63,7 @@
   Folder_ = Template;
   startStore();
   if (!Options_.Manifest_.is_null())
-    publishManifest(Options_.Manifest_);
+    publishManifest(Options_.Manifest_.dump());
   Json Settings = baseSettings();
   Settings["limits"]["body_bytes"] = Options_.MaxBodyBytes_;
   if (Options_.UseHeartbeatReplies_)
